Thin whole path: router, stand-ins, load tool and demo as separate processes

Change: marjoram (router) serves /v1/completions (streamed or whole), /v1/route, /v1/services/{name}, /debug/state and /healthz on ntex; it follows the log service's config stream, the host list, and each engine's cache events and load report. marjoram-standin runs the engine (prefix cache with LRU and idle eviction, priorities, lagging load, lossy late events, fenced weight orders), the log service (offsets, rate limit, retention, outages), the host list (lagging), a plain service and the load tool; 'demo' starts them all plus two routers, swaps every workspace onto each policy through published configuration and replays both workloads.

The 12 'repeated' under least-load/lone-star were the demo reusing the same alert keys across runs; keys now carry a per-run nonce.

--- a/crates/core/src/cache.rs
+++ b/crates/core/src/cache.rs
@@ -92,7 +92,7 @@
     ///
     /// A `life` other than the slot's current one clears the slot first.
     pub fn stored(&self, slot: Slot, life: Life, blocks: &[BlockHash]) {
-        self.enter(slot, life);
+        self.begin(slot, life);
         for block in blocks {
             let mut shard = self.shard(*block).write().unwrap();
             *shard.entry(block.0).or_insert(0) |= slot.bit();
@@ -174,7 +174,8 @@
         Counts { entries, clears: self.clears.load(std::sync::atomic::Ordering::Relaxed) }
     }
 
-    fn enter(&self, slot: Slot, life: Life) {
+    /// Starts `slot` on `life`, clearing entries of any other life.
+    pub fn begin(&self, slot: Slot, life: Life) {
         if self.life(slot) == Some(life) {
             return;
         }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -206,6 +206,15 @@
         outcome
     }
 
+    /// Passes over the record at `offset`, which could not be decoded.
+    pub fn skip(&mut self, offset: Offset, why: String) -> Applied {
+        if self.offset.is_some_and(|now| offset <= now) {
+            return Applied::Stale;
+        }
+        self.offset = Some(offset);
+        Applied::Rejected(why)
+    }
+
     /// Policy and parameters of every workspace; cheap to clone.
     pub fn routing(&self) -> Arc<BTreeMap<WorkspaceId, Routing>> {
         self.routing.clone()
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -143,7 +143,9 @@
 }
 
 /// Priority of a request: batch work yields to interactive work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 #[serde(rename_all = "lowercase")]
 pub enum Priority {
     /// Overnight batch; may wait.
@@ -173,7 +175,9 @@
             "batch" => Ok(Self::Batch),
             "normal" => Ok(Self::Normal),
             "interactive" => Ok(Self::Interactive),
-            _ => Err(Error::Parse("priority", text.into(), "expected batch, normal or interactive")),
+            _ => {
+                Err(Error::Parse("priority", text.into(), "expected batch, normal or interactive"))
+            }
         }
     }
 }
--- a/crates/core/src/measure.rs
+++ b/crates/core/src/measure.rs
@@ -120,7 +120,8 @@
         let skip = (cached as usize) / BLOCK_TOKENS;
         let mut wasted = 0;
         for (index, block) in blocks.iter().enumerate() {
-            let held = self.last.get(block).is_some_and(|at| now.duration_since(*at) < self.horizon);
+            let held =
+                self.last.get(block).is_some_and(|at| now.duration_since(*at) < self.horizon);
             if index >= skip && held {
                 wasted += BLOCK_TOKENS as u64;
             }
--- a/crates/core/src/policy/maglev.rs
+++ b/crates/core/src/policy/maglev.rs
@@ -87,9 +87,8 @@
     /// The key owning `hash`, and the keys after it in table order.
     pub fn walk(&self, hash: u64) -> impl Iterator<Item = u64> + '_ {
         let start = (hash % TABLE_SIZE as u64) as usize;
-        (0..TABLE_SIZE).map(move |step| {
-            self.keys[usize::from(self.entries[(start + step) % TABLE_SIZE])]
-        })
+        (0..TABLE_SIZE)
+            .map(move |step| self.keys[usize::from(self.entries[(start + step) % TABLE_SIZE])])
     }
 }
 
--- a/crates/core/src/policy/prefix_aware.rs
+++ b/crates/core/src/policy/prefix_aware.rs
@@ -29,8 +29,7 @@
         let count = candidates.len().max(1);
         let rotated = |i: usize| (i + count - turn % count) % count;
         let best = (0..candidates.len()).min_by_key(|&i| (cost(&candidates[i]), rotated(i)))?;
-        let idlest =
-            (0..candidates.len()).min_by_key(|&i| (candidates[i].load, rotated(i)))?;
+        let idlest = (0..candidates.len()).min_by_key(|&i| (candidates[i].load, rotated(i)))?;
         match candidates[best].load {
             load if load > candidates[idlest].load + ask.params.balance_cap() => Some(idlest),
             _ => Some(best),
--- a/crates/core/src/workload.rs
+++ b/crates/core/src/workload.rs
@@ -143,7 +143,8 @@
         if self.rng.random_bool(0.25) {
             let line = self.rng.random_range(0..6);
             let notes = self.rng.random_range(0..u64::MAX);
-            let prompt = format!("{} {}", section("defects", line, 384), section("note", notes, 48));
+            let prompt =
+                format!("{} {}", section("defects", line, 384), section("note", notes, 48));
             return completion("star-defects", prompt, 8, Priority::Normal);
         }
         let customer = match self.rng.random_bool(0.6) {
@@ -180,7 +181,12 @@
     }
 }
 
-fn completion(workspace: &'static str, prompt: String, max_tokens: u32, priority: Priority) -> Call {
+fn completion(
+    workspace: &'static str,
+    prompt: String,
+    max_tokens: u32,
+    priority: Priority,
+) -> Call {
     Call::Completion { workspace, prompt, max_tokens, priority }
 }
 
--- /dev/null
+++ b/crates/router/src/error.rs
@@ -0,0 +1,92 @@
+//! Errors of the router, each naming the step and the peer.
+
+use marjoram_core::wire::{ErrorBody, ErrorDetail};
+use ntex::http::StatusCode;
+use quick_error::quick_error;
+
+quick_error! {
+    /// A failure while serving one request or running the node.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A setting is missing or wrong.
+        Setting(name: &'static str, message: String) {
+            display("setting {name}: {message}")
+        }
+        /// A socket could not be bound.
+        Bind(addr: String, source: std::io::Error) {
+            display("bind {addr}: {source}")
+            source(source)
+        }
+        /// The caller's request is malformed.
+        Parse(peer: String, message: String) {
+            display("parse request from {peer}: {message}")
+        }
+        /// The caller's prompt is over the size limit.
+        TooLarge(peer: String, size: usize, limit: usize) {
+            display("parse request from {peer}: prompt of {size} bytes is over the limit of {limit}")
+        }
+        /// The workspace is not configured.
+        UnknownWorkspace(peer: String, workspace: String) {
+            display("route request from {peer}: workspace {workspace:?} is not configured")
+        }
+        /// No engine can take the request.
+        NoEngine(workspace: String) {
+            display("route request of {workspace}: no live engine")
+        }
+        /// No plain service of that name is live.
+        NoService(name: String) {
+            display("route call to service {name}: none is live")
+        }
+        /// The router is draining and takes no new work.
+        Draining {
+            display("route request: this router is shutting down")
+        }
+        /// An engine could not be reached; the request was not sent.
+        Connect(peer: String, message: String) {
+            display("connect to engine {peer}: {message}")
+        }
+        /// An engine failed after the request was sent; outcome unknown.
+        Engine(step: &'static str, peer: String, message: String) {
+            display("{step} at engine {peer}: {message}")
+        }
+    }
+}
+
+impl Error {
+    /// The HTTP status this error is answered with.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Parse(..) => StatusCode::BAD_REQUEST,
+            Self::TooLarge(..) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::UnknownWorkspace(..) => StatusCode::NOT_FOUND,
+            Self::NoEngine(..) | Self::NoService(..) | Self::Draining | Self::Connect(..) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Engine(..) => StatusCode::BAD_GATEWAY,
+            Self::Setting(..) | Self::Bind(..) => StatusCode::INTERNAL_SERVER_ERROR,
+        }
+    }
+
+    /// The wire form of this error.
+    pub fn body(&self) -> ErrorBody {
+        let (step, peer) = match self {
+            Self::Setting(name, _) => ("settings", name.to_string()),
+            Self::Bind(addr, _) => ("bind", addr.clone()),
+            Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
+            Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
+            Self::NoEngine(_) | Self::NoService(_) | Self::Draining => {
+                ("route", "router".to_string())
+            }
+            Self::Connect(peer, _) => ("connect", peer.clone()),
+            Self::Engine(step, peer, _) => (*step, peer.clone()),
+        };
+        ErrorBody {
+            error: ErrorDetail {
+                step: step.into(),
+                peer,
+                message: self.to_string(),
+                not_run: !matches!(self, Self::Engine(..)),
+            },
+        }
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,1 +1,38 @@
-fn main() {}
+//! `marjoram`: the router node, one on each entry host.
+//!
+//! It tells callers which entry host to use, routes each completion to an
+//! engine by the workspace's policy, and streams the answer back whole and
+//! in order. Configuration comes from the platform's log service, engines
+//! and entry hosts from its host list.
+
+mod error;
+mod follow;
+mod forward;
+mod node;
+mod options;
+mod serve;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let settings = match options::parse(&args) {
+        Ok(options::Parsed::Help(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(options::Parsed::Run(settings)) => settings,
+        Err(error) => {
+            eprintln!("marjoram: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    options::init_logs(&settings);
+    match ntex::rt::System::new("marjoram").block_on(serve::run(*settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("marjoram: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/options.rs
@@ -0,0 +1,132 @@
+//! Settings of a router node, from flags and environment variables.
+//!
+//! Every flag may also be given as `MARJORAM_` and its name in upper case
+//! with `-` as `_` (`--log-service` is `MARJORAM_LOG_SERVICE`); the flag
+//! wins. Settings are checked before the node starts.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+
+use crate::error::Error;
+
+/// Checked settings of one router node.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Address to serve callers on.
+    pub listen: SocketAddr,
+    /// Address callers are told to use for this node.
+    pub advertise: String,
+    /// This node's data centre.
+    pub dc: String,
+    /// Address of the log service.
+    pub log_service: SocketAddr,
+    /// Address of the host list.
+    pub host_list: SocketAddr,
+    /// Address of the statsd sink.
+    pub statsd: SocketAddr,
+    /// Largest prompt accepted, in bytes.
+    pub max_prompt: usize,
+    /// How long a caller may keep a route answer.
+    pub route_ttl: Duration,
+    /// How long to keep serving after SIGTERM before closing.
+    pub drain: Duration,
+    /// Worker threads serving callers.
+    pub workers: usize,
+    /// Write logs as JSON.
+    pub json_logs: bool,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Parsed {
+    /// Print this text and stop.
+    Help(String),
+    /// Run a node.
+    Run(Box<Settings>),
+}
+
+/// Parses `args`, the command line without the program name.
+pub fn parse(args: &[String]) -> Result<Parsed, Error> {
+    let mut opts = Options::new();
+    opts.optflag("h", "help", "print this help");
+    opts.optopt("", "listen", "address to serve callers on [127.0.0.1:8000]", "ADDR");
+    opts.optopt("", "advertise", "address callers are told to use [the listen address]", "ADDR");
+    opts.optopt("", "dc", "this node's data centre [dc1]", "NAME");
+    opts.optopt("", "log-service", "address of the log service", "ADDR");
+    opts.optopt("", "host-list", "address of the host list", "ADDR");
+    opts.optopt("", "statsd", "address of the statsd sink [127.0.0.1:8125]", "ADDR");
+    opts.optopt("", "max-prompt", "largest prompt in bytes [4194304]", "BYTES");
+    opts.optopt("", "route-ttl-ms", "ms a caller may keep a route answer [10000]", "MS");
+    opts.optopt("", "drain-ms", "ms to keep serving after SIGTERM [3000]", "MS");
+    opts.optopt("", "workers", "threads serving callers [2]", "N");
+    opts.optopt("", "log-format", "text or json [text]", "FORMAT");
+    let m = opts.parse(args).map_err(|e| Error::Setting("command line", e.to_string()))?;
+    if m.opt_present("help") {
+        return Ok(Parsed::Help(opts.usage("Usage: marjoram [OPTIONS]")));
+    }
+    let listen: SocketAddr = setting(&m, "listen", "127.0.0.1:8000".parse().unwrap())?;
+    let format: String = setting(&m, "log-format", "text".to_string())?;
+    let json_logs = match format.as_str() {
+        "text" => false,
+        "json" => true,
+        _ => return Err(Error::Setting("--log-format", format!("{format:?} is not text or json"))),
+    };
+    let workers: usize = setting(&m, "workers", 2)?;
+    if workers == 0 {
+        return Err(Error::Setting("--workers", "must be above zero".into()));
+    }
+    Ok(Parsed::Run(Box::new(Settings {
+        listen,
+        advertise: setting(&m, "advertise", listen.to_string())?,
+        dc: setting(&m, "dc", "dc1".to_string())?,
+        log_service: required(&m, "log-service")?,
+        host_list: required(&m, "host-list")?,
+        statsd: setting(&m, "statsd", "127.0.0.1:8125".parse().unwrap())?,
+        max_prompt: setting(&m, "max-prompt", 4 << 20)?,
+        route_ttl: Duration::from_millis(setting(&m, "route-ttl-ms", 10_000)?),
+        drain: Duration::from_millis(setting(&m, "drain-ms", 3_000)?),
+        workers,
+        json_logs,
+    })))
+}
+
+/// Sets up `tracing`: text or JSON on stderr, filtered by `MARJORAM_LOG`.
+pub fn init_logs(settings: &Settings) {
+    let filter = tracing_subscriber::EnvFilter::try_from_env("MARJORAM_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match settings.json_logs {
+        true => builder.json().init(),
+        false => builder.init(),
+    }
+}
+
+fn optional<T: FromStr>(m: &Matches, name: &'static str) -> Result<Option<T>, Error>
+where
+    T::Err: std::fmt::Display,
+{
+    let var = format!("MARJORAM_{}", name.to_uppercase().replace('-', "_"));
+    match m.opt_str(name).or_else(|| std::env::var(&var).ok()) {
+        None => Ok(None),
+        Some(text) => text.parse().map(Some).map_err(|e: T::Err| {
+            Error::Setting(name, format!("cannot read {text:?} (from --{name} or {var}): {e}"))
+        }),
+    }
+}
+
+fn setting<T: FromStr>(m: &Matches, name: &'static str, default: T) -> Result<T, Error>
+where
+    T::Err: std::fmt::Display,
+{
+    optional(m, name).map(|v| v.unwrap_or(default))
+}
+
+fn required<T: FromStr>(m: &Matches, name: &'static str) -> Result<T, Error>
+where
+    T::Err: std::fmt::Display,
+{
+    optional(m, name)?.ok_or_else(|| Error::Setting(name, "is required".into()))
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,312 @@
+//! The HTTP face of a node and its life from start to graceful stop.
+//!
+//! - `POST /v1/completions`: a completion, streamed or whole.
+//! - `GET /v1/route?dc=NAME`: which entry host a caller should use.
+//! - `GET /debug/state`: the node's state as JSON.
+//! - `GET /healthz`: 200 while serving, 503 once draining.
+//!
+//! On SIGTERM or SIGINT the node drains: `/v1/route` sends callers to other
+//! routers, new completions get 503 with `Retry-After`, requests in flight
+//! run to their end, and the server closes after the drain period.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use futures::SinkExt;
+use futures::channel::mpsc;
+use marjoram_core::ids::{RequestId, WorkspaceId};
+use marjoram_core::wire::{
+    Chunk, Completion, CompletionRequest, ErrorBody, ErrorDetail, IDEMPOTENCY_KEY, RouteAnswer,
+};
+use ntex::http::client::error::SendRequestError;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse, types};
+use serde::Deserialize;
+
+use crate::error::Error;
+use crate::follow;
+use crate::forward::{self, Out};
+use crate::node::Node;
+use crate::options::Settings;
+
+type Shared = types::State<Arc<Node>>;
+type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
+
+/// Longest a drain waits for requests in flight after the drain period.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+
+/// Runs a node until it has drained after a signal.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let listen = settings.listen;
+    let workers = settings.workers;
+    let node = Arc::new(Node::new(settings));
+    ntex::rt::spawn(follow::config(node.clone()));
+    ntex::rt::spawn(follow::hosts(node.clone()));
+    ntex::rt::spawn(follow::engines(node.clone()));
+    let shared = node.clone();
+    let server = web::HttpServer::new(move || {
+        web::App::new()
+            .state(shared.clone())
+            .route("/v1/completions", web::post().to(complete))
+            .route("/v1/services/{name}", web::post().to(call_service))
+            .route("/v1/route", web::get().to(route))
+            .route("/debug/state", web::get().to(state))
+            .route("/healthz", web::get().to(health))
+    })
+    .workers(workers)
+    .disable_signals()
+    .shutdown_timeout(ntex::time::Seconds(30))
+    .bind(listen)
+    .map_err(|e| Error::Bind(listen.to_string(), e))?
+    .run();
+    tracing::info!(target: "serve", "serve: listening on {listen} in {}.", node.settings.dc);
+    ntex::rt::spawn(drain_on_signal(node, server.clone()));
+    server.await.map_err(|e| Error::Bind(listen.to_string(), e))
+}
+
+async fn drain_on_signal(node: Arc<Node>, server: ntex::server::Server) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        tracing::warn!(target: "serve", "serve: cannot watch signals; stop will not drain.");
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    node.draining.store(true, Ordering::Release);
+    tracing::info!(target: "serve", "serve: draining for {:?}.", node.settings.drain);
+    ntex::time::sleep(node.settings.drain).await;
+    let deadline = Instant::now() + DRAIN_LIMIT;
+    while node.inflight_total() > 0 && Instant::now() < deadline {
+        ntex::time::sleep(Duration::from_millis(50)).await;
+    }
+    tracing::info!(target: "serve", "serve: drained, {} in flight; stopping.", node.inflight_total());
+    server.stop(true).await;
+}
+
+async fn complete(node: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let node: Arc<Node> = node.get_ref().clone();
+    let peer = request.peer_addr().map(|a| a.to_string()).unwrap_or_else(|| "caller".into());
+    node.counters.requests.fetch_add(1, Ordering::Relaxed);
+    match accept(&node, &peer, &body).await {
+        Ok(response) => response,
+        Err(error) => {
+            node.counters.failed.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(target: "serve", "serve: refused: {error}.");
+            reply_error(&error)
+        }
+    }
+}
+
+async fn accept(node: &Arc<Node>, peer: &str, body: &[u8]) -> Result<HttpResponse, Error> {
+    if node.draining.load(Ordering::Acquire) {
+        return Err(Error::Draining);
+    }
+    let request: CompletionRequest =
+        serde_json::from_slice(body).map_err(|e| Error::Parse(peer.into(), e.to_string()))?;
+    if request.prompt.len() > node.settings.max_prompt {
+        return Err(Error::TooLarge(peer.into(), request.prompt.len(), node.settings.max_prompt));
+    }
+    let workspace: WorkspaceId = request
+        .workspace
+        .parse()
+        .map_err(|e: marjoram_core::Error| Error::Parse(peer.into(), e.to_string()))?;
+    let active = node.active.load();
+    let routing = *active
+        .routing
+        .get(&workspace)
+        .ok_or_else(|| Error::UnknownWorkspace(peer.into(), workspace.to_string()))?;
+    let id = RequestId(node.request_id());
+    let opened = forward::open(node, id, &workspace, &request, routing).await?;
+    let engine = opened.engine.clone();
+    match request.stream {
+        true => {
+            let (tx, rx) = mpsc::channel(64);
+            ntex::rt::spawn(stream(node.clone(), opened, id, tx));
+            Ok(HttpResponse::Ok().content_type("text/event-stream").streaming(rx))
+        }
+        false => {
+            let mut whole = Whole(String::new());
+            let usage = forward::pump(node, opened, id, &mut whole).await?;
+            node.counters.answered.fetch_add(1, Ordering::Relaxed);
+            Ok(HttpResponse::Ok().json(&Completion { id, text: whole.0, usage, engine }))
+        }
+    }
+}
+
+async fn stream(node: Arc<Node>, opened: forward::Opened, id: RequestId, tx: Sender) {
+    let mut out = Sse(tx);
+    match forward::pump(&node, opened, id, &mut out).await {
+        Ok(_) => {
+            node.counters.answered.fetch_add(1, Ordering::Relaxed);
+            let _ = out.0.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+        }
+        Err(error) => {
+            node.counters.failed.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(target: "serve", "serve: stream {id} ended early: {error}.");
+            let body = serde_json::to_string(&error.body()).unwrap_or_default();
+            let _ = out.0.send(Ok(Bytes::from(format!("event: error\ndata: {body}\n\n")))).await;
+        }
+    }
+}
+
+/// Server-sent events to the caller.
+struct Sse(Sender);
+
+impl Out for Sse {
+    async fn chunk(&mut self, chunk: &Chunk) -> bool {
+        let line = format!("data: {}\n\n", serde_json::to_string(chunk).unwrap_or_default());
+        self.0.send(Ok(Bytes::from(line))).await.is_ok()
+    }
+}
+
+/// The whole answer, gathered.
+struct Whole(String);
+
+impl Out for Whole {
+    async fn chunk(&mut self, chunk: &Chunk) -> bool {
+        self.0.push_str(&chunk.text);
+        true
+    }
+}
+
+fn reply_error(error: &Error) -> HttpResponse {
+    let mut builder = HttpResponse::build(error.status());
+    if error.status() == ntex::http::StatusCode::SERVICE_UNAVAILABLE {
+        builder.header("retry-after", "1");
+    }
+    builder.json(&error.body())
+}
+
+/// Forwards a call to a plain service, at most once.
+///
+/// The call is sent once and never retried after it may have reached the
+/// service: a refused connection is answered "not run", anything later
+/// "outcome unknown".
+async fn call_service(
+    node: Shared,
+    name: types::Path<String>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let pool = node.pool.load();
+    let key = request.headers().get(IDEMPOTENCY_KEY).cloned();
+    let (Some(service), false) = (pool.services.first(), node.draining.load(Ordering::Acquire))
+    else {
+        return reply_error(&Error::NoService(name.into_inner()));
+    };
+    let url = format!("http://{service}/v1/{}", name.as_str());
+    let mut call = SERVICE.with(|client| client.post(&url));
+    if let Some(key) = key {
+        call = call.header(IDEMPOTENCY_KEY, key);
+    }
+    match call.send_body(body).await {
+        Ok(mut response) => {
+            let status = response.status();
+            let bytes = response.body().await.unwrap_or_default();
+            HttpResponse::build(status).content_type("application/json").body(bytes)
+        }
+        Err(SendRequestError::Connect(e)) => {
+            reply_error(&Error::Connect(service.clone(), e.to_string()))
+        }
+        Err(e) => reply_error(&Error::Engine("send", service.clone(), e.to_string())),
+    }
+}
+
+thread_local! {
+    static SERVICE: ntex::http::client::Client =
+        ntex::http::client::Client::build().timeout(ntex::time::Seconds(10)).finish();
+}
+
+/// Query of `GET /v1/route`.
+#[derive(Debug, Deserialize)]
+struct RouteQuery {
+    dc: Option<String>,
+    caller: Option<String>,
+}
+
+async fn route(node: Shared, query: types::Query<RouteQuery>) -> HttpResponse {
+    let pool = node.pool.load();
+    let draining = node.draining.load(Ordering::Acquire);
+    let me = &node.settings.advertise;
+    let usable: Vec<_> = pool.routers.iter().filter(|r| !(draining && &r.addr == me)).collect();
+    let local: Vec<_> = usable.iter().filter(|r| Some(&r.dc) == query.dc.as_ref()).collect();
+    let from = match local.is_empty() {
+        true => usable.iter().collect::<Vec<_>>(),
+        false => local,
+    };
+    let caller = query.caller.as_deref().unwrap_or("");
+    let pick = match from.len() {
+        0 if !draining => None,
+        0 => {
+            let detail = ErrorDetail {
+                step: "route".into(),
+                peer: "router".into(),
+                message: "no other router is live".into(),
+                not_run: true,
+            };
+            return HttpResponse::ServiceUnavailable()
+                .header("retry-after", "1")
+                .json(&ErrorBody { error: detail });
+        }
+        n => Some(from[(xxhash_rust::xxh3::xxh3_64(caller.as_bytes()) % n as u64) as usize]),
+    };
+    let ttl = match draining {
+        true => Duration::from_millis(1000),
+        false => node.settings.route_ttl,
+    };
+    let answer = match pick {
+        Some(router) => RouteAnswer {
+            addr: router.addr.clone(),
+            dc: router.dc.clone(),
+            ttl_ms: ttl.as_millis() as u64,
+        },
+        None => RouteAnswer {
+            addr: me.clone(),
+            dc: node.settings.dc.clone(),
+            ttl_ms: ttl.as_millis() as u64,
+        },
+    };
+    HttpResponse::Ok().json(&answer)
+}
+
+async fn state(node: Shared) -> HttpResponse {
+    let active = node.active.load();
+    let pool = node.pool.load();
+    let engines: Vec<_> = pool
+        .engines
+        .iter()
+        .map(|e| {
+            let index = usize::from(e.slot.0);
+            serde_json::json!({
+                "engine": e,
+                "inflight": node.inflight[index].load(Ordering::Relaxed),
+                "reported": node.reported[index].load(Ordering::Relaxed),
+                "down": node.down[index].load(Ordering::Relaxed),
+                "life": node.picture.life(e.slot),
+            })
+        })
+        .collect();
+    HttpResponse::Ok().json(&serde_json::json!({
+        "advertise": node.settings.advertise,
+        "dc": node.settings.dc,
+        "draining": node.draining.load(Ordering::Acquire),
+        "config": &**active,
+        "engines": engines,
+        "routers": pool.routers,
+        "services": pool.services,
+        "picture": node.picture.counts(),
+        "counters": &node.counters,
+    }))
+}
+
+async fn health(node: Shared) -> HttpResponse {
+    match node.draining.load(Ordering::Acquire) {
+        true => HttpResponse::ServiceUnavailable().body("draining"),
+        false => HttpResponse::Ok().body("ok"),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/hosts.rs
@@ -0,0 +1,63 @@
+//! The platform's host list, for tests and the demo.
+//!
+//! Hosts are put in with `PUT /v1/hosts` (a [`HostEntry`]; the same address
+//! again replaces it) and listed with `GET /v1/hosts`, which answers the
+//! list as it stood `lag_ms` ago.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use marjoram_core::wire::{HostEntry, HostList};
+use ntex::web::{self, HttpResponse, types};
+
+use crate::error::Error;
+use crate::options::HostsOptions;
+
+struct Hosts {
+    lag: Duration,
+    history: Mutex<VecDeque<(Instant, HostList)>>,
+}
+
+/// Serves the host list until stopped.
+pub async fn serve(opts: HostsOptions) -> Result<(), Error> {
+    let listen = opts.listen.clone();
+    let mut history = VecDeque::new();
+    history.push_back((Instant::now(), HostList::default()));
+    let hosts: &'static Hosts = Box::leak(Box::new(Hosts {
+        lag: Duration::from_millis(opts.lag_ms),
+        history: Mutex::new(history),
+    }));
+    tracing::info!(target: "hosts", "hosts: listening on {listen}.");
+    web::HttpServer::new(move || {
+        web::App::new()
+            .state(hosts)
+            .route("/v1/hosts", web::put().to(put))
+            .route("/v1/hosts", web::get().to(get))
+    })
+    .workers(1)
+    .bind(&listen)
+    .map_err(|e| Error::Io("bind", listen.clone(), e))?
+    .run()
+    .await
+    .map_err(|e| Error::Io("serve", listen, e))
+}
+
+async fn put(hosts: types::State<&'static Hosts>, body: types::Json<HostEntry>) -> HttpResponse {
+    let entry = body.into_inner();
+    let mut history = hosts.history.lock().unwrap();
+    let mut list = history.back().map(|(_, list)| list.clone()).unwrap_or_default();
+    list.hosts.retain(|host| host.addr != entry.addr);
+    list.hosts.push(entry);
+    history.push_back((Instant::now(), list));
+    HttpResponse::NoContent().finish()
+}
+
+async fn get(hosts: types::State<&'static Hosts>) -> HttpResponse {
+    let now = Instant::now();
+    let mut history = hosts.history.lock().unwrap();
+    while history.len() > 1 && now.duration_since(history[1].0) >= hosts.lag {
+        history.pop_front();
+    }
+    HttpResponse::Ok().json(&history[0].1)
+}
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,237 @@
+//! The load tool: replays a seeded workload against routers and reports
+//! the measures of the brief.
+//!
+//! It asks a router which entry host to use (there is no balancer), sends
+//! each call at its time, reads every answer whole and checks it: chunks
+//! must carry the request's own id in sequence, and a refusal must say
+//! whether the call ran. Alerts go to the plain service through the router
+//! with an idempotency key; the service's own counts tell repeats.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use marjoram_core::ids::{ModelVersion, WorkspaceId};
+use marjoram_core::measure::{Measures, Seen};
+use marjoram_core::prefix::Prefix;
+use marjoram_core::wire::{Chunk, CompletionRequest, ErrorBody, IDEMPOTENCY_KEY, RouteAnswer};
+use marjoram_core::workload::{Call, Site, Workload};
+use ntex::http::client::Client;
+
+use crate::error::Error;
+use crate::options::LoadOptions;
+use crate::service::Stats;
+
+/// What one load run measured.
+#[derive(Debug)]
+pub struct Report {
+    /// The workload.
+    pub site: Site,
+    /// The totals.
+    pub measures: Measures,
+    /// Alerts sent.
+    pub alerts: u64,
+    /// Wall time of the run.
+    pub elapsed: Duration,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let m = &self.measures;
+        writeln!(f, "workload          {}", self.site)?;
+        writeln!(f, "answered          {}", m.answered)?;
+        writeln!(f, "prefix hit rate   {:.1}%", m.hit_rate() * 100.0)?;
+        writeln!(
+            f,
+            "ttft p50/p95/p99  {:.0}/{:.0}/{:.0} ms",
+            m.ttft_ms(0.5),
+            m.ttft_ms(0.95),
+            m.ttft_ms(0.99)
+        )?;
+        writeln!(f, "wasted recompute  {:.1}% of prompt tokens", m.waste_rate() * 100.0)?;
+        writeln!(f, "lost/repeated     {}/{}", m.lost, m.repeated)?;
+        writeln!(f, "refused (not run) {} ({} of them ran)", m.refused, m.false_refusals)?;
+        writeln!(f, "alerts sent       {}", self.alerts)?;
+        writeln!(f, "elapsed           {:.1} s", self.elapsed.as_secs_f64())
+    }
+}
+
+struct Run {
+    /// Prefix of this run's idempotency keys, so runs never share keys.
+    nonce: u64,
+    measures: Measures,
+    seen: Seen,
+    alerts: u64,
+}
+
+/// Runs the workload and returns what was measured.
+pub async fn run(opts: LoadOptions) -> Result<Report, Error> {
+    let client = Client::build().timeout(ntex::time::Seconds(60)).finish();
+    let entry = ask_route(&client, &opts.routers).await?;
+    tracing::info!(target: "load", "load: using router {} in {}.", entry.addr, entry.dc);
+    let run = Rc::new(RefCell::new(Run {
+        nonce: rand::random(),
+        measures: Measures::new(),
+        seen: Seen::new(Duration::from_millis(opts.horizon_ms)),
+        alerts: 0,
+    }));
+    let before = service_stats(&client, opts.service.as_deref()).await;
+    let start = Instant::now();
+    let gap = Duration::from_secs_f64(1.0 / opts.rate as f64);
+    let mut tasks = Vec::new();
+    for (index, call) in Workload::new(opts.site, opts.seed, opts.calls).enumerate() {
+        let due = start + gap * index as u32;
+        let now = Instant::now();
+        if due > now {
+            ntex::time::sleep(due - now).await;
+        }
+        let (client, run, addr) = (client.clone(), run.clone(), entry.addr.clone());
+        tasks.push(ntex::rt::spawn(async move { send(&client, &addr, call, &run).await }));
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+    let after = service_stats(&client, opts.service.as_deref()).await;
+    let mut run = Rc::try_unwrap(run).ok().expect("all calls done").into_inner();
+    if let (Some(before), Some(after)) = (before, after) {
+        run.measures.repeated += after.repeated - before.repeated;
+    }
+    Ok(Report {
+        site: opts.site,
+        measures: run.measures,
+        alerts: run.alerts,
+        elapsed: start.elapsed(),
+    })
+}
+
+async fn ask_route(client: &Client, routers: &[String]) -> Result<RouteAnswer, Error> {
+    let mut last = String::from("no router given");
+    for router in routers {
+        let url = format!("http://{router}/v1/route?dc=dc1&caller=load");
+        match client.get(&url).send().await {
+            Ok(mut response) if response.status().is_success() => {
+                let body = response
+                    .body()
+                    .await
+                    .map_err(|e| Error::Peer("route", router.clone(), e.to_string()))?;
+                return serde_json::from_slice(&body)
+                    .map_err(|e| Error::Peer("route", router.clone(), e.to_string()));
+            }
+            Ok(response) => last = format!("{router}: status {}", response.status()),
+            Err(error) => last = format!("{router}: {error}"),
+        }
+    }
+    Err(Error::Peer("route", routers.join(","), last))
+}
+
+async fn service_stats(client: &Client, service: Option<&str>) -> Option<Stats> {
+    let mut response = client.get(format!("http://{}/v1/stats", service?)).send().await.ok()?;
+    let body = response.body().await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+async fn send(client: &Client, router: &str, call: Call, run: &RefCell<Run>) {
+    match call {
+        Call::Completion { workspace, prompt, max_tokens, priority } => {
+            let request = CompletionRequest {
+                workspace: workspace.into(),
+                prompt,
+                max_tokens,
+                stream: true,
+                priority,
+            };
+            complete(client, router, request, run).await;
+        }
+        Call::Alert { key } => {
+            let key = {
+                let mut run = run.borrow_mut();
+                run.alerts += 1;
+                format!("{}-{key}", run.nonce)
+            };
+            alert(client, router, &key, run).await;
+        }
+    }
+}
+
+async fn complete(client: &Client, router: &str, request: CompletionRequest, run: &RefCell<Run>) {
+    let workspace: WorkspaceId = request.workspace.parse().expect("workload workspaces are valid");
+    let prefix = Prefix::new(&request.prompt, &workspace, ModelVersion(1));
+    let sent = Instant::now();
+    let response = client.post(format!("http://{router}/v1/completions")).send_json(&request).await;
+    let mut response = match response {
+        Ok(response) => response,
+        Err(error) => {
+            tracing::warn!(target: "load", "load: send to {router} failed: {error}.");
+            run.borrow_mut().measures.lost += 1;
+            return;
+        }
+    };
+    if !response.status().is_success() {
+        let body = response.body().await.unwrap_or_default();
+        refused(run, &body);
+        return;
+    }
+    let mut events = response.eventsource();
+    let mut first = None;
+    let mut expected = 0u32;
+    let mut id = None;
+    while let Some(Ok(event)) = events.next().await {
+        match (event.event.as_str(), event.data.as_str()) {
+            ("error", data) => {
+                tracing::info!(target: "load", "load: answer ended with an error: {data}.");
+                break;
+            }
+            (_, "[DONE]") => break,
+            (_, data) => {
+                let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
+                    break;
+                };
+                first.get_or_insert_with(|| sent.elapsed());
+                let ours = *id.get_or_insert(chunk.id);
+                if chunk.id != ours || chunk.seq != expected {
+                    run.borrow_mut().measures.repeated += 1;
+                    return;
+                }
+                expected += 1;
+                if let Some(usage) = chunk.usage {
+                    let mut run = run.borrow_mut();
+                    let wasted =
+                        run.seen.finished(&prefix.blocks, usage.cached_tokens.0, Instant::now());
+                    let m = &mut run.measures;
+                    m.answered += 1;
+                    m.prompt += usage.prompt_tokens.0;
+                    m.cached += usage.cached_tokens.0;
+                    m.wasted += wasted;
+                    let _ = m.ttft.record(first.unwrap_or_default().as_micros().max(1) as u64);
+                    return;
+                }
+            }
+        }
+    }
+    run.borrow_mut().measures.lost += 1;
+}
+
+async fn alert(client: &Client, router: &str, key: &str, run: &RefCell<Run>) {
+    let url = format!("http://{router}/v1/services/alerts");
+    let response =
+        client.post(url).header(IDEMPOTENCY_KEY, key).send_body("press-line alert").await;
+    match response {
+        Ok(response) if response.status().is_success() => {}
+        Ok(mut response) => {
+            let body = response.body().await.unwrap_or_default();
+            refused(run, &body);
+        }
+        Err(_) => run.borrow_mut().measures.lost += 1,
+    }
+}
+
+fn refused(run: &RefCell<Run>, body: &[u8]) {
+    let mut run = run.borrow_mut();
+    match serde_json::from_slice::<ErrorBody>(body) {
+        Ok(error) if error.error.not_run => run.measures.refused += 1,
+        _ => run.measures.lost += 1,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/options.rs
@@ -0,0 +1,300 @@
+//! Command line of `marjoram-standin`: one subcommand per stand-in.
+//!
+//! Every flag may also be given as an environment variable named
+//! `MARJORAM_` and the flag in upper case with `-` as `_`; the flag wins.
+
+use std::str::FromStr;
+
+use getopts::{Matches, Options};
+use marjoram_core::workload::Site;
+
+use crate::error::Error;
+
+const USAGE: &str = "\
+Usage: marjoram-standin COMMAND [OPTIONS]
+
+Commands:
+  demo      start a small site (stand-ins and two routers), replay a workload
+            under every policy and print the measures
+  engine    a model engine with a prefix cache
+  log       the log service: append-only streams with offsets
+  hosts     the host list, answering with a lag
+  service   a plain service whose calls must not be repeated
+  load      replay a seeded workload against routers and print the measures
+
+Run 'marjoram-standin COMMAND --help' for the options of one command.
+";
+
+/// Settings of the engine stand-in.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Address to listen on.
+    pub listen: String,
+    /// Cache capacity in blocks.
+    pub capacity: usize,
+    /// Milliseconds a block stays cached unused.
+    pub idle_ms: u64,
+    /// Microseconds of compute per uncached prompt token.
+    pub prefill_us: u64,
+    /// Milliseconds per generated token.
+    pub decode_ms: u64,
+    /// Requests computing their prompt at once.
+    pub slots: usize,
+    /// Share of cache events lost, from 0 to 1.
+    pub event_loss: f64,
+    /// Milliseconds before a cache event is published.
+    pub event_lag_ms: u64,
+    /// Milliseconds between load reports.
+    pub load_lag_ms: u64,
+    /// Whether orders with an old fencing token are refused.
+    pub fenced: bool,
+    /// Seed for event loss.
+    pub seed: u64,
+}
+
+/// Settings of the log-service stand-in.
+#[derive(Debug, Clone)]
+pub struct LogOptions {
+    /// Address to listen on.
+    pub listen: String,
+    /// Appends a second over all streams before 429.
+    pub rate: u32,
+    /// Seconds a record is kept.
+    pub retention_s: u64,
+}
+
+/// Settings of the host-list stand-in.
+#[derive(Debug, Clone)]
+pub struct HostsOptions {
+    /// Address to listen on.
+    pub listen: String,
+    /// Milliseconds the list lags behind changes.
+    pub lag_ms: u64,
+}
+
+/// Settings of the plain service stand-in.
+#[derive(Debug, Clone)]
+pub struct ServiceOptions {
+    /// Address to listen on.
+    pub listen: String,
+}
+
+/// Settings of the load tool.
+#[derive(Debug, Clone)]
+pub struct LoadOptions {
+    /// Routers to ask which entry host to use.
+    pub routers: Vec<String>,
+    /// Which workload.
+    pub site: Site,
+    /// Calls to make.
+    pub calls: u64,
+    /// Calls a second.
+    pub rate: u64,
+    /// Workload seed.
+    pub seed: u64,
+    /// Address of the plain service, to count repeated calls.
+    pub service: Option<String>,
+    /// Milliseconds a block counts as held after it was computed.
+    pub horizon_ms: u64,
+}
+
+/// Settings of the demo.
+#[derive(Debug, Clone)]
+pub struct DemoOptions {
+    /// Calls per policy and site.
+    pub calls: u64,
+    /// Calls a second.
+    pub rate: u64,
+    /// Engines to start.
+    pub engines: usize,
+    /// Routers to start.
+    pub routers: usize,
+    /// First port to use; the demo takes the ports after it.
+    pub port: u16,
+    /// Workload seed.
+    pub seed: u64,
+}
+
+/// A parsed command line.
+#[derive(Debug)]
+pub enum Command {
+    /// Print this text and stop.
+    Help(String),
+    /// Run an engine.
+    Engine(EngineOptions),
+    /// Run the log service.
+    Log(LogOptions),
+    /// Run the host list.
+    Hosts(HostsOptions),
+    /// Run the plain service.
+    Service(ServiceOptions),
+    /// Run the load tool.
+    Load(LoadOptions),
+    /// Run the demo.
+    Demo(DemoOptions),
+}
+
+impl Command {
+    /// Parses `args`, the command line without the program name.
+    pub fn parse(args: &[String]) -> Result<Command, Error> {
+        let Some((name, rest)) = args.split_first() else {
+            return Ok(Command::Help(USAGE.into()));
+        };
+        let mut opts = Options::new();
+        opts.optflag("h", "help", "print this help");
+        match name.as_str() {
+            "engine" => engine(opts, rest),
+            "log" => log(opts, rest),
+            "hosts" => hosts(opts, rest),
+            "service" => service(opts, rest),
+            "load" => load(opts, rest),
+            "demo" => demo(opts, rest),
+            "help" | "-h" | "--help" => Ok(Command::Help(USAGE.into())),
+            other => Err(Error::Usage(format!("unknown command {other:?}; see --help"))),
+        }
+    }
+}
+
+fn engine(mut opts: Options, args: &[String]) -> Result<Command, Error> {
+    opts.optopt("", "listen", "address to listen on", "ADDR");
+    opts.optopt("", "capacity", "cache capacity in blocks [2000]", "N");
+    opts.optopt("", "idle-ms", "ms a block stays cached unused [10000]", "MS");
+    opts.optopt("", "prefill-us", "us of compute per uncached token [40]", "US");
+    opts.optopt("", "decode-ms", "ms per generated token [4]", "MS");
+    opts.optopt("", "slots", "prompts computed at once [1]", "N");
+    opts.optopt("", "event-loss", "share of cache events lost [0.05]", "P");
+    opts.optopt("", "event-lag-ms", "ms before an event is published [200]", "MS");
+    opts.optopt("", "load-lag-ms", "ms between load reports [500]", "MS");
+    opts.optopt("", "fenced", "refuse orders with an old fencing token [true]", "BOOL");
+    opts.optopt("", "seed", "seed for event loss [1]", "N");
+    let m = matches(&opts, args, "engine")?;
+    if m.opt_present("help") {
+        return Ok(Command::Help(opts.usage("Usage: marjoram-standin engine [OPTIONS]")));
+    }
+    Ok(Command::Engine(EngineOptions {
+        listen: required(&m, "listen")?,
+        capacity: setting(&m, "capacity", 2000)?,
+        idle_ms: setting(&m, "idle-ms", 10_000)?,
+        prefill_us: setting(&m, "prefill-us", 40)?,
+        decode_ms: setting(&m, "decode-ms", 4)?,
+        slots: setting(&m, "slots", 1)?,
+        event_loss: setting(&m, "event-loss", 0.05)?,
+        event_lag_ms: setting(&m, "event-lag-ms", 200)?,
+        load_lag_ms: setting(&m, "load-lag-ms", 500)?,
+        fenced: setting(&m, "fenced", true)?,
+        seed: setting(&m, "seed", 1)?,
+    }))
+}
+
+fn log(mut opts: Options, args: &[String]) -> Result<Command, Error> {
+    opts.optopt("", "listen", "address to listen on", "ADDR");
+    opts.optopt("", "rate", "appends a second before 429 [400]", "N");
+    opts.optopt("", "retention-s", "seconds a record is kept [3600]", "S");
+    let m = matches(&opts, args, "log")?;
+    if m.opt_present("help") {
+        return Ok(Command::Help(opts.usage("Usage: marjoram-standin log [OPTIONS]")));
+    }
+    Ok(Command::Log(LogOptions {
+        listen: required(&m, "listen")?,
+        rate: setting(&m, "rate", 400)?,
+        retention_s: setting(&m, "retention-s", 3600)?,
+    }))
+}
+
+fn hosts(mut opts: Options, args: &[String]) -> Result<Command, Error> {
+    opts.optopt("", "listen", "address to listen on", "ADDR");
+    opts.optopt("", "lag-ms", "ms the list lags behind changes [1000]", "MS");
+    let m = matches(&opts, args, "hosts")?;
+    if m.opt_present("help") {
+        return Ok(Command::Help(opts.usage("Usage: marjoram-standin hosts [OPTIONS]")));
+    }
+    Ok(Command::Hosts(HostsOptions {
+        listen: required(&m, "listen")?,
+        lag_ms: setting(&m, "lag-ms", 1000)?,
+    }))
+}
+
+fn service(mut opts: Options, args: &[String]) -> Result<Command, Error> {
+    opts.optopt("", "listen", "address to listen on", "ADDR");
+    let m = matches(&opts, args, "service")?;
+    if m.opt_present("help") {
+        return Ok(Command::Help(opts.usage("Usage: marjoram-standin service [OPTIONS]")));
+    }
+    Ok(Command::Service(ServiceOptions { listen: required(&m, "listen")? }))
+}
+
+fn load(mut opts: Options, args: &[String]) -> Result<Command, Error> {
+    opts.optopt("", "routers", "comma-separated router addresses", "ADDRS");
+    opts.optopt("", "site", "kilimanjaro or lone-star [kilimanjaro]", "SITE");
+    opts.optopt("", "calls", "calls to make [400]", "N");
+    opts.optopt("", "rate", "calls a second [40]", "N");
+    opts.optopt("", "seed", "workload seed [1]", "N");
+    opts.optopt("", "service", "plain service address, to count repeats", "ADDR");
+    opts.optopt("", "horizon-ms", "ms a computed block counts as held [10000]", "MS");
+    let m = matches(&opts, args, "load")?;
+    if m.opt_present("help") {
+        return Ok(Command::Help(opts.usage("Usage: marjoram-standin load [OPTIONS]")));
+    }
+    let routers: String = required(&m, "routers")?;
+    Ok(Command::Load(LoadOptions {
+        routers: routers.split(',').map(str::to_owned).collect(),
+        site: setting(&m, "site", Site::Kilimanjaro)?,
+        calls: setting(&m, "calls", 400)?,
+        rate: positive(setting(&m, "rate", 40)?, "rate")?,
+        seed: setting(&m, "seed", 1)?,
+        service: optional(&m, "service")?,
+        horizon_ms: setting(&m, "horizon-ms", 10_000)?,
+    }))
+}
+
+fn demo(mut opts: Options, args: &[String]) -> Result<Command, Error> {
+    opts.optopt("", "calls", "calls per policy and site [300]", "N");
+    opts.optopt("", "rate", "calls a second [60]", "N");
+    opts.optopt("", "engines", "engines to start [6]", "N");
+    opts.optopt("", "routers", "routers to start [2]", "N");
+    opts.optopt("", "port", "first port; the demo uses the next 20 [17100]", "PORT");
+    opts.optopt("", "seed", "workload seed [1]", "N");
+    let m = matches(&opts, args, "demo")?;
+    if m.opt_present("help") {
+        return Ok(Command::Help(opts.usage("Usage: marjoram-standin demo [OPTIONS]")));
+    }
+    Ok(Command::Demo(DemoOptions {
+        calls: setting(&m, "calls", 300)?,
+        rate: positive(setting(&m, "rate", 60)?, "rate")?,
+        engines: positive(setting(&m, "engines", 6)?, "engines")?,
+        routers: positive(setting(&m, "routers", 2)?, "routers")?,
+        port: setting(&m, "port", 17100)?,
+        seed: setting(&m, "seed", 1)?,
+    }))
+}
+
+fn matches(opts: &Options, args: &[String], command: &str) -> Result<Matches, Error> {
+    opts.parse(args).map_err(|e| Error::Usage(format!("{command}: {e}; see --help")))
+}
+
+/// The flag's value, else its environment variable, if either is set.
+fn optional<T: FromStr>(m: &Matches, name: &str) -> Result<Option<T>, Error> {
+    let var = format!("MARJORAM_{}", name.to_uppercase().replace('-', "_"));
+    let text = m.opt_str(name).or_else(|| std::env::var(&var).ok());
+    match text {
+        None => Ok(None),
+        Some(text) => text.parse().map(Some).map_err(|_| {
+            Error::Usage(format!("setting --{name} (or {var}): cannot read {text:?}"))
+        }),
+    }
+}
+
+fn setting<T: FromStr>(m: &Matches, name: &str, default: T) -> Result<T, Error> {
+    optional(m, name).map(|value| value.unwrap_or(default))
+}
+
+fn required<T: FromStr>(m: &Matches, name: &str) -> Result<T, Error> {
+    optional(m, name)?.ok_or_else(|| Error::Usage(format!("setting --{name} is required")))
+}
+
+fn positive<T: PartialOrd + Default>(value: T, name: &str) -> Result<T, Error> {
+    match value > T::default() {
+        true => Ok(value),
+        false => Err(Error::Usage(format!("setting --{name} must be above zero"))),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,69 @@
+//! A plain service whose calls must not be repeated: a press-line alert.
+//!
+//! `POST /v1/alerts` runs the call and counts it under the request's
+//! idempotency key; the service itself does not deduplicate, so a repeat
+//! shows as a key run twice. `GET /v1/stats` answers [`Stats`].
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use marjoram_core::wire::IDEMPOTENCY_KEY;
+use ntex::web::{self, HttpRequest, HttpResponse, types};
+use serde::{Deserialize, Serialize};
+
+use crate::error::Error;
+use crate::options::ServiceOptions;
+
+/// What the service has run.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// Calls run.
+    pub calls: u64,
+    /// Distinct keys run.
+    pub keys: u64,
+    /// Keys run more than once.
+    pub repeated: u64,
+}
+
+struct Service {
+    runs: Mutex<HashMap<String, u64>>,
+}
+
+/// Serves the plain service until stopped.
+pub async fn serve(opts: ServiceOptions) -> Result<(), Error> {
+    let listen = opts.listen.clone();
+    let service: &'static Service = Box::leak(Box::new(Service { runs: Mutex::default() }));
+    tracing::info!(target: "service", "service: listening on {listen}.");
+    web::HttpServer::new(move || {
+        web::App::new()
+            .state(service)
+            .route("/v1/alerts", web::post().to(alert))
+            .route("/v1/stats", web::get().to(stats))
+    })
+    .workers(1)
+    .bind(&listen)
+    .map_err(|e| Error::Io("bind", listen.clone(), e))?
+    .run()
+    .await
+    .map_err(|e| Error::Io("serve", listen, e))
+}
+
+async fn alert(service: types::State<&'static Service>, request: HttpRequest) -> HttpResponse {
+    let key = request
+        .headers()
+        .get(IDEMPOTENCY_KEY)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or("")
+        .to_owned();
+    *service.runs.lock().unwrap().entry(key.clone()).or_insert(0) += 1;
+    HttpResponse::Ok().json(&serde_json::json!({ "dispatched": key }))
+}
+
+async fn stats(service: types::State<&'static Service>) -> HttpResponse {
+    let runs = service.runs.lock().unwrap();
+    HttpResponse::Ok().json(&Stats {
+        calls: runs.values().sum(),
+        keys: runs.len() as u64,
+        repeated: runs.values().filter(|&&n| n > 1).count() as u64,
+    })
+}
