--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -8,9 +8,13 @@
     /// A failure while serving one request or running the node.
     #[derive(Debug)]
     pub enum Error {
+        /// The command line cannot be read.
+        Usage(message: String) {
+            display("{message}; see --help")
+        }
         /// A setting is missing or wrong.
         Setting(name: &'static str, message: String) {
-            display("setting {name}: {message}")
+            display("setting --{name}: {message}")
         }
         /// A socket could not be bound.
         Bind(addr: String, source: std::io::Error) {
@@ -63,13 +67,16 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Engine(..) => StatusCode::BAD_GATEWAY,
-            Self::Setting(..) | Self::Bind(..) => StatusCode::INTERNAL_SERVER_ERROR,
+            Self::Usage(..) | Self::Setting(..) | Self::Bind(..) => {
+                StatusCode::INTERNAL_SERVER_ERROR
+            }
         }
     }
 
     /// The wire form of this error.
     pub fn body(&self) -> ErrorBody {
         let (step, peer) = match self {
+            Self::Usage(_) => ("settings", "command line".to_string()),
             Self::Setting(name, _) => ("settings", name.to_string()),
             Self::Bind(addr, _) => ("bind", addr.clone()),
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -63,7 +63,7 @@
     opts.optopt("", "drain-ms", "ms to keep serving after SIGTERM [3000]", "MS");
     opts.optopt("", "workers", "threads serving callers [2]", "N");
     opts.optopt("", "log-format", "text or json [text]", "FORMAT");
-    let m = opts.parse(args).map_err(|e| Error::Setting("command line", e.to_string()))?;
+    let m = opts.parse(args).map_err(|e| Error::Usage(e.to_string()))?;
     if m.opt_present("help") {
         return Ok(Parsed::Help(opts.usage("Usage: marjoram [OPTIONS]")));
     }
@@ -72,11 +72,11 @@
     let json_logs = match format.as_str() {
         "text" => false,
         "json" => true,
-        _ => return Err(Error::Setting("--log-format", format!("{format:?} is not text or json"))),
+        _ => return Err(Error::Setting("log-format", format!("{format:?} is not text or json"))),
     };
     let workers: usize = setting(&m, "workers", 2)?;
     if workers == 0 {
-        return Err(Error::Setting("--workers", "must be above zero".into()));
+        return Err(Error::Setting("workers", "must be above zero".into()));
     }
     Ok(Parsed::Run(Box::new(Settings {
         listen,
@@ -112,7 +112,7 @@
     match m.opt_str(name).or_else(|| std::env::var(&var).ok()) {
         None => Ok(None),
         Some(text) => text.parse().map(Some).map_err(|e: T::Err| {
-            Error::Setting(name, format!("cannot read {text:?} (from --{name} or {var}): {e}"))
+            Error::Setting(name, format!("cannot read {text:?} (from the flag or {var}): {e}"))
         }),
     }
 }
@@ -128,5 +128,6 @@
 where
     T::Err: std::fmt::Display,
 {
-    optional(m, name)?.ok_or_else(|| Error::Setting(name, "is required".into()))
+    let var = format!("MARJORAM_{}", name.to_uppercase().replace('-', "_"));
+    optional(m, name)?.ok_or_else(|| Error::Setting(name, format!("is required (or set {var})")))
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -33,6 +33,9 @@
 type Shared = types::State<Arc<Node>>;
 type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
 
+/// Bytes a request body may carry beyond the prompt limit.
+const BODY_SLACK: usize = 64 << 10;
+
 /// Longest a drain waits for requests in flight after the drain period.
 const DRAIN_LIMIT: Duration = Duration::from_secs(30);
 
@@ -45,9 +48,11 @@
     ntex::rt::spawn(follow::hosts(node.clone()));
     ntex::rt::spawn(follow::engines(node.clone()));
     let shared = node.clone();
+    let body_limit = node.settings.max_prompt + BODY_SLACK;
     let server = web::HttpServer::new(move || {
         web::App::new()
             .state(shared.clone())
+            .state(web::types::PayloadConfig::new(body_limit))
             .route("/v1/completions", web::post().to(complete))
             .route("/v1/services/{name}", web::post().to(call_service))
             .route("/v1/route", web::get().to(route))
--- /dev/null
+++ b/crates/router/tests/support/site.rs
@@ -0,0 +1,286 @@
+//! A small site on loopback for failure tests: stand-ins and routers as
+//! real processes, killed when the test ends, and a few HTTP helpers.
+//!
+//! Every test passes its own base port, so tests run side by side.
+
+#![allow(dead_code)]
+
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use marjoram_core::wire::{Appended, HostEntry, HostState, Role};
+use ntex::http::client::Client;
+
+/// Longest wait for anything in these tests.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Processes of one site, killed when dropped.
+pub struct Site {
+    pub base: u16,
+    pub log: String,
+    pub hosts: String,
+    pub service: String,
+    pub engines: Vec<String>,
+    pub routers: Vec<String>,
+    engine_args: Vec<String>,
+    children: Vec<(String, Child)>,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn router_bin() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_marjoram"))
+}
+
+fn standin_bin() -> PathBuf {
+    let path = router_bin().with_file_name("marjoram-standin");
+    assert!(path.exists(), "{} is missing: run `cargo test --workspace`", path.display());
+    path
+}
+
+impl Site {
+    /// Starts the log, host list, service, `engines` engines and `routers`
+    /// routers, lists them all in the host list and waits until they listen.
+    pub fn start(base: u16, engines: usize, routers: usize, engine_args: &[&str]) -> Site {
+        let addr = |n: u16| format!("127.0.0.1:{}", base + n);
+        let mut site = Site {
+            base,
+            log: addr(0),
+            hosts: addr(1),
+            service: addr(2),
+            engines: (0..engines as u16).map(|i| addr(10 + i)).collect(),
+            routers: (0..routers as u16).map(|i| addr(40 + i)).collect(),
+            engine_args: engine_args.iter().map(|s| s.to_string()).collect(),
+            children: Vec::new(),
+        };
+        site.spawn("log", standin_bin(), &["log", "--listen", &site.log.clone()]);
+        site.spawn(
+            "hosts",
+            standin_bin(),
+            &["hosts", "--listen", &site.hosts.clone(), "--lag-ms", "200"],
+        );
+        site.spawn("service", standin_bin(), &["service", "--listen", &site.service.clone()]);
+        for i in 0..engines {
+            site.start_engine(i);
+        }
+        for i in 0..routers {
+            site.start_router(i);
+        }
+        let all: Vec<String> = [&site.log, &site.hosts, &site.service]
+            .into_iter()
+            .chain(&site.engines)
+            .chain(&site.routers)
+            .cloned()
+            .collect();
+        for addr in &all {
+            wait_listening(addr);
+        }
+        let (list, hosts) = (site.host_entries(), site.hosts.clone());
+        run(async move {
+            for host in list {
+                put_host(&hosts, &host).await;
+            }
+        });
+        site
+    }
+
+    fn spawn(&mut self, name: &str, program: PathBuf, args: &[&str]) {
+        let child = Command::new(program)
+            .args(args)
+            .env("MARJORAM_LOG", "warn")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("process starts");
+        self.children.push((name.to_string(), child));
+    }
+
+    /// Starts engine `i` (again, after a kill: a new incarnation).
+    pub fn start_engine(&mut self, i: usize) {
+        let addr = self.engines[i].clone();
+        let mut args = vec!["engine".to_string(), "--listen".into(), addr.clone()];
+        args.extend(self.engine_args.iter().cloned());
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        self.spawn(&format!("engine{i}"), standin_bin(), &args);
+        wait_listening(&addr);
+    }
+
+    /// Starts router `i`.
+    pub fn start_router(&mut self, i: usize) {
+        let addr = self.routers[i].clone();
+        let dc = format!("dc{}", i + 1);
+        let (log, hosts) = (self.log.clone(), self.hosts.clone());
+        let args = [
+            "--listen",
+            &addr,
+            "--dc",
+            &dc,
+            "--log-service",
+            &log,
+            "--host-list",
+            &hosts,
+            "--drain-ms",
+            "1500",
+            "--max-prompt",
+            "200000",
+        ];
+        self.spawn(&format!("router{i}"), router_bin(), &args);
+    }
+
+    /// Kills process `name` at once (SIGKILL).
+    pub fn kill(&mut self, name: &str) {
+        let index = self.children.iter().position(|(n, _)| n == name).expect("known process");
+        let (_, mut child) = self.children.remove(index);
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Sends SIGTERM to process `name` and returns its handle.
+    pub fn terminate(&mut self, name: &str) -> Child {
+        let index = self.children.iter().position(|(n, _)| n == name).expect("known process");
+        let (_, child) = self.children.remove(index);
+        let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        assert!(status.is_ok_and(|s| s.success()), "kill -TERM works");
+        child
+    }
+
+    fn host_entries(&self) -> Vec<HostEntry> {
+        let mut hosts: Vec<HostEntry> = Vec::new();
+        for (i, addr) in self.engines.iter().enumerate() {
+            hosts.push(entry(addr, Role::Engine, HostState::Live, i));
+        }
+        for (i, addr) in self.routers.iter().enumerate() {
+            hosts.push(entry(addr, Role::Router, HostState::Live, i));
+        }
+        hosts.push(entry(&self.service, Role::Service, HostState::Live, 0));
+        hosts
+    }
+
+    /// Appends a configuration record and returns its offset.
+    pub async fn publish(&self, record: &str) -> u64 {
+        let mut response = client()
+            .post(format!("http://{}/v1/streams/config", self.log))
+            .send_body(record.to_string())
+            .await
+            .expect("log service answers");
+        let body = response.body().await.expect("body");
+        serde_json::from_slice::<Appended>(&body).expect("appended").offset.0
+    }
+
+    /// Publishes a template and workspace `ws` under `policy`.
+    pub async fn configure(&self, ws: &str, policy: &str) -> u64 {
+        self.publish(&format!(r#"{{"kind":"template","name":"t-{policy}","policy":"{policy}"}}"#))
+            .await;
+        self.publish(&format!(r#"{{"kind":"workspace","id":"{ws}","template":"t-{policy}"}}"#))
+            .await
+    }
+
+    /// Waits until every router has `offset` in force and sees engines.
+    pub async fn wait_in_force(&self, offset: u64) {
+        for router in &self.routers {
+            wait_for(|| async {
+                let state = state(router).await?;
+                let applied = state["config"]["offset"].as_u64()?;
+                let engines = state["engines"].as_array()?.len();
+                (applied >= offset && engines > 0).then_some(())
+            })
+            .await;
+        }
+    }
+}
+
+/// Puts one host entry in the host list at `hosts`.
+pub async fn put_host(hosts: &str, host: &HostEntry) {
+    let response = client().put(format!("http://{hosts}/v1/hosts")).send_json(host).await;
+    assert!(response.is_ok_and(|r| r.status().is_success()), "host list takes entries");
+}
+
+fn entry(addr: &str, role: Role, state: HostState, i: usize) -> HostEntry {
+    HostEntry { addr: addr.into(), role, state, dc: format!("dc{}", i % 4 + 1) }
+}
+
+/// A host entry in state `state`.
+pub fn host(addr: &str, role: Role, state: HostState) -> HostEntry {
+    entry(addr, role, state, 0)
+}
+
+/// Runs a future to completion on a fresh ntex system.
+pub fn run<F>(future: F) -> F::Output
+where
+    F: std::future::Future + 'static,
+    F::Output: 'static,
+{
+    ntex::rt::System::new("test").block_on(future)
+}
+
+/// An HTTP client for tests.
+pub fn client() -> Client {
+    Client::build().timeout(ntex::time::Seconds(30)).finish()
+}
+
+/// Blocks until something listens on `addr`.
+pub fn wait_listening(addr: &str) {
+    let deadline = Instant::now() + PATIENCE;
+    while TcpStream::connect(addr).is_err() {
+        assert!(Instant::now() < deadline, "{addr} not listening after {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Polls `probe` until it yields a value; panics after [`PATIENCE`].
+pub async fn wait_for<T, F, Fut>(probe: F) -> T
+where
+    F: Fn() -> Fut,
+    Fut: std::future::Future<Output = Option<T>>,
+{
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        if let Some(value) = probe().await {
+            return value;
+        }
+        assert!(Instant::now() < deadline, "condition not met after {PATIENCE:?}");
+        ntex::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A router's state dump.
+pub async fn state(router: &str) -> Option<serde_json::Value> {
+    let mut response = client().get(format!("http://{router}/debug/state")).send().await.ok()?;
+    let body = response.body().limit(1 << 24).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Status and body of a POST of `body` to `url`.
+pub async fn post(url: &str, body: &str) -> (u16, String) {
+    match client()
+        .post(url)
+        .header("content-type", "application/json")
+        .send_body(body.to_string())
+        .await
+    {
+        Ok(mut response) => {
+            let status = response.status().as_u16();
+            let bytes = response.body().limit(1 << 24).await.unwrap_or_default();
+            (status, String::from_utf8_lossy(&bytes).into_owned())
+        }
+        Err(error) => (0, error.to_string()),
+    }
+}
+
+/// A completion request body for workspace `ws`.
+pub fn completion(ws: &str, prompt_words: usize, max_tokens: u32, stream: bool) -> String {
+    let prompt: Vec<String> = (0..prompt_words).map(|i| format!("w{i}")).collect();
+    serde_json::json!({
+        "workspace": ws, "prompt": prompt.join(" "), "max_tokens": max_tokens, "stream": stream
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/router/tests/upstreams.rs
@@ -0,0 +1,70 @@
+//! Promises: a leaving upstream gets no new work after a few seconds, and
+//! a request never relies on the cache entries of a dead engine.
+
+#[path = "support/site.rs"]
+mod site;
+
+use std::time::{Duration, Instant};
+
+use marjoram_core::wire::{Completion, HostState, Role};
+use site::{Site, completion, host, post, put_host, run, state, wait_for};
+
+#[test]
+fn leaving_engine_gets_no_new_work_after_a_few_seconds() {
+    let site = Site::start(22_600, 3, 1, &[]);
+    run(async move {
+        let offset = site.configure("kili-checks", "round-robin").await;
+        site.wait_in_force(offset).await;
+        let leaving = site.engines[0].clone();
+        put_host(&site.hosts, &host(&leaving, Role::Engine, HostState::Leaving)).await;
+        let marked = Instant::now();
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let mut last_seen = None;
+        while marked.elapsed() < Duration::from_secs(4) {
+            let (status, text) = post(&url, &completion("kili-checks", 32, 1, false)).await;
+            assert_eq!(status, 200, "{text}");
+            let answer: Completion = serde_json::from_str(&text).unwrap();
+            if answer.engine == leaving {
+                last_seen = Some(marked.elapsed());
+            }
+            ntex::time::sleep(Duration::from_millis(20)).await;
+        }
+        let last = last_seen.unwrap_or_default();
+        assert!(
+            last < Duration::from_secs(2),
+            "leaving engine still got work {last:?} after it was marked"
+        );
+    });
+}
+
+#[test]
+fn restarted_engine_starts_with_no_entries() {
+    let mut site = Site::start(22_700, 1, 1, &["--event-lag-ms", "0", "--event-loss", "0"]);
+    run(async move {
+        let offset = site.configure("kili-checks", "prefix-aware").await;
+        site.wait_in_force(offset).await;
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let (status, _) = post(&url, &completion("kili-checks", 320, 1, false)).await;
+        assert_eq!(status, 200);
+        let router = site.routers[0].clone();
+        let before = wait_for(|| async {
+            let dump = state(&router).await?;
+            let entries = dump["picture"]["entries"].as_u64()?;
+            (entries >= 20).then(|| dump["engines"][0]["life"]["incarnation"].as_u64())?
+        })
+        .await;
+        site.kill("engine0");
+        site.start_engine(0);
+        let after = wait_for(|| async {
+            let dump = state(&router).await?;
+            let life = dump["engines"][0]["life"]["incarnation"].as_u64()?;
+            (life != before).then(|| dump["picture"]["entries"].as_u64())?
+        })
+        .await;
+        assert_eq!(after, 0, "no entry of the dead incarnation survives");
+        let (status, text) = post(&url, &completion("kili-checks", 320, 1, false)).await;
+        assert_eq!(status, 200);
+        let answer: Completion = serde_json::from_str(&text).unwrap();
+        assert_eq!(answer.usage.cached_tokens.0, 0, "the new engine had nothing cached");
+    });
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -33,6 +33,9 @@
 use crate::error::Error;
 use crate::options::EngineOptions;
 
+/// Largest request body, in bytes.
+const BODY_LIMIT: usize = 8 << 20;
+
 /// Events kept for readers; older ones are gone for good.
 const EVENTS_KEPT: usize = 100_000;
 
@@ -110,6 +113,7 @@
     web::HttpServer::new(move || {
         web::App::new()
             .state(engine)
+            .state(web::types::JsonConfig::default().limit(BODY_LIMIT))
             .route("/v1/completions", web::post().to(complete))
             .route("/v1/events", web::get().to(events))
             .route("/v1/load", web::get().to(load))
