--- a/crates/core/benches/routing.rs
+++ b/crates/core/benches/routing.rs
@@ -73,7 +73,7 @@
                 .collect();
             next += 16;
             picture.stored(Slot((next % 12) as u8), Life::default(), &blocks);
-            if next % (1 << 20) == 0 {
+            if next.is_multiple_of(1 << 20) {
                 (0..12).for_each(|s| picture.clear(Slot(s)));
             }
         })
