At-most-once calls to plain services: claims ordered by the log service

The 'not run' promise rests on the same path.

Change: marjoram-core claims.rs is the rule: a claim per idempotency key appended to the log service's 'claims' stream; the first claim in log order holds the key; only the holder sends; its outcome is recorded and replayed to later claims; an abandon by the holder frees the key. The router's once.rs appends the claim, reads the stream back to it, and sends only on Send; log outages, unread claims and refused connections are answered 503 not_run (with an abandon, best effort); a key held with no outcome is answered 409, not_run false. No router talks to another.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`ids`]: newtypes for ids, counts and offsets.
 //! - [`prefix`]: how a prompt is cut into cache blocks and hashed.
 //! - [`cache`]: the router's picture of which engine holds which block.
+//! - [`claims`]: at-most-once calls to plain services, ordered by the log.
 //! - [`policy`]: the routing policies, behind one small trait.
 //! - [`config`]: operator configuration read from the log service.
 //! - [`wire`]: the JSON shapes spoken over HTTP.
@@ -13,6 +14,7 @@
 //! - [`measure`]: the measures of the brief.
 
 pub mod cache;
+pub mod claims;
 pub mod config;
 pub mod error;
 pub mod ids;
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -41,6 +41,14 @@
         NoService(name: String) {
             display("route call to service {name}: none is live")
         }
+        /// A claim for an at-most-once call could not be made or read.
+        Claim(step: &'static str, peer: String, message: String) {
+            display("{step} at log service {peer}: {message}; the call was not sent")
+        }
+        /// Another claim holds the key and its outcome is not known.
+        Held(key: String) {
+            display("call with idempotency key {key:?} is held by another attempt whose outcome is not known; it may have run")
+        }
         /// The router is draining and takes no new work.
         Draining {
             display("route request: this router is shutting down")
@@ -66,6 +74,8 @@
             Self::NoEngine(..) | Self::NoService(..) | Self::Draining | Self::Connect(..) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            Self::Claim(..) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Held(..) => StatusCode::CONFLICT,
             Self::Engine(..) => StatusCode::BAD_GATEWAY,
             Self::Usage(..) | Self::Setting(..) | Self::Bind(..) => {
                 StatusCode::INTERNAL_SERVER_ERROR
@@ -86,13 +96,15 @@
             }
             Self::Connect(peer, _) => ("connect", peer.clone()),
             Self::Engine(step, peer, _) => (*step, peer.clone()),
+            Self::Claim(step, peer, _) => (*step, peer.clone()),
+            Self::Held(key) => ("claim", key.clone()),
         };
         ErrorBody {
             error: ErrorDetail {
                 step: step.into(),
                 peer,
                 message: self.to_string(),
-                not_run: !matches!(self, Self::Engine(..)),
+                not_run: !matches!(self, Self::Engine(..) | Self::Held(..)),
             },
         }
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod forward;
 mod node;
+mod once;
 mod options;
 mod serve;
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -5,12 +5,13 @@
 //! and counts load with atomics; only the cache picture takes short locks.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use cadence::{BufferedUdpMetricSink, QueuingMetricSink, StatsdClient};
 use marjoram_core::cache::{MAX_SLOTS, Picture, Slot};
+use marjoram_core::claims::Claims;
 use marjoram_core::config::Routing;
 use marjoram_core::ids::{Offset, WorkspaceId};
 use marjoram_core::policy;
@@ -95,6 +96,8 @@
     pub counters: Counters,
     /// Metrics sink.
     pub metrics: StatsdClient,
+    /// Claims of at-most-once calls read from the log service.
+    pub claims: Mutex<Claims>,
     next_id: AtomicU64,
 }
 
@@ -119,6 +122,7 @@
             draining: AtomicBool::new(false),
             counters: Counters::default(),
             metrics,
+            claims: Mutex::new(Claims::new()),
             next_id: AtomicU64::new(base | (stamp << 16)),
         }
     }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -19,7 +19,6 @@
 use marjoram_core::wire::{
     Chunk, Completion, CompletionRequest, ErrorBody, ErrorDetail, IDEMPOTENCY_KEY, RouteAnswer,
 };
-use ntex::http::client::error::SendRequestError;
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, types};
 use serde::Deserialize;
@@ -28,6 +27,7 @@
 use crate::follow;
 use crate::forward::{self, Out};
 use crate::node::Node;
+use crate::once;
 use crate::options::Settings;
 
 type Shared = types::State<Arc<Node>>;
@@ -47,6 +47,7 @@
     ntex::rt::spawn(follow::config(node.clone()));
     ntex::rt::spawn(follow::hosts(node.clone()));
     ntex::rt::spawn(follow::engines(node.clone()));
+    ntex::rt::spawn(once::follow(node.clone()));
     let shared = node.clone();
     let body_limit = node.settings.max_prompt + BODY_SLACK;
     let server = web::HttpServer::new(move || {
@@ -181,52 +182,53 @@
 
 fn reply_error(error: &Error) -> HttpResponse {
     let mut builder = HttpResponse::build(error.status());
-    if error.status() == ntex::http::StatusCode::SERVICE_UNAVAILABLE {
+    let status = error.status();
+    if status == ntex::http::StatusCode::SERVICE_UNAVAILABLE
+        || status == ntex::http::StatusCode::CONFLICT
+    {
         builder.header("retry-after", "1");
     }
     builder.json(&error.body())
 }
 
-/// Forwards a call to a plain service, at most once.
+/// Forwards a call to a plain service.
 ///
-/// The call is sent once and never retried after it may have reached the
-/// service: a refused connection is answered "not run", anything later
-/// "outcome unknown".
+/// With an idempotency key the call runs at most once (see `once`);
+/// without one it is sent once and never retried: a refused connection is
+/// answered "not run", anything later "outcome unknown".
 async fn call_service(
     node: Shared,
     name: types::Path<String>,
     request: HttpRequest,
     body: Bytes,
 ) -> HttpResponse {
+    let node: Arc<Node> = node.get_ref().clone();
     let pool = node.pool.load();
-    let key = request.headers().get(IDEMPOTENCY_KEY).cloned();
+    let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
     let (Some(service), false) = (pool.services.first(), node.draining.load(Ordering::Acquire))
     else {
         return reply_error(&Error::NoService(name.into_inner()));
     };
-    let url = format!("http://{service}/v1/{}", name.as_str());
-    let mut call = SERVICE.with(|client| client.post(&url));
-    if let Some(key) = key {
-        call = call.header(IDEMPOTENCY_KEY, key);
-    }
-    match call.send_body(body).await {
-        Ok(mut response) => {
-            let status = response.status();
-            let bytes = response.body().await.unwrap_or_default();
-            HttpResponse::build(status).content_type("application/json").body(bytes)
+    let reply = match key {
+        Some(key) => once::call(&node, service, name.as_str(), key, body).await,
+        None => once::call_plain(service, name.as_str(), body).await,
+    };
+    match reply {
+        once::Reply::Answer(answer, replayed) => {
+            let status = ntex::http::StatusCode::from_u16(answer.status)
+                .unwrap_or(ntex::http::StatusCode::BAD_GATEWAY);
+            HttpResponse::build(status)
+                .content_type("application/json")
+                .header("idempotent-replayed", if replayed { "true" } else { "false" })
+                .body(answer.body)
         }
-        Err(SendRequestError::Connect(e)) => {
-            reply_error(&Error::Connect(service.clone(), e.to_string()))
+        once::Reply::Refused(error) => {
+            tracing::info!(target: "serve", "serve: service call refused: {error}.");
+            reply_error(&error)
         }
-        Err(e) => reply_error(&Error::Engine("send", service.clone(), e.to_string())),
     }
 }
 
-thread_local! {
-    static SERVICE: ntex::http::client::Client =
-        ntex::http::client::Client::build().timeout(ntex::time::Seconds(10)).finish();
-}
-
 /// Query of `GET /v1/route`.
 #[derive(Debug, Deserialize)]
 struct RouteQuery {
@@ -306,6 +308,7 @@
         "services": pool.services,
         "picture": node.picture.counts(),
         "counters": &node.counters,
+        "claims": node.claims.lock().unwrap().len(),
     }))
 }
 
--- /dev/null
+++ b/crates/router/tests/at_most_once.rs
@@ -0,0 +1,93 @@
+//! Promises: a call that may not be repeated runs at most once, and a
+//! refusal saying "not run" is true — on real processes.
+
+#[path = "support/site.rs"]
+mod site;
+
+use std::time::Duration;
+
+use marjoram_core::wire::{ErrorBody, IDEMPOTENCY_KEY};
+use site::{Site, client, run, wait_for};
+
+async fn alert(router: &str, key: &str) -> (u16, String, bool) {
+    let mut response = client()
+        .post(format!("http://{router}/v1/services/alerts"))
+        .header(IDEMPOTENCY_KEY, key)
+        .send_body("press 7 short shot")
+        .await
+        .expect("router answers");
+    let replayed = response.headers().get("idempotent-replayed").is_some_and(|v| v == "true");
+    let body = response.body().await.unwrap_or_default();
+    (response.status().as_u16(), String::from_utf8_lossy(&body).into_owned(), replayed)
+}
+
+async fn runs(service: &str) -> u64 {
+    let mut response = client().get(format!("http://{service}/v1/stats")).send().await.unwrap();
+    let stats: serde_json::Value = serde_json::from_slice(&response.body().await.unwrap()).unwrap();
+    stats["calls"].as_u64().unwrap()
+}
+
+async fn services_known(site: &Site) {
+    for router in &site.routers {
+        wait_for(|| async {
+            site::state(router).await?["services"].as_array()?.first().map(|_| ())
+        })
+        .await;
+    }
+}
+
+#[test]
+fn retry_on_another_router_replays_instead_of_running_again() {
+    let site = Site::start(22_800, 1, 2, &[]);
+    run(async move {
+        services_known(&site).await;
+        let (status, body, replayed) = alert(&site.routers[0], "line-4-alert-1").await;
+        assert_eq!(status, 200, "{body}");
+        assert!(!replayed);
+        let (status, again, replayed) = alert(&site.routers[1], "line-4-alert-1").await;
+        assert_eq!(status, 200, "{again}");
+        assert!(replayed, "the second router replays the recorded outcome");
+        assert_eq!(again, body);
+        assert_eq!(runs(&site.service).await, 1, "the alert ran once");
+    });
+}
+
+#[test]
+fn log_outage_refuses_as_not_run_and_runs_nothing() {
+    let site = Site::start(22_900, 1, 1, &[]);
+    run(async move {
+        services_known(&site).await;
+        client().post(format!("http://{}/v1/admin/outage?ms=1000", site.log)).send().await.unwrap();
+        let (status, body, _) = alert(&site.routers[0], "sync-rev-b").await;
+        assert_eq!(status, 503, "{body}");
+        let refusal: ErrorBody = serde_json::from_str(&body).unwrap();
+        assert!(refusal.error.not_run);
+        assert_eq!(refusal.error.step, "append claim");
+        assert_eq!(runs(&site.service).await, 0, "not run is true");
+        ntex::time::sleep(Duration::from_millis(1100)).await;
+        let (status, body, _) = alert(&site.routers[0], "sync-rev-b").await;
+        assert_eq!(status, 200, "after the outage the call runs: {body}");
+        assert_eq!(runs(&site.service).await, 1);
+    });
+}
+
+#[test]
+fn service_refusing_connections_is_not_run_and_can_be_retried() {
+    let mut site = Site::start(23_000, 1, 1, &[]);
+    site.kill("service");
+    let router = site.routers[0].clone();
+    let mut site = run(async move {
+        services_known(&site).await;
+        let (status, body, _) = alert(&router, "dispatch-9").await;
+        assert_eq!(status, 503, "{body}");
+        let refusal: ErrorBody = serde_json::from_str(&body).unwrap();
+        assert!(refusal.error.not_run, "{body}");
+        site
+    });
+    site.start_service();
+    run(async move {
+        let (status, body, _) = alert(&site.routers[0], "dispatch-9").await;
+        assert_eq!(status, 200, "the abandoned key runs on retry: {body}");
+        assert_eq!(runs(&site.service).await, 1);
+    });
+}
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -68,7 +68,7 @@
             standin_bin(),
             &["hosts", "--listen", &site.hosts.clone(), "--lag-ms", "200"],
         );
-        site.spawn("service", standin_bin(), &["service", "--listen", &site.service.clone()]);
+        site.start_service();
         for i in 0..engines {
             site.start_engine(i);
         }
@@ -114,6 +114,13 @@
         wait_listening(&addr);
     }
 
+    /// Starts the plain service (again, after a kill: with no runs counted).
+    pub fn start_service(&mut self) {
+        let addr = self.service.clone();
+        self.spawn("service", standin_bin(), &["service", "--listen", &addr]);
+        wait_listening(&addr);
+    }
+
     /// Starts router `i`.
     pub fn start_router(&mut self, i: usize) {
         let addr = self.routers[i].clone();
