Resume a broken stream on another engine from the first chunk not yet sent

The engine stand-in starts generation at resume_from; its text is deterministic per request id and position. A new counter 'resumed' is in the state dump.

Ruled out: buffering the whole answer to replay it (defeats streaming and time to first token); resuming on the same engine (it is the one that died).

The single-engine test still sees the error event, naming step 'stream' and the killed engine.

Conclusion: kills no longer cut streams while an engine is left.

--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -48,6 +48,10 @@
     pub max_tokens: u32,
     /// Scheduling priority.
     pub priority: Priority,
+    /// First chunk to send: chunks before it reached the caller through
+    /// another engine. Generation is deterministic per id and position.
+    #[serde(default)]
+    pub resume_from: u32,
 }
 
 /// Token accounting of a finished request.
--- a/crates/router/benches/added_latency.rs
+++ b/crates/router/benches/added_latency.rs
@@ -94,6 +94,7 @@
         prompt: "a b c".into(),
         max_tokens: 1,
         priority: Default::default(),
+        resume_from: 0,
     })
     .unwrap();
     let routed = r#"{"workspace":"bench","prompt":"a b c","max_tokens":1}"#.to_string();
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -66,6 +66,8 @@
     pub failed: AtomicU64,
     /// Engine attempts moved to another engine before any chunk was sent.
     pub retried: AtomicU64,
+    /// Streams resumed on another engine after a break.
+    pub resumed: AtomicU64,
     /// Cache events applied.
     pub events: AtomicU64,
     /// Gaps seen in engines' event sequences.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -127,26 +127,27 @@
         .get(&workspace)
         .ok_or_else(|| Error::UnknownWorkspace(peer.into(), workspace.to_string()))?;
     let id = RequestId(node.request_id());
-    let opened = forward::open(node, id, &workspace, &request, routing).await?;
-    let engine = opened.engine.clone();
+    let mut job = forward::Job::new(node, id, &workspace, &request, routing);
+    let opened = forward::open(node, &mut job).await?;
     match request.stream {
         true => {
             let (tx, rx) = mpsc::channel(64);
-            ntex::rt::spawn(stream(node.clone(), opened, id, tx));
+            ntex::rt::spawn(stream(node.clone(), job, opened, tx));
             Ok(HttpResponse::Ok().content_type("text/event-stream").streaming(rx))
         }
         false => {
-            let mut whole = Whole(String::new());
-            let usage = forward::pump(node, opened, id, &mut whole).await?;
+            let mut whole = Whole(String::new(), opened.engine.clone());
+            let usage = forward::pump(node, &mut job, opened, &mut whole).await?;
             node.counters.answered.fetch_add(1, Ordering::Relaxed);
-            Ok(HttpResponse::Ok().json(&Completion { id, text: whole.0, usage, engine }))
+            Ok(HttpResponse::Ok().json(&Completion { id, text: whole.0, usage, engine: whole.1 }))
         }
     }
 }
 
-async fn stream(node: Arc<Node>, opened: forward::Opened, id: RequestId, tx: Sender) {
+async fn stream(node: Arc<Node>, mut job: forward::Job, opened: forward::Opened, tx: Sender) {
     let mut out = Sse(tx);
-    match forward::pump(&node, opened, id, &mut out).await {
+    let id = job.id;
+    match forward::pump(&node, &mut job, opened, &mut out).await {
         Ok(_) => {
             node.counters.answered.fetch_add(1, Ordering::Relaxed);
             let _ = out.0.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
@@ -170,8 +171,8 @@
     }
 }
 
-/// The whole answer, gathered.
-struct Whole(String);
+/// The whole answer, gathered, and the engine that first took it.
+struct Whole(String, String);
 
 impl Out for Whole {
     async fn chunk(&mut self, chunk: &Chunk) -> bool {
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -1,9 +1,11 @@
 //! Promise: every stream is complete and in order.
 //!
-//! An engine killed in the middle of a stream must end the caller's stream
-//! with an error event naming the step and the engine, never a silent cut
-//! that looks like a short answer. An engine that refuses connections is
-//! passed over before the request is sent anywhere.
+//! An engine killed in the middle of a stream hands the stream on to
+//! another engine from the first chunk not yet sent, so the caller gets
+//! every chunk once and in order. With no engine left, the caller's stream
+//! ends with an error event naming the step and the engine, never a silent
+//! cut that looks like a short answer. An engine that refuses connections
+//! is passed over before the request is sent anywhere.
 
 #[path = "support/site.rs"]
 mod site;
@@ -11,7 +13,7 @@
 use eventsource_stream::Eventsource;
 use futures::StreamExt;
 use marjoram_core::wire::{Chunk, Completion, ErrorBody};
-use site::{Site, client, completion, post, run};
+use site::{Site, client, completion, post, run, state};
 
 #[test]
 fn engine_killed_mid_stream_ends_with_an_error_event() {
@@ -71,3 +73,52 @@
         }
     });
 }
+
+#[test]
+fn engine_killed_mid_stream_is_resumed_on_another() {
+    let mut site = Site::start(23_100, 2, 1, &["--decode-ms", "50"]);
+    run(async move {
+        let offset = site.configure("kili-checks", "round-robin").await;
+        site.wait_in_force(offset).await;
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let response = client()
+            .post(url)
+            .header("content-type", "application/json")
+            .send_body(completion("kili-checks", 64, 30, true))
+            .await
+            .expect("router answers");
+        let mut events = response.eventsource();
+        let mut chunks: Vec<Chunk> = Vec::new();
+        let mut done = false;
+        while let Some(Ok(event)) = events.next().await {
+            match (event.event.as_str(), event.data.as_str()) {
+                ("error", data) => {
+                    panic!("stream ended with an error although an engine was left: {data}")
+                }
+                (_, "[DONE]") => {
+                    done = true;
+                    break;
+                }
+                (_, data) => {
+                    chunks.push(serde_json::from_str(data).expect("chunk"));
+                    if chunks.len() == 5 {
+                        let dump = state(&site.routers[0]).await.expect("state dump");
+                        let busy = dump["engines"]
+                            .as_array()
+                            .unwrap()
+                            .iter()
+                            .position(|e| e["inflight"].as_u64() == Some(1))
+                            .expect("one engine has the stream");
+                        site.kill(&format!("engine{busy}"));
+                    }
+                }
+            }
+        }
+        assert!(done, "the stream finished");
+        let seqs: Vec<u32> = chunks.iter().map(|c| c.seq).collect();
+        assert_eq!(seqs, (0..30).collect::<Vec<_>>(), "every chunk once, in order");
+        let id = chunks[0].id;
+        assert!(chunks.iter().all(|c| c.id == id && c.text == format!("t{id}.{} ", c.seq)));
+        assert!(chunks.last().unwrap().usage.is_some());
+    });
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -164,7 +164,7 @@
         cached_tokens: Tokens(cached),
         completion_tokens: Tokens(u64::from(request.max_tokens)),
     };
-    for seq in 0..request.max_tokens {
+    for seq in request.resume_from..request.max_tokens {
         let last = seq + 1 == request.max_tokens;
         let chunk = Chunk {
             id: request.id,
