Demo under faults: kill an engine and cut the log service in every run

The plain service answers how often a key ran (GET /v1/runs/{key}); the load tool checks every key refused as not run against it and prints 'false ref.'. The demo's publishes now wait out an outage: the first faulted run failed when the outage outlasted a run and the next policy swap met it.

--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -7,10 +7,12 @@
 //! has it in force, empties the engines' caches and replays both workloads.
 //! The processes are stopped when it ends, also on error.
 
+use std::cell::RefCell;
 use std::fmt::Write as _;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use marjoram_core::config::Record;
@@ -28,19 +30,20 @@
 const READY: Duration = Duration::from_secs(20);
 
 /// Child processes, killed when dropped.
-struct Site_ {
-    children: Vec<Child>,
-}
+struct Children(Vec<Child>);
 
-impl Drop for Site_ {
+impl Drop for Children {
     fn drop(&mut self) {
-        for child in &mut self.children {
+        for child in &mut self.0 {
             let _ = child.kill();
             let _ = child.wait();
         }
     }
 }
 
+/// Where the first engine's process sits in the list of children.
+const FIRST_ENGINE: usize = 3;
+
 /// Runs the demo and prints the table of measures.
 pub async fn run(opts: DemoOptions) -> Result<(), Error> {
     let dir = std::env::current_exe()
@@ -60,18 +63,18 @@
     let (log, hosts, service) = (port(0), port(1), port(2));
     let engines: Vec<String> = (0..opts.engines as u16).map(|i| port(10 + i)).collect();
     let routers: Vec<String> = (0..opts.routers as u16).map(|i| port(40 + i)).collect();
-    let mut site = Site_ { children: Vec::new() };
-    site.children.push(spawn(&standin, &["log", "--listen", &log])?);
-    site.children.push(spawn(&standin, &["hosts", "--listen", &hosts, "--lag-ms", "300"])?);
-    site.children.push(spawn(&standin, &["service", "--listen", &service])?);
+    let site = Rc::new(RefCell::new(Children(Vec::new())));
+    site.borrow_mut().0.push(spawn(&standin, &["log", "--listen", &log])?);
+    site.borrow_mut().0.push(spawn(&standin, &["hosts", "--listen", &hosts, "--lag-ms", "300"])?);
+    site.borrow_mut().0.push(spawn(&standin, &["service", "--listen", &service])?);
     for (i, addr) in engines.iter().enumerate() {
         let seed = (i + 1).to_string();
-        site.children.push(spawn(&standin, &["engine", "--listen", addr, "--seed", &seed])?);
+        site.borrow_mut().0.push(spawn(&standin, &["engine", "--listen", addr, "--seed", &seed])?);
     }
     for (i, addr) in routers.iter().enumerate() {
         let dc = format!("dc{}", i % 4 + 1);
         let args = ["--listen", addr, "--dc", &dc, "--log-service", &log, "--host-list", &hosts];
-        site.children.push(spawn(&router, &args)?);
+        site.borrow_mut().0.push(spawn(&router, &args)?);
     }
     for addr in [&log, &hosts, &service].into_iter().chain(&engines).chain(&routers) {
         wait_listening(addr).await?;
@@ -108,7 +111,20 @@
                 service: Some(service.clone()),
                 horizon_ms: 10_000,
             };
+            let span = Duration::from_secs_f64(opts.calls as f64 / opts.rate as f64);
+            let chaos = opts.faults.then(|| {
+                let fault = Fault {
+                    site: site.clone(),
+                    standin: standin.clone(),
+                    engine: engines[0].clone(),
+                    log: log.clone(),
+                };
+                ntex::rt::spawn(fault.run(span))
+            });
             let report = load::run(load).await?;
+            if let Some(chaos) = chaos {
+                let _ = chaos.await;
+            }
             eprintln!(
                 "demo: {policy} on {site_kind}: {:.1}% hit rate.",
                 report.measures.hit_rate() * 100.0
@@ -121,6 +137,36 @@
     Ok(())
 }
 
+/// The faults of `--faults`: an engine killed and started again, then a
+/// log-service outage, within each load run.
+struct Fault {
+    site: Rc<RefCell<Children>>,
+    standin: PathBuf,
+    engine: String,
+    log: String,
+}
+
+impl Fault {
+    async fn run(self, span: Duration) {
+        ntex::time::sleep(span / 3).await;
+        eprintln!("demo: killing engine {}.", self.engine);
+        {
+            let mut site = self.site.borrow_mut();
+            let _ = site.0[FIRST_ENGINE].kill();
+            let _ = site.0[FIRST_ENGINE].wait();
+        }
+        ntex::time::sleep(Duration::from_secs(1)).await;
+        match spawn(&self.standin, &["engine", "--listen", &self.engine, "--seed", "99"]) {
+            Ok(child) => self.site.borrow_mut().0[FIRST_ENGINE] = child,
+            Err(error) => eprintln!("demo: engine {} did not start again: {error}.", self.engine),
+        }
+        ntex::time::sleep(span / 3).await;
+        eprintln!("demo: ordering a 1 s outage of the log service.");
+        let client = Client::new();
+        let _ = client.post(format!("http://{}/v1/admin/outage?ms=1000", self.log)).send().await;
+    }
+}
+
 fn spawn(program: &PathBuf, args: &[&str]) -> Result<Child, Error> {
     Command::new(program)
         .args(args)
@@ -176,7 +222,19 @@
     Ok(())
 }
 
+/// Publishes `record`, trying again while the log service is down.
 async fn publish(client: &Client, log: &str, record: &Record) -> Result<Offset, Error> {
+    let deadline = Instant::now() + READY;
+    loop {
+        match publish_once(client, log, record).await {
+            Ok(offset) => return Ok(offset),
+            Err(error) if Instant::now() > deadline => return Err(error),
+            Err(_) => ntex::time::sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
+
+async fn publish_once(client: &Client, log: &str, record: &Record) -> Result<Offset, Error> {
     let body = serde_json::to_string(record).expect("records serialise");
     let mut response = client
         .post(format!("http://{log}/v1/streams/config"))
@@ -253,7 +311,7 @@
         let m = &report.measures;
         let _ = writeln!(
             out,
-            "{:<13} {:<12} {:>8} {:>8.1}% {:>7.0}ms {:>7.0}ms {:>6.1}% {:>6} {:>8} {:>8}",
+            "{:<13} {:<12} {:>8} {:>8.1}% {:>7.0}ms {:>7.0}ms {:>6.1}% {:>6} {:>8} {:>8} {:>10}",
             policy.to_string(),
             report.site.to_string(),
             m.answered,
@@ -264,6 +322,7 @@
             m.lost,
             m.repeated,
             m.refused,
+            m.false_refusals,
         );
     }
     out
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -63,6 +63,7 @@
     /// Prefix of this run's idempotency keys, so runs never share keys.
     nonce: u64,
     measures: Measures,
+    refused_keys: Vec<String>,
     seen: Seen,
     alerts: u64,
 }
@@ -74,6 +75,7 @@
     tracing::info!(target: "load", "load: using router {} in {}.", entry.addr, entry.dc);
     let run = Rc::new(RefCell::new(Run {
         nonce: rand::random(),
+        refused_keys: Vec::new(),
         measures: Measures::new(),
         seen: Seen::new(Duration::from_millis(opts.horizon_ms)),
         alerts: 0,
@@ -99,6 +101,9 @@
     if let (Some(before), Some(after)) = (before, after) {
         run.measures.repeated += after.repeated - before.repeated;
     }
+    if let Some(service) = opts.service.as_deref() {
+        run.measures.false_refusals = false_refusals(&client, service, &run.refused_keys).await;
+    }
     Ok(Report {
         site: opts.site,
         measures: run.measures,
@@ -222,16 +227,41 @@
         Ok(response) if response.status().is_success() => {}
         Ok(mut response) => {
             let body = response.body().await.unwrap_or_default();
-            refused(run, &body);
+            if refused(run, &body) {
+                run.borrow_mut().refused_keys.push(key.to_string());
+            }
         }
         Err(_) => run.borrow_mut().measures.lost += 1,
     }
 }
 
-fn refused(run: &RefCell<Run>, body: &[u8]) {
+/// Counts a refusal; true when it said "not run".
+fn refused(run: &RefCell<Run>, body: &[u8]) -> bool {
     let mut run = run.borrow_mut();
     match serde_json::from_slice::<ErrorBody>(body) {
-        Ok(error) if error.error.not_run => run.measures.refused += 1,
-        _ => run.measures.lost += 1,
+        Ok(error) if error.error.not_run => {
+            run.measures.refused += 1;
+            true
+        }
+        _ => {
+            run.measures.lost += 1;
+            false
+        }
+    }
+}
+
+/// Refusals that said "not run" for calls the service did run.
+async fn false_refusals(client: &Client, service: &str, keys: &[String]) -> u64 {
+    let mut count = 0;
+    for key in keys {
+        let Ok(mut response) = client.get(format!("http://{service}/v1/runs/{key}")).send().await
+        else {
+            continue;
+        };
+        let body = response.body().await.unwrap_or_default();
+        if String::from_utf8_lossy(&body).trim() != "0" {
+            count += 1;
+        }
     }
+    count
 }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -113,6 +113,8 @@
     pub port: u16,
     /// Workload seed.
     pub seed: u64,
+    /// Kill an engine and cut the log service during each run.
+    pub faults: bool,
 }
 
 /// A parsed command line.
@@ -254,6 +256,7 @@
     opts.optopt("", "routers", "routers to start [2]", "N");
     opts.optopt("", "port", "first port; the demo uses the next 20 [17100]", "PORT");
     opts.optopt("", "seed", "workload seed [1]", "N");
+    opts.optflag("", "faults", "kill an engine and cut the log service in each run");
     let m = matches(&opts, args, "demo")?;
     if m.opt_present("help") {
         return Ok(Command::Help(opts.usage("Usage: marjoram-standin demo [OPTIONS]")));
@@ -265,6 +268,7 @@
         routers: positive(setting(&m, "routers", 2)?, "routers")?,
         port: setting(&m, "port", 17100)?,
         seed: setting(&m, "seed", 1)?,
+        faults: m.opt_present("faults"),
     }))
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -2,7 +2,8 @@
 //!
 //! `POST /v1/alerts` runs the call and counts it under the request's
 //! idempotency key; the service itself does not deduplicate, so a repeat
-//! shows as a key run twice. `GET /v1/stats` answers [`Stats`].
+//! shows as a key run twice. `GET /v1/stats` answers [`Stats`];
+//! `GET /v1/runs/{key}` how often one key ran.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -39,6 +40,7 @@
             .state(service)
             .route("/v1/alerts", web::post().to(alert))
             .route("/v1/stats", web::get().to(stats))
+            .route("/v1/runs/{key}", web::get().to(runs))
     })
     .workers(1)
     .bind(&listen)
@@ -59,6 +61,12 @@
     HttpResponse::Ok().json(&serde_json::json!({ "dispatched": key }))
 }
 
+/// How often the call with idempotency key `key` ran, as a bare number.
+async fn runs(service: types::State<&'static Service>, key: types::Path<String>) -> HttpResponse {
+    let count = service.runs.lock().unwrap().get(key.as_str()).copied().unwrap_or(0);
+    HttpResponse::Ok().body(count.to_string())
+}
+
 async fn stats(service: types::State<&'static Service>) -> HttpResponse {
     let runs = service.runs.lock().unwrap();
     HttpResponse::Ok().json(&Stats {
