Read-through: simpler route answer, one fuzz configuration for all models

Cause: reading the code as a newcomer, serve::route built its answer through a three-way match with a None arm meaning 'name yourself' and an inline error body; and duplicates found the same proptest configuration written out in each of the three state-machine tests.

Change: route picks local, else any usable router, spread by caller; a draining router with no other router answers with Error::Draining through reply_error; the draining TTL is a named constant. The fuzz configuration (fixed seed, MARJORAM_FUZZ_CASES) lives once in crates/core/tests/support/fuzz.rs.

Conclusion: fewer places to read for one rule.

--- a/crates/core/tests/claims_model.rs
+++ b/crates/core/tests/claims_model.rs
@@ -10,12 +10,14 @@
 //! been sent twice, no attempt answered "not run" was sent, and every
 //! replayed answer is the answer of the one call sent.
 
+#[path = "support/fuzz.rs"]
+mod fuzz;
+
 use std::collections::HashMap;
 
 use marjoram_core::claims::{Answer, ClaimRecord, Claims, Decision};
 use marjoram_core::ids::Offset;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 const ROUTERS: usize = 3;
@@ -198,19 +200,8 @@
     }
 }
 
-fn config() -> Config {
-    let cases =
-        std::env::var("MARJORAM_FUZZ_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(256);
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(0x0c1a),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzz::config(0x0c1a))]
 
     #[test]
     fn calls_run_at_most_once_and_not_run_is_true(sequential 1..60 => ProtocolTest);
--- a/crates/core/tests/config_model.rs
+++ b/crates/core/tests/config_model.rs
@@ -9,11 +9,13 @@
 //! hold exactly the configuration of the log's prefix up to its offset,
 //! its offset must never go back, and followers at one offset must agree.
 
+#[path = "support/fuzz.rs"]
+mod fuzz;
+
 use marjoram_core::config::{Config, Record};
 use marjoram_core::ids::{Offset, WorkspaceId};
 use marjoram_core::policy::PolicyName;
 use proptest::prelude::*;
-use proptest::test_runner::{Config as Runner, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 #[derive(Debug, Clone, Default)]
@@ -159,19 +161,8 @@
     }
 }
 
-fn runner() -> Runner {
-    let cases =
-        std::env::var("MARJORAM_FUZZ_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(256);
-    Runner {
-        cases,
-        rng_seed: RngSeed::Fixed(0xc0f1),
-        failure_persistence: None,
-        ..Runner::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(runner())]
+    #![proptest_config(fuzz::config(0xc0f1))]
 
     #[test]
     fn config_is_the_same_everywhere_and_never_reverts(sequential 1..40 => ConfigTest);
--- a/crates/core/tests/picture_model.rs
+++ b/crates/core/tests/picture_model.rs
@@ -7,12 +7,14 @@
 //! events and predictions are interleaved; after every step each query's
 //! answer must equal the model's.
 
+#[path = "support/fuzz.rs"]
+mod fuzz;
+
 use std::collections::{HashMap, HashSet};
 
 use marjoram_core::cache::{Life, Picture, Slot};
 use marjoram_core::ids::{BlockHash, Incarnation, ModelVersion};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 const SLOTS: u8 = 4;
@@ -155,19 +157,8 @@
     }
 }
 
-fn config() -> Config {
-    let cases =
-        std::env::var("MARJORAM_FUZZ_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(256);
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(0x5eed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzz::config(0x5eed))]
 
     #[test]
     fn picture_never_relies_on_dead_foreign_or_old_entries(sequential 1..40 => PictureTest);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -17,7 +17,7 @@
 use futures::channel::mpsc;
 use marjoram_core::ids::{RequestId, WorkspaceId};
 use marjoram_core::wire::{
-    Chunk, Completion, CompletionRequest, ErrorBody, ErrorDetail, IDEMPOTENCY_KEY, RouteAnswer,
+    Chunk, Completion, CompletionRequest, HostEntry, IDEMPOTENCY_KEY, RouteAnswer,
 };
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, types};
@@ -33,6 +33,9 @@
 type Shared = types::State<Arc<Node>>;
 type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
 
+/// How long a draining router's route answers may be kept.
+const DRAINING_TTL: Duration = Duration::from_secs(1);
+
 /// Bytes a request body may carry beyond the prompt limit.
 const BODY_SLACK: usize = 64 << 10;
 
@@ -237,49 +240,33 @@
     caller: Option<String>,
 }
 
+/// Answers which router a caller should use: a live one in the caller's
+/// data centre if any, else any live one, spread by the caller's name. A
+/// draining router never names itself; with no router listed yet, a live
+/// router names itself.
 async fn route(node: Shared, query: types::Query<RouteQuery>) -> HttpResponse {
-    let pool = node.pool.load();
     let draining = node.draining.load(Ordering::Acquire);
-    let me = &node.settings.advertise;
-    let usable: Vec<_> = pool.routers.iter().filter(|r| !(draining && &r.addr == me)).collect();
-    let local: Vec<_> = usable.iter().filter(|r| Some(&r.dc) == query.dc.as_ref()).collect();
-    let from = match local.is_empty() {
-        true => usable.iter().collect::<Vec<_>>(),
-        false => local,
-    };
-    let caller = query.caller.as_deref().unwrap_or("");
-    let pick = match from.len() {
-        0 if !draining => None,
-        0 => {
-            let detail = ErrorDetail {
-                step: "route".into(),
-                peer: "router".into(),
-                message: "no other router is live".into(),
-                not_run: true,
-            };
-            return HttpResponse::ServiceUnavailable()
-                .header("retry-after", "1")
-                .json(&ErrorBody { error: detail });
-        }
-        n => Some(from[(xxhash_rust::xxh3::xxh3_64(caller.as_bytes()) % n as u64) as usize]),
-    };
     let ttl = match draining {
-        true => Duration::from_millis(1000),
+        true => DRAINING_TTL,
         false => node.settings.route_ttl,
     };
-    let answer = match pick {
-        Some(router) => RouteAnswer {
-            addr: router.addr.clone(),
-            dc: router.dc.clone(),
-            ttl_ms: ttl.as_millis() as u64,
-        },
-        None => RouteAnswer {
-            addr: me.clone(),
-            dc: node.settings.dc.clone(),
-            ttl_ms: ttl.as_millis() as u64,
-        },
+    let pool = node.pool.load();
+    let me = &node.settings.advertise;
+    let usable: Vec<&HostEntry> =
+        pool.routers.iter().filter(|r| !(draining && &r.addr == me)).collect();
+    let local: Vec<&HostEntry> =
+        usable.iter().copied().filter(|r| Some(&r.dc) == query.dc.as_ref()).collect();
+    let from = if local.is_empty() { usable } else { local };
+    let spread = xxhash_rust::xxh3::xxh3_64(query.caller.as_deref().unwrap_or("").as_bytes());
+    let (addr, dc) = match from.len() {
+        0 if draining => return reply_error(&Error::Draining),
+        0 => (me.clone(), node.settings.dc.clone()),
+        n => {
+            let router = from[(spread % n as u64) as usize];
+            (router.addr.clone(), router.dc.clone())
+        }
     };
-    HttpResponse::Ok().json(&answer)
+    HttpResponse::Ok().json(&RouteAnswer { addr, dc, ttl_ms: ttl.as_millis() as u64 })
 }
 
 async fn state(node: Shared) -> HttpResponse {
