--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -6,13 +6,22 @@
 //! claim for a key holds it, and only the holder sends the call. The holder
 //! then appends the call's [`ClaimRecord::Outcome`], which later claims for
 //! the key are answered with. A holder that learns it did not send the call
-//! appends [`ClaimRecord::Abandon`], which frees the key for the next claim.
+//! appends [`ClaimRecord::Abandon`], which frees the key for the next claim,
+//! and does so too when it stops waiting for its claim to be appended: a
+//! claim that arrives after its abandon holds nothing.
 //!
 //! No router ever sends a call it has not seen itself hold, so a call runs
 //! at most once however claims, answers and routers are lost; every router
 //! that has read the same records decides the same. A claim whose holder
 //! died after sending stays held with no outcome: its key is answered
 //! "outcome unknown" until the record expires, never run again.
+//!
+//! The log service keeps records for a limited time, and so a key is
+//! protected that long: [`Claims::forget_before`] drops the keys whose last
+//! record has expired, and takes a reader that starts after them to the
+//! oldest record kept. A claimant must act on its claim well within that
+//! time (the router allows it a few seconds), since a later claimant may
+//! not be able to see a claim that has expired.
 
 use std::collections::HashMap;
 
@@ -76,6 +85,10 @@
     holder: Option<String>,
     outcome: Option<Answer>,
     claims: Vec<(Offset, String)>,
+    /// Claimants that gave up; their claims may still arrive, and hold nothing.
+    abandoned: Vec<String>,
+    /// Offset of the key's last record.
+    last: Offset,
 }
 
 /// The claims read so far, by key.
@@ -83,6 +96,8 @@
 pub struct Claims {
     keys: HashMap<String, Key>,
     next: Offset,
+    /// The log's oldest offset when expired keys were last dropped.
+    swept: Offset,
 }
 
 impl Claims {
@@ -117,20 +132,23 @@
         }
         match record {
             ClaimRecord::Claim { key, owner } => {
-                let entry = self.keys.entry(key.clone()).or_default();
+                let entry = self.touch(key, offset);
                 entry.claims.push((offset, owner.clone()));
-                if entry.holder.is_none() && entry.outcome.is_none() {
+                let gone = entry.abandoned.contains(owner);
+                if entry.holder.is_none() && entry.outcome.is_none() && !gone {
                     entry.holder = Some(owner.clone());
                 }
             }
             ClaimRecord::Outcome { key, owner, answer } => {
-                let entry = self.keys.entry(key.clone()).or_default();
-                if entry.holder.as_ref() == Some(owner) {
-                    entry.outcome = Some(answer.clone());
-                }
+                // Only a holder sends, so an outcome holds even when the
+                // claim it belongs to expired before this reader began.
+                let entry = self.touch(key, offset);
+                entry.holder = Some(owner.clone());
+                entry.outcome = Some(answer.clone());
             }
             ClaimRecord::Abandon { key, owner } => {
-                let entry = self.keys.entry(key.clone()).or_default();
+                let entry = self.touch(key, offset);
+                entry.abandoned.push(owner.clone());
                 if entry.holder.as_ref() == Some(owner) && entry.outcome.is_none() {
                     entry.holder = None;
                 }
@@ -139,6 +157,40 @@
         true
     }
 
+    fn touch(&mut self, key: &str, offset: Offset) -> &mut Key {
+        let entry = self.keys.entry(key.into()).or_default();
+        entry.last = offset;
+        entry
+    }
+
+    /// Passes over the record at `offset`, which could not be decoded.
+    pub fn skip(&mut self, offset: Offset) {
+        if offset == self.next {
+            self.next = Offset(offset.0 + 1);
+        }
+    }
+
+    /// Drops keys whose last record lies before `oldest`, which the log no
+    /// longer keeps, and never reads before it.
+    ///
+    /// ```
+    /// use marjoram_core::claims::{ClaimRecord, Claims};
+    /// use marjoram_core::ids::Offset;
+    /// let mut claims = Claims::new();
+    /// claims.apply(Offset(0), &ClaimRecord::Claim { key: "k".into(), owner: "a".into() });
+    /// claims.forget_before(Offset(5));
+    /// assert!(claims.is_empty());
+    /// assert_eq!(claims.next(), Offset(5));
+    /// ```
+    pub fn forget_before(&mut self, oldest: Offset) {
+        self.next = self.next.max(oldest);
+        // Sweeping walks every key: wait until a share of them has expired.
+        if oldest.0.saturating_sub(self.swept.0) > self.keys.len() as u64 / 8 {
+            self.swept = oldest;
+            self.keys.retain(|_, key| key.last >= oldest);
+        }
+    }
+
     /// What `owner`, whose claim for `key` was appended at `claimed`, should
     /// do, judged on the records read so far (which must reach `claimed`).
     pub fn decide(&self, key: &str, owner: &str, claimed: Offset) -> Decision {
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -9,6 +9,11 @@
 //! rejected: the offset advances, the configuration stays as it was. A
 //! record beyond a gap is refused, so a configuration is always exactly
 //! what some prefix of the stream makes it.
+//!
+//! The log service keeps records for a limited time, so routers also keep
+//! snapshots there: a serialised [`Config`], which is the whole effect of the
+//! stream up to its offset. [`Config::restore`] takes one only when it is
+//! ahead, so a stale snapshot never takes a configuration back.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -16,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Error;
-use crate::ids::{Offset, WorkspaceId};
+use crate::ids::{ModelVersion, Offset, WorkspaceId};
 use crate::policy::PolicyName;
 
 /// Routing parameters; a workspace's override its template's.
@@ -105,10 +110,15 @@
         /// The workspace.
         id: WorkspaceId,
     },
+    /// Names the weights every engine is to serve from now on.
+    Weights {
+        /// Version of the weights; a version below the one named is rejected.
+        version: ModelVersion,
+    },
 }
 
 /// A template as configured.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Template {
     /// The routing policy it names.
     pub policy: PolicyName,
@@ -117,7 +127,7 @@
 }
 
 /// A workspace as configured, before its template is resolved.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Name of its template.
     pub template: String,
@@ -152,7 +162,7 @@
 }
 
 /// The configuration in force: templates and workspaces up to an offset.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Config {
     /// Offset of the last record applied, accepted or rejected.
     pub offset: Option<Offset>,
@@ -160,6 +170,9 @@
     pub templates: BTreeMap<String, Template>,
     /// Workspaces by id.
     pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+    /// Weights every engine is to serve, once an operator has named them.
+    #[serde(default)]
+    pub weights: Option<ModelVersion>,
     #[serde(skip)]
     routing: Arc<BTreeMap<WorkspaceId, Routing>>,
 }
@@ -207,6 +220,13 @@
                 self.workspaces.remove(id);
                 Applied::Accepted
             }
+            Record::Weights { version } if Some(*version) < self.weights => {
+                Applied::Rejected(format!("weights version {version} is below the one named"))
+            }
+            Record::Weights { version } => {
+                self.weights = Some(*version);
+                Applied::Accepted
+            }
         };
         if outcome == Applied::Accepted {
             self.routing = Arc::new(self.resolve());
@@ -223,6 +243,26 @@
         Applied::Rejected(why)
     }
 
+    /// Takes `snapshot` over if it is ahead; whether it was.
+    ///
+    /// ```
+    /// use marjoram_core::config::Config;
+    /// use marjoram_core::ids::Offset;
+    /// let ahead = Config { offset: Some(Offset(9)), ..Config::new() };
+    /// let mut config = Config::new();
+    /// assert!(config.restore(ahead.clone()));
+    /// assert!(!config.restore(ahead));
+    /// assert_eq!(config.expected(), Offset(10));
+    /// ```
+    pub fn restore(&mut self, snapshot: Config) -> bool {
+        let ahead = snapshot.offset > self.offset;
+        if ahead {
+            *self = snapshot;
+            self.routing = Arc::new(self.resolve());
+        }
+        ahead
+    }
+
     /// The offset that must be applied next.
     pub fn expected(&self) -> Offset {
         self.offset.map(|o| Offset(o.0 + 1)).unwrap_or(Offset(0))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`config`]: operator configuration read from the log service.
 //! - [`wire`]: the JSON shapes spoken over HTTP.
 //! - [`workload`]: seeded workloads modelled on the two deployments.
+//! - [`lease`]: a lease with a fencing token, kept in the log service.
+//! - [`members`]: which routers are up, as they tell each other.
 //! - [`measure`]: the measures of the brief.
 
 pub mod cache;
@@ -18,7 +20,9 @@
 pub mod config;
 pub mod error;
 pub mod ids;
+pub mod lease;
 pub mod measure;
+pub mod members;
 pub mod policy;
 pub mod prefix;
 pub mod wire;
