--- a/crates/core/src/cache.rs
+++ b/crates/core/src/cache.rs
@@ -162,6 +162,17 @@
         candidates.iter().map(|slot| depth[usize::from(slot.0)]).collect()
     }
 
+    /// Every block `slot` is believed to hold, in no order; walks every shard.
+    pub fn held(&self, slot: Slot) -> Vec<BlockHash> {
+        let mut blocks = Vec::new();
+        for shard in &self.shards {
+            let shard = shard.read().unwrap();
+            let held = shard.iter().filter(|(_, mask)| *mask & slot.bit() != 0);
+            blocks.extend(held.map(|(block, _)| BlockHash(*block)));
+        }
+        blocks
+    }
+
     /// Counters for the state dump; walks every shard.
     pub fn counts(&self) -> Counts {
         let entries = self
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -248,7 +248,8 @@
     /// ```
     /// use marjoram_core::config::Config;
     /// use marjoram_core::ids::Offset;
-    /// let ahead = Config { offset: Some(Offset(9)), ..Config::new() };
+    /// let mut ahead = Config::new();
+    /// ahead.offset = Some(Offset(9));
     /// let mut config = Config::new();
     /// assert!(config.restore(ahead.clone()));
     /// assert!(!config.restore(ahead));
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -7,7 +7,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BlockHash, Incarnation, ModelVersion, Offset, Priority, RequestId, Tokens};
+use crate::ids::{
+    BlockHash, Fencing, Incarnation, ModelVersion, Offset, Priority, RequestId, Tokens,
+};
+
+/// Header of an engine's answer naming the weights it computes under.
+pub const WEIGHTS_VERSION: &str = "weights-version";
+
+/// Header of an engine's answer saying it has not run the request.
+pub const NOT_EXECUTED: &str = "not-executed";
 
 /// Header carrying the caller's idempotency key.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -52,6 +60,19 @@
     /// another engine. Generation is deterministic per id and position.
     #[serde(default)]
     pub resume_from: u32,
+    /// Weights the answer must be computed under; an engine serving others
+    /// answers 409 and does not run the request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expect_version: Option<ModelVersion>,
+}
+
+/// An order to load weights: `POST /v1/admin/weights` on an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsOrder {
+    /// The weights to serve from now on.
+    pub version: ModelVersion,
+    /// The keeper's fencing token.
+    pub fencing: Fencing,
 }
 
 /// Token accounting of a finished request.
--- a/crates/router/benches/added_latency.rs
+++ b/crates/router/benches/added_latency.rs
@@ -95,6 +95,7 @@
         max_tokens: 1,
         priority: Default::default(),
         resume_from: 0,
+        expect_version: None,
     })
     .unwrap();
     let routed = r#"{"workspace":"bench","prompt":"a b c","max_tokens":1}"#.to_string();
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -41,6 +41,22 @@
         NoService(name: String) {
             display("route call to service {name}: none is live")
         }
+        /// No configuration has been read yet.
+        NotConfigured {
+            display("route request: this router has read no configuration yet")
+        }
+        /// The log service failed.
+        Log(step: &'static str, peer: String, message: String) {
+            display("{step} at log service {peer}: {message}")
+        }
+        /// Another router failed to answer.
+        Peer(step: &'static str, peer: String, message: String) {
+            display("{step} router {peer}: {message}")
+        }
+        /// An engine did not take an order.
+        Order(peer: String, message: String) {
+            display("order weights at engine {peer}: {message}")
+        }
         /// A claim for an at-most-once call could not be made or read.
         Claim(step: &'static str, peer: String, message: String) {
             display("{step} at log service {peer}: {message}; the call was not sent")
@@ -53,9 +69,13 @@
         Draining {
             display("route request: this router is shutting down")
         }
-        /// An engine could not be reached; the request was not sent.
+        /// An engine did not take the request; it has not run there.
+        Refused(peer: String, message: String) {
+            display("send to engine {peer}: refused: {message}")
+        }
+        /// A plain service could not be reached; the call was not sent.
         Connect(peer: String, message: String) {
-            display("connect to engine {peer}: {message}")
+            display("connect to service {peer}: {message}")
         }
         /// An engine failed after the request was sent; outcome unknown.
         Engine(step: &'static str, peer: String, message: String) {
@@ -71,15 +91,21 @@
             Self::Parse(..) => StatusCode::BAD_REQUEST,
             Self::TooLarge(..) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownWorkspace(..) => StatusCode::NOT_FOUND,
-            Self::NoEngine(..) | Self::NoService(..) | Self::Draining | Self::Connect(..) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
-            Self::Claim(..) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoEngine(..)
+            | Self::NoService(..)
+            | Self::Draining
+            | Self::NotConfigured
+            | Self::Connect(..)
+            | Self::Refused(..)
+            | Self::Claim(..)
+            | Self::Log(..) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Held(..) => StatusCode::CONFLICT,
             Self::Engine(..) => StatusCode::BAD_GATEWAY,
-            Self::Usage(..) | Self::Setting(..) | Self::Bind(..) => {
-                StatusCode::INTERNAL_SERVER_ERROR
-            }
+            Self::Usage(..)
+            | Self::Setting(..)
+            | Self::Bind(..)
+            | Self::Peer(..)
+            | Self::Order(..) => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -91,12 +117,16 @@
             Self::Bind(addr, _) => ("bind", addr.clone()),
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
             Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
-            Self::NoEngine(_) | Self::NoService(_) | Self::Draining => {
+            Self::NoEngine(_) | Self::NoService(_) | Self::Draining | Self::NotConfigured => {
                 ("route", "router".to_string())
             }
             Self::Connect(peer, _) => ("connect", peer.clone()),
+            Self::Refused(peer, _) => ("send", peer.clone()),
             Self::Engine(step, peer, _) => (*step, peer.clone()),
-            Self::Claim(step, peer, _) => (*step, peer.clone()),
+            Self::Claim(step, peer, _) | Self::Log(step, peer, _) | Self::Peer(step, peer, _) => {
+                (*step, peer.clone())
+            }
+            Self::Order(peer, _) => ("order", peer.clone()),
             Self::Held(key) => ("claim", key.clone()),
         };
         ErrorBody {
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -1,25 +1,28 @@
 //! Background loops that keep a node's picture of the world current.
 //!
 //! - `config`: reads the log service's `config` stream forward from the
-//!   last offset applied and swaps in each new configuration.
+//!   last offset applied and swaps in each new configuration; where the
+//!   records have expired, from the newest snapshot (see `duty`).
 //! - `hosts`: reads the host list and swaps in the pool of engines,
 //!   routers and services; an engine gone from the list loses its entries.
 //! - `engines`: reads each engine's cache events and load report. A new
 //!   incarnation or model version clears the engine's entries, and so does
 //!   an engine that cannot be reached, which is also marked down.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use futures::future::join_all;
 use marjoram_core::cache::{Life, MAX_SLOTS, Slot};
 use marjoram_core::config::{Applied, Config, Record};
 use marjoram_core::wire::{CacheEvents, EventKind, HostList, HostState, LoadReport, LogRead, Role};
 use ntex::http::client::Client;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::duty;
+use crate::error::Error;
+use crate::log::{self, Log};
 use crate::node::{Active, Engine, Node, Pool};
 
 /// Pause between reads of the config stream.
@@ -31,56 +34,79 @@
 
 /// Follows the `config` stream for ever.
 pub async fn config(node: Arc<Node>) {
-    let client = Client::new();
+    let log = Log::new(node.settings.log_service);
     let mut config = Config::new();
-    let mut next = 0u64;
-    let url = format!("http://{}/v1/streams/config", node.settings.log_service);
     loop {
-        let read: Result<LogRead, String> = get_json(&client, &format!("{url}?from={next}")).await;
-        match read {
-            Ok(read) => {
-                if read.oldest.0 > next {
-                    tracing::warn!(target: "follow", "config: records {next} to {} expired unread.", read.oldest);
-                }
-                let changed = apply_all(&mut config, &read, &mut next);
-                if changed {
-                    node.active.store(Arc::new(Active {
-                        offset: config.offset,
-                        routing: config.routing(),
-                    }));
-                }
-            }
-            Err(error) => {
-                tracing::debug!(target: "follow", "config: read from {} failed: {error}.", node.settings.log_service)
-            }
+        let offered = node.offered.lock().unwrap().take();
+        if offered.is_some_and(|snapshot| config.restore(snapshot)) {
+            put_in_force(&node, &config);
+        }
+        match read_on(&log, &mut config).await {
+            Ok(Progress::Moved) => put_in_force(&node, &config),
+            Ok(Progress::AtEnd) => node.configured.store(true, Ordering::Release),
+            Err(error) => tracing::debug!(target: "follow", "config: {error}."),
         }
         ntex::time::sleep(CONFIG_EVERY).await;
     }
 }
 
-fn apply_all(config: &mut Config, read: &LogRead, next: &mut u64) -> bool {
-    let mut changed = false;
+fn put_in_force(node: &Node, config: &Config) {
+    node.active.store(Arc::new(Active::from(config)));
+    node.configured.store(true, Ordering::Release);
+}
+
+/// What one reading of the `config` stream led to.
+enum Progress {
+    /// The offset in force moved on.
+    Moved,
+    /// Nothing new.
+    AtEnd,
+}
+
+/// Reads and applies what follows the offset in force; from a snapshot when
+/// the records that follow it have expired.
+async fn read_on(log: &Log, config: &mut Config) -> Result<Progress, Error> {
+    let before = config.offset;
+    let mut read = log.read(log::CONFIG, config.expected()).await?;
+    if read.oldest > config.expected() {
+        let (from, to) = (config.expected(), read.oldest);
+        let restored = match duty::newest_snapshot(log).await? {
+            Some(snapshot) => config.restore(snapshot),
+            None => false,
+        };
+        if !restored || config.expected() < read.oldest {
+            let why = format!("records {from} to {to} expired and no snapshot covers them");
+            tracing::warn!(target: "follow", "config: {why}.");
+            return Err(Error::Log("read config", "snapshots".into(), why));
+        }
+        tracing::info!(target: "follow", "config: restored from the snapshot of offset {}.", config.expected().0 - 1);
+        read = log.read(log::CONFIG, config.expected()).await?;
+    }
+    apply_all(config, &read);
+    match config.offset == before {
+        true => Ok(Progress::AtEnd),
+        false => Ok(Progress::Moved),
+    }
+}
+
+/// Applies `read` in order, up to a gap if there is one.
+fn apply_all(config: &mut Config, read: &LogRead) {
     for record in &read.records {
-        *next = record.offset.0 + 1;
         let outcome = match serde_json::from_str::<Record>(&record.body) {
             Ok(parsed) => config.apply(record.offset, &parsed),
             Err(error) => config.skip(record.offset, format!("malformed: {error}")),
         };
         match outcome {
-            Applied::Accepted => changed = true,
-            Applied::Stale => {}
+            Applied::Accepted | Applied::Stale => {}
             Applied::Gap { expected } => {
                 tracing::warn!(target: "follow", "config: record {} is beyond a gap; reading again from {expected}.", record.offset);
-                *next = expected.0;
-                return changed;
+                return;
             }
             Applied::Rejected(why) => {
                 tracing::warn!(target: "follow", "config: record {} rejected: {why}.", record.offset);
-                changed = true;
             }
         }
     }
-    changed
 }
 
 /// Follows the host list for ever.
@@ -90,7 +116,10 @@
     let url = format!("http://{}/v1/hosts", node.settings.host_list);
     loop {
         match get_json::<HostList>(&client, &url).await {
-            Ok(list) => node.pool.store(Arc::new(pool(&node, &list, &mut slots))),
+            Ok(list) => {
+                node.pool.store(Arc::new(pool(&node, &list, &mut slots)));
+                node.refresh_entries();
+            }
             Err(error) => {
                 tracing::debug!(target: "follow", "hosts: read from {} failed: {error}.", node.settings.host_list)
             }
@@ -106,6 +135,7 @@
         if !kept {
             tracing::info!(target: "follow", "hosts: engine {addr} left the list.");
             node.picture.clear(*slot);
+            node.cursors.lock().unwrap().remove(slot);
         }
         kept
     });
@@ -143,16 +173,32 @@
     }
 }
 
-/// Follows every engine's cache events and load for ever.
+/// Follows every engine's cache events and load for ever, each by a task of
+/// its own: an engine that does not answer holds up no other's events.
 pub async fn engines(node: Arc<Node>) {
-    let client = Client::new();
-    let mut cursors: HashMap<Slot, (Life, u64)> = HashMap::new();
+    let mut followed: HashSet<String> = HashSet::new();
     loop {
         let pool = node.pool.load_full();
-        let reads = pool.engines.iter().map(|engine| read_engine(&client, engine, &cursors));
-        let results = join_all(reads).await;
-        for (engine, result) in pool.engines.iter().zip(results) {
-            apply_engine(&node, engine, result, &mut cursors);
+        followed.retain(|addr| pool.engines.iter().any(|e| &e.addr == addr));
+        for engine in &pool.engines {
+            if followed.insert(engine.addr.clone()) {
+                ntex::rt::spawn(follow_engine(node.clone(), engine.clone()));
+            }
+        }
+        ntex::time::sleep(ENGINES_EVERY).await;
+    }
+}
+
+/// Follows one engine until it leaves the pool.
+async fn follow_engine(node: Arc<Node>, engine: Engine) {
+    let client = Client::new();
+    let listed = |node: &Node| {
+        node.pool.load().engines.iter().any(|e| e.addr == engine.addr && e.slot == engine.slot)
+    };
+    while listed(&node) {
+        let result = read_engine(&client, &engine, &node).await;
+        if listed(&node) {
+            apply_engine(&node, &engine, result);
         }
         ntex::time::sleep(ENGINES_EVERY).await;
     }
@@ -160,23 +206,16 @@
 
 type EngineRead = Result<(CacheEvents, LoadReport), String>;
 
-async fn read_engine(
-    client: &Client,
-    engine: &Engine,
-    cursors: &HashMap<Slot, (Life, u64)>,
-) -> EngineRead {
-    let from = cursors.get(&engine.slot).map(|(_, next)| *next).unwrap_or(0);
+async fn read_engine(client: &Client, engine: &Engine, node: &Node) -> EngineRead {
+    let cursor = node.cursors.lock().unwrap().get(&engine.slot).copied();
+    let from = cursor.map(|(_, next)| next).unwrap_or(0);
     let events = get_json(client, &format!("http://{}/v1/events?from={from}", engine.addr)).await?;
     let load = get_json(client, &format!("http://{}/v1/load", engine.addr)).await?;
     Ok((events, load))
 }
 
-fn apply_engine(
-    node: &Node,
-    engine: &Engine,
-    result: EngineRead,
-    cursors: &mut HashMap<Slot, (Life, u64)>,
-) {
+fn apply_engine(node: &Node, engine: &Engine, result: EngineRead) {
+    let mut cursors = node.cursors.lock().unwrap();
     let index = usize::from(engine.slot.0);
     let (events, load) = match result {
         Ok(read) => read,
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -1,48 +1,47 @@
 //! The request path: choose an engine, send it the request, and pass its
 //! answer on whole and in order.
 //!
-//! An engine that cannot be reached has not seen the request, so the next
-//! candidate is tried. Once an engine has the request, its chunks are
-//! checked against the request id and sequence numbers. When its stream is
-//! cut, goes silent for [`IDLE`] or breaks, the request is resumed on
-//! another engine from the first chunk not yet passed on (engines resume
-//! streams from a sequence number), so the caller still gets every chunk
-//! once and in order. Only when no engine is left within [`ATTEMPTS`]
-//! does the caller's stream end, with an error event naming the step and
-//! the engine: never a silent cut.
+//! An engine's chunks are checked against the request id and sequence
+//! numbers. When an engine cannot be reached, does not answer, breaks its
+//! stream off, goes silent, or sends a chunk of another request, the request
+//! goes on at another engine from the first chunk not yet passed on (engines
+//! resume streams from a sequence number, under the same weights), so the
+//! caller still gets every chunk once and in order. Only when no engine is
+//! left does the caller's answer end, with an error naming the step and the
+//! engine: never a silent cut.
+//!
+//! A connection may go silent for good while new ones work. Silence is
+//! noticed after `--stream-idle-ms` inside a stream, and sooner where the
+//! engine's follower finds it unreachable (see `follow`).
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cadence::prelude::*;
 use eventsource_stream::Eventsource;
-use futures::StreamExt;
+use futures::{Stream, StreamExt};
 use marjoram_core::cache::Slot;
-use marjoram_core::config::Routing;
-use marjoram_core::ids::{ModelVersion, RequestId, WorkspaceId};
-use marjoram_core::policy::{Ask, Candidate};
-use marjoram_core::prefix::Prefix;
-use marjoram_core::wire::{Chunk, CompletionRequest, EngineRequest, Usage};
+use marjoram_core::ids::ModelVersion;
+use marjoram_core::wire::{Chunk, NOT_EXECUTED, Usage, WEIGHTS_VERSION};
 use ntex::http::client::error::SendRequestError;
 use ntex::http::client::{Client, ClientResponse};
 
 use crate::error::Error;
-use crate::node::Node;
+use crate::job::{Job, version};
+use crate::node::{Engine, Node};
 
-/// Engines tried for one request, resumptions included.
-pub const ATTEMPTS: usize = 3;
-/// Longest silence allowed inside an engine's stream.
-pub const IDLE: Duration = Duration::from_secs(10);
-/// Longest wait for an engine's first answer.
-const FIRST_ANSWER: Duration = Duration::from_secs(60);
+/// Longest wait for an engine's first chunk: its queue may be long.
+const FIRST_CHUNK: Duration = Duration::from_secs(60);
+/// How often a wait looks whether the engine is still reachable.
+const WATCH: Duration = Duration::from_millis(100);
 
 thread_local! {
-    static CLIENT: Client = Client::build().timeout(FIRST_ANSWER).finish();
+    static CLIENT: Client = Client::build().timeout(FIRST_CHUNK).finish();
 }
 
 /// Counts a request in flight at one engine until dropped.
-pub struct Inflight {
+struct Inflight {
     node: Arc<Node>,
     slot: Slot,
 }
@@ -60,64 +59,13 @@
     }
 }
 
-/// One caller request on its way through engines.
-pub struct Job {
-    /// The router's id for it.
-    pub id: RequestId,
-    /// What engines are sent; `resume_from` moves on as chunks pass.
-    order: EngineRequest,
-    prefix: Prefix,
-    routing: Routing,
-    workspace: String,
-    /// Engines that failed this request.
-    failed: Vec<String>,
-    attempts: usize,
-    started: Instant,
-}
-
-impl Job {
-    /// A job for `request` in `workspace`, routed by `routing`.
-    pub fn new(
-        node: &Node,
-        id: RequestId,
-        workspace: &WorkspaceId,
-        request: &CompletionRequest,
-        routing: Routing,
-    ) -> Self {
-        let pool = node.pool.load();
-        let version = pool
-            .engines
-            .first()
-            .and_then(|e| node.picture.life(e.slot))
-            .map(|life| life.version)
-            .unwrap_or(ModelVersion(1));
-        let order = EngineRequest {
-            id,
-            workspace: workspace.to_string(),
-            prompt: request.prompt.clone(),
-            max_tokens: request.max_tokens,
-            priority: request.priority,
-            resume_from: 0,
-        };
-        Self {
-            id,
-            prefix: Prefix::new(&request.prompt, workspace, version),
-            order,
-            routing,
-            workspace: workspace.to_string(),
-            failed: Vec::new(),
-            attempts: 0,
-            started: Instant::now(),
-        }
-    }
-}
-
 /// An engine that has accepted a request, with its answer to read.
 pub struct Opened {
-    /// The engine's answer.
-    pub response: ClientResponse,
-    /// The engine's address.
-    pub engine: String,
+    /// The engine.
+    pub engine: Engine,
+    response: ClientResponse,
+    /// The weights it computes the answer under.
+    version: ModelVersion,
     _inflight: Inflight,
 }
 
@@ -127,67 +75,59 @@
     async fn chunk(&mut self, chunk: &Chunk) -> bool;
 }
 
-/// Chooses an engine for `job` among those not yet failed, and sends it.
+/// Sends `job` to engines in turn until one accepts it.
 pub async fn open(node: &Arc<Node>, job: &mut Job) -> Result<Opened, Error> {
-    let pool = node.pool.load_full();
-    let mut engines: Vec<_> = pool
-        .engines
-        .iter()
-        .filter(|e| !e.leaving && !node.down[usize::from(e.slot.0)].load(Ordering::Relaxed))
-        .filter(|e| !job.failed.contains(&e.addr))
-        .collect();
-    while job.attempts < ATTEMPTS {
-        let slots: Vec<Slot> = engines.iter().map(|e| e.slot).collect();
-        let matched = node.picture.matched(&job.prefix.blocks, &slots);
-        let candidates: Vec<Candidate> = engines
-            .iter()
-            .zip(matched)
-            .map(|(e, matched)| Candidate {
-                slot: e.slot,
-                key: e.key,
-                load: node.load(e.slot),
-                matched,
-            })
-            .collect();
-        let ask = Ask { prefix: &job.prefix, params: &job.routing.params };
-        let Some(index) = node.policies.pick(job.routing.policy, ask, &candidates) else {
-            break;
-        };
-        let engine = engines[index];
-        job.attempts += 1;
+    loop {
+        let engine = job.choose(node)?;
         let inflight = Inflight::new(node.clone(), engine.slot);
-        let url = format!("http://{}/v1/completions", engine.addr);
-        let sent = CLIENT.with(|client| client.post(&url).send_json(&job.order)).await;
-        match sent {
-            Ok(response) if response.status().is_success() => {
-                if let Some(life) = node.picture.life(engine.slot) {
-                    node.picture.predicted(engine.slot, life, &job.prefix.blocks);
-                }
-                return Ok(Opened { response, engine: engine.addr.clone(), _inflight: inflight });
-            }
+        let error = match send(node, job, &engine).await {
             Ok(response) => {
-                let status = response.status();
-                return Err(Error::Engine(
-                    "answer",
-                    engine.addr.clone(),
-                    format!("status {status}"),
-                ));
-            }
-            Err(SendRequestError::Connect(error)) => {
-                tracing::info!(target: "forward", "forward: engine {} refused, trying another: {error}.", engine.addr);
-                node.counters.retried.fetch_add(1, Ordering::Relaxed);
-                job.failed.push(engine.addr.clone());
-                engines.remove(index);
-            }
-            Err(error) => {
-                return Err(Error::Engine("send", engine.addr.clone(), error.to_string()));
+                let life = node.picture.life(engine.slot);
+                let version = named_version(&response).unwrap_or(version(life));
+                if let Some(life) = life.filter(|life| life.version == version) {
+                    let blocks = &job.prefix(version).blocks;
+                    node.picture.predicted(engine.slot, life, blocks);
+                }
+                return Ok(Opened { engine, response, version, _inflight: inflight });
             }
+            Err(error) => error,
+        };
+        tracing::info!(target: "forward", "forward: {error}; {} goes to another engine.", job.id);
+        node.counters.retried.fetch_add(1, Ordering::Relaxed);
+        job.note(&engine.addr, error);
+    }
+}
+
+/// Sends `job` to `engine`; its answer once it has accepted.
+async fn send(node: &Node, job: &Job, engine: &Engine) -> Result<ClientResponse, Error> {
+    let failed = |step, why| Error::Engine(step, engine.addr.clone(), why);
+    let url = format!("http://{}/v1/completions", engine.addr);
+    let request = CLIENT.with(|client| client.post(&url).send_json(&job.order));
+    let sent = tokio::select! {
+        sent = request => sent,
+        () = until_down(node, engine.slot) => {
+            return Err(failed("send", "engine became unreachable".into()));
         }
+    };
+    match sent {
+        Ok(response) if response.status().is_success() => Ok(response),
+        Ok(response) if response.headers().contains_key(NOT_EXECUTED) => {
+            Err(Error::Refused(engine.addr.clone(), format!("status {}", response.status())))
+        }
+        Ok(response) => Err(failed("answer", format!("status {}", response.status()))),
+        Err(SendRequestError::Connect(e)) => {
+            Err(Error::Refused(engine.addr.clone(), e.to_string()))
+        }
+        Err(e) => Err(failed("send", e.to_string())),
     }
-    Err(Error::NoEngine(job.workspace.clone()))
 }
 
-/// Passes the engine's chunks to `out`, resuming on another engine when a
+/// The weights an engine's answer says it is computed under.
+fn named_version(response: &ClientResponse) -> Option<ModelVersion> {
+    response.headers().get(WEIGHTS_VERSION)?.to_str().ok()?.parse().ok()
+}
+
+/// Passes the engine's chunks to `out`, going on at another engine when a
 /// stream breaks; the usage on success.
 pub async fn pump<O: Out>(
     node: &Arc<Node>,
@@ -197,18 +137,15 @@
 ) -> Result<Usage, Error> {
     let mut opened = opened;
     loop {
-        let engine = opened.engine.clone();
+        let addr = opened.engine.addr.clone();
         let error = match relay(node, job, opened, out).await {
             Ok(usage) => return Ok(usage),
             Err(error @ Error::Engine("reply", ..)) => return Err(error),
             Err(error) => error,
         };
         tracing::info!(target: "forward", "forward: {error}; resuming {} from chunk {}.", job.id, job.order.resume_from);
-        job.failed.push(engine);
-        opened = match open(node, job).await {
-            Ok(next) => next,
-            Err(_) => return Err(error),
-        };
+        job.note(&addr, error);
+        opened = open(node, job).await?;
         node.counters.resumed.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -221,53 +158,71 @@
     opened: Opened,
     out: &mut O,
 ) -> Result<Usage, Error> {
-    let engine = opened.engine.clone();
+    let addr = opened.engine.addr.clone();
+    let broken = |why: String| Error::Engine("stream", addr.clone(), why);
     let mut events = opened.response.eventsource();
+    let mut first = true;
     loop {
-        let expected = job.order.resume_from;
-        let next = ntex::time::timeout(IDLE, events.next()).await;
-        let event = match next {
-            Err(()) => {
-                return Err(Error::Engine(
-                    "stream",
-                    engine,
-                    format!("silent for {IDLE:?} at chunk {expected}"),
-                ));
-            }
-            Ok(None) => {
-                return Err(Error::Engine(
-                    "stream",
-                    engine,
-                    format!("cut before chunk {expected}"),
-                ));
-            }
-            Ok(Some(Err(error))) => return Err(Error::Engine("stream", engine, error.to_string())),
+        let due = job.order.resume_from;
+        let limit = match first {
+            true => FIRST_CHUNK,
+            false => node.settings.stream_idle,
+        };
+        let event = match next(node, opened.engine.slot, &mut events, limit).await {
+            Err(silent) => return Err(broken(format!("silent for {silent:?} at chunk {due}"))),
+            Ok(None) => return Err(broken(format!("cut before chunk {due}"))),
+            Ok(Some(Err(error))) => return Err(broken(error.to_string())),
             Ok(Some(Ok(event))) => event,
         };
-        let chunk: Chunk = serde_json::from_str(&event.data)
-            .map_err(|e| Error::Engine("stream", engine.clone(), format!("bad chunk: {e}")))?;
+        first = false;
+        let chunk: Chunk =
+            serde_json::from_str(&event.data).map_err(|e| broken(format!("bad chunk: {e}")))?;
         match chunk {
-            Chunk { id: other, .. } if other != job.id => {
-                return Err(Error::Engine("stream", engine, format!("chunk of request {other}")));
+            Chunk { id, .. } if id != job.id => {
+                return Err(broken(format!("chunk of request {id}")));
             }
-            Chunk { seq, .. } if seq != expected => {
-                return Err(Error::Engine(
-                    "stream",
-                    engine,
-                    format!("chunk {seq} where {expected} was due"),
-                ));
+            Chunk { seq, .. } if seq != due => {
+                return Err(broken(format!("chunk {seq} where {due} was due")));
             }
             _ => {}
         }
-        if expected == 0 {
+        if due == 0 {
             let _ = node.metrics.time("ttft", job.started.elapsed());
         }
         if !out.chunk(&chunk).await {
             return Err(Error::Engine("reply", "caller".into(), "caller went away".into()));
         }
-        job.order.resume_from = expected + 1;
+        job.order.resume_from = due + 1;
+        job.order.expect_version = Some(opened.version);
         if let Some(usage) = chunk.usage {
             return Ok(usage);
         }
     }
 }
+
+/// The stream's next item, or how long it has been silent once that is over
+/// `limit` or the engine is found unreachable.
+async fn next<S: Stream + Unpin>(
+    node: &Node,
+    slot: Slot,
+    events: &mut S,
+    limit: Duration,
+) -> Result<Option<S::Item>, Duration> {
+    let mut silent = Duration::ZERO;
+    loop {
+        match ntex::time::timeout(WATCH, events.next()).await {
+            Ok(item) => return Ok(item),
+            Err(()) => silent += WATCH,
+        }
+        if silent >= limit || node.is_down(slot) {
+            return Err(silent);
+        }
+    }
+}
+
+/// Returns once the engine in `slot` is found unreachable.
+async fn until_down(node: &Node, slot: Slot) {
+    while !node.is_down(slot) {
+        ntex::time::sleep(WATCH).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/job.rs
@@ -0,0 +1,131 @@
+//! One caller request on its way through engines.
+
+use std::time::Instant;
+
+use marjoram_core::cache::Life;
+use marjoram_core::config::Routing;
+use marjoram_core::ids::{ModelVersion, RequestId, WorkspaceId};
+use marjoram_core::policy::{Ask, Candidate};
+use marjoram_core::prefix::Prefix;
+use marjoram_core::wire::{CompletionRequest, EngineRequest};
+
+use crate::error::Error;
+use crate::node::{Engine, Node};
+
+/// Engines tried for one request, resumptions included.
+pub const ATTEMPTS: usize = 3;
+
+/// A request, what has become of it so far, and where it may still go.
+pub struct Job {
+    /// The router's id for it.
+    pub id: RequestId,
+    /// What engines are sent. `resume_from` moves on as chunks pass, and
+    /// `expect_version` is set once a chunk has: chunks computed under
+    /// other weights would not continue the answer.
+    pub order: EngineRequest,
+    /// When it came in.
+    pub started: Instant,
+    workspace: WorkspaceId,
+    routing: Routing,
+    /// The prompt's blocks under each version of the weights met so far.
+    prefixes: Vec<(ModelVersion, Prefix)>,
+    /// Engines that failed it, and the failure the caller is told of.
+    failed: Vec<String>,
+    last: Option<Error>,
+    attempts: usize,
+}
+
+impl Job {
+    /// A job for `request` in `workspace`, routed by `routing`.
+    pub fn new(
+        id: RequestId,
+        workspace: WorkspaceId,
+        request: CompletionRequest,
+        routing: Routing,
+    ) -> Self {
+        let order = EngineRequest {
+            id,
+            workspace: workspace.to_string(),
+            prompt: request.prompt,
+            max_tokens: request.max_tokens,
+            priority: request.priority,
+            resume_from: 0,
+            expect_version: None,
+        };
+        Self {
+            id,
+            order,
+            started: Instant::now(),
+            workspace,
+            routing,
+            prefixes: Vec::new(),
+            failed: Vec::new(),
+            last: None,
+            attempts: 0,
+        }
+    }
+
+    /// Chooses the engine for the next attempt by the workspace's policy;
+    /// the last failure when none is left or every attempt is used up.
+    pub fn choose(&mut self, node: &Node) -> Result<Engine, Error> {
+        let pool = node.pool.load();
+        let engines: Vec<(&Engine, ModelVersion)> = pool
+            .engines
+            .iter()
+            .filter(|e| !e.leaving && !node.is_down(e.slot) && !self.failed.contains(&e.addr))
+            .map(|e| (e, version(node.picture.life(e.slot))))
+            .filter(|(_, version)| self.order.expect_version.is_none_or(|due| due == *version))
+            .collect();
+        let candidates: Vec<Candidate> = engines
+            .iter()
+            .map(|(engine, version)| self.candidate(node, engine, *version))
+            .collect();
+        let newest = engines.iter().map(|(_, version)| *version).max().unwrap_or_default();
+        let (policy, params) = (self.routing.policy, self.routing.params);
+        let ask = Ask { prefix: self.prefix(newest), params: &params };
+        match node.policies.pick(policy, ask, &candidates) {
+            Some(index) if self.attempts < ATTEMPTS => {
+                self.attempts += 1;
+                Ok(engines[index].0.clone())
+            }
+            _ => Err(self.give_up()),
+        }
+    }
+
+    fn candidate(&mut self, node: &Node, engine: &Engine, version: ModelVersion) -> Candidate {
+        let blocks = &self.prefix(version).blocks;
+        let matched = node.picture.matched(blocks, &[engine.slot])[0];
+        Candidate { slot: engine.slot, key: engine.key, load: node.load(engine.slot), matched }
+    }
+
+    /// The prompt's blocks under `version`, hashed at first use.
+    pub fn prefix(&mut self, version: ModelVersion) -> &Prefix {
+        let known = self.prefixes.iter().position(|(v, _)| *v == version);
+        let index = known.unwrap_or_else(|| {
+            let prefix = Prefix::new(&self.order.prompt, &self.workspace, version);
+            self.prefixes.push((version, prefix));
+            self.prefixes.len() - 1
+        });
+        &self.prefixes[index].1
+    }
+
+    /// Notes that the engine at `addr` failed the request with `error`. Once
+    /// one engine may have run it, no later refusal makes it "not run".
+    pub fn note(&mut self, addr: &str, error: Error) {
+        self.failed.push(addr.to_string());
+        self.last = match self.last.take() {
+            Some(unknown @ Error::Engine(..)) => Some(unknown),
+            _ => Some(error),
+        };
+    }
+
+    /// The error the caller is given.
+    fn give_up(&mut self) -> Error {
+        self.last.take().unwrap_or_else(|| Error::NoEngine(self.workspace.to_string()))
+    }
+}
+
+/// The weights of an engine in `life`; the first ever before it is known.
+pub fn version(life: Option<Life>) -> ModelVersion {
+    life.map(|life| life.version).unwrap_or(ModelVersion(1))
+}
--- /dev/null
+++ b/crates/router/src/log.rs
@@ -0,0 +1,127 @@
+//! Client of the platform's log service.
+//!
+//! Every call has a time limit and an [`Error::Log`] naming the step and the
+//! service. An append that failed may still have been made, or may be made
+//! later; callers rely on the log's order, never on such an answer.
+
+use std::time::Duration;
+
+use marjoram_core::ids::Offset;
+use marjoram_core::wire::{Appended, LogRead, LogRecord};
+use ntex::http::client::Client;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+
+/// The stream of operator configuration.
+pub const CONFIG: &str = "config";
+/// The stream of claims of at-most-once calls.
+pub const CLAIMS: &str = "claims";
+/// The stream of grants of the fleet's lease.
+pub const LEASE: &str = "lease";
+/// The stream of configuration snapshots.
+pub const SNAPSHOTS: &str = "snapshots";
+
+/// Longest wait for one call.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer read.
+const ANSWER_LIMIT: usize = 64 << 20;
+
+thread_local! {
+    static CLIENT: Client = Client::build().timeout(TIMEOUT).finish();
+}
+
+/// What became of a conditional append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Conditional {
+    /// The record was appended at the offset asked for.
+    Done,
+    /// The stream ends elsewhere; nothing was appended.
+    Moved,
+}
+
+/// A handle on the log service at one address.
+#[derive(Debug, Clone)]
+pub struct Log {
+    addr: String,
+}
+
+impl Log {
+    /// The log service at `addr`.
+    pub fn new(addr: impl ToString) -> Self {
+        Self { addr: addr.to_string() }
+    }
+
+    /// Appends `record` to `stream`; its offset.
+    pub async fn append<T: Serialize>(&self, stream: &str, record: &T) -> Result<Offset, Error> {
+        let (status, bytes) = self.post(&format!("/v1/streams/{stream}"), record).await?;
+        match status {
+            200 => self.parse::<Appended>("append", &bytes).map(|a| a.offset),
+            _ => Err(self.failed("append", format!("status {status}"))),
+        }
+    }
+
+    /// Appends `record` only if `stream` ends at `at`.
+    pub async fn append_at<T: Serialize>(
+        &self,
+        stream: &str,
+        at: Offset,
+        record: &T,
+    ) -> Result<Conditional, Error> {
+        let (status, _) = self.post(&format!("/v1/streams/{stream}?at={at}"), record).await?;
+        match status {
+            200 => Ok(Conditional::Done),
+            412 => Ok(Conditional::Moved),
+            _ => Err(self.failed("append", format!("status {status}"))),
+        }
+    }
+
+    /// Reads records of `stream` from `from` on.
+    pub async fn read(&self, stream: &str, from: Offset) -> Result<LogRead, Error> {
+        self.get(&format!("/v1/streams/{stream}?from={from}")).await
+    }
+
+    /// The offset `stream` ends at and its last record, if it is kept.
+    pub async fn tail(&self, stream: &str) -> Result<(Offset, Option<LogRecord>), Error> {
+        let mut read: LogRead = self.get(&format!("/v1/streams/{stream}?last=1")).await?;
+        Ok((read.next, read.records.pop()))
+    }
+
+    async fn post<T: Serialize>(&self, path: &str, record: &T) -> Result<(u16, Vec<u8>), Error> {
+        let body =
+            serde_json::to_string(record).map_err(|e| self.failed("append", e.to_string()))?;
+        let url = format!("http://{}{path}", self.addr);
+        let mut response = CLIENT
+            .with(|client| client.post(&url))
+            .send_body(body)
+            .await
+            .map_err(|e| self.failed("append", e.to_string()))?;
+        let bytes =
+            response.body().await.map_err(|e| self.failed("append", e.to_string()))?.to_vec();
+        Ok((response.status().as_u16(), bytes))
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let url = format!("http://{}{path}", self.addr);
+        let mut response = CLIENT
+            .with(|client| client.get(&url))
+            .send()
+            .await
+            .map_err(|e| self.failed("read", e.to_string()))?;
+        if !response.status().is_success() {
+            return Err(self.failed("read", format!("status {}", response.status())));
+        }
+        let body = response.body().limit(ANSWER_LIMIT).await;
+        let bytes = body.map_err(|e| self.failed("read", e.to_string()))?;
+        self.parse("read", &bytes)
+    }
+
+    fn parse<T: DeserializeOwned>(&self, step: &'static str, bytes: &[u8]) -> Result<T, Error> {
+        serde_json::from_slice(bytes).map_err(|e| self.failed(step, e.to_string()))
+    }
+
+    fn failed(&self, step: &'static str, why: String) -> Error {
+        Error::Log(step, self.addr.clone(), why)
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -5,13 +5,20 @@
 //! in order. Configuration comes from the platform's log service, engines
 //! and entry hosts from its host list.
 
+mod clock;
+mod duty;
 mod error;
 mod follow;
 mod forward;
+mod gossip;
+mod job;
+mod log;
 mod node;
 mod once;
 mod options;
+mod peer;
 mod serve;
+mod warm;
 
 use std::process::ExitCode;
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -4,21 +4,28 @@
 //! `ArcSwap` (read-copy-update: followers build a new value and swap it in)
 //! and counts load with atomics; only the cache picture takes short locks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use cadence::{BufferedUdpMetricSink, QueuingMetricSink, StatsdClient};
-use marjoram_core::cache::{MAX_SLOTS, Picture, Slot};
+use marjoram_core::cache::{Life, MAX_SLOTS, Picture, Slot};
 use marjoram_core::claims::Claims;
-use marjoram_core::config::Routing;
-use marjoram_core::ids::{Offset, WorkspaceId};
+use marjoram_core::config::{Config, Routing};
+use marjoram_core::ids::{Fencing, Incarnation, Offset, WorkspaceId};
+use marjoram_core::lease::Contender;
+use marjoram_core::members::Members;
 use marjoram_core::policy;
 use marjoram_core::wire::HostEntry;
 use serde::Serialize;
 
+use crate::clock;
 use crate::options::Settings;
+use crate::peer::Links;
+
+/// Low bits of a request id that count this process's requests.
+const ID_BITS: u32 = 24;
 
 /// The configuration in force, as the request path sees it.
 #[derive(Debug, Default, Serialize)]
@@ -27,6 +34,15 @@
     pub offset: Option<Offset>,
     /// Policy and parameters by workspace.
     pub routing: Arc<BTreeMap<WorkspaceId, Routing>>,
+    /// The whole configuration, for snapshots and starting routers.
+    #[serde(skip)]
+    pub config: Arc<Config>,
+}
+
+impl From<&Config> for Active {
+    fn from(config: &Config) -> Self {
+        Self { offset: config.offset, routing: config.routing(), config: Arc::new(config.clone()) }
+    }
 }
 
 /// An engine of the pool.
@@ -64,7 +80,7 @@
     pub answered: AtomicU64,
     /// Completions that failed.
     pub failed: AtomicU64,
-    /// Engine attempts moved to another engine before any chunk was sent.
+    /// Attempts that moved to another engine before it accepted.
     pub retried: AtomicU64,
     /// Streams resumed on another engine after a break.
     pub resumed: AtomicU64,
@@ -92,6 +108,10 @@
     pub reported: [AtomicU32; MAX_SLOTS],
     /// Engines this node could not reach, by slot.
     pub down: [AtomicBool; MAX_SLOTS],
+    /// A configuration has been read up to the stream's end once.
+    pub configured: AtomicBool,
+    /// Warm enough for callers (see `warm`).
+    pub ready: AtomicBool,
     /// Set on SIGTERM: take no new work, send callers elsewhere.
     pub draining: AtomicBool,
     /// Counters.
@@ -100,6 +120,18 @@
     pub metrics: StatsdClient,
     /// Claims of at-most-once calls read from the log service.
     pub claims: Mutex<Claims>,
+    /// Where each engine's events have been read up to, and in which life.
+    pub cursors: Mutex<HashMap<Slot, (Life, u64)>>,
+    /// A configuration another router offered, not yet taken up.
+    pub offered: Mutex<Option<Config>>,
+    /// Which routers are up.
+    pub members: Mutex<Members>,
+    /// Routers callers may be sent to: listed, and up as far as is known.
+    pub entries: ArcSwap<Vec<HostEntry>>,
+    /// This router's side of the fleet's lease.
+    pub contender: Mutex<Contender>,
+    /// Connections to other routers.
+    pub links: Links,
     next_id: AtomicU64,
 }
 
@@ -107,11 +139,11 @@
     /// A node with empty state for `settings`.
     pub fn new(settings: Settings) -> Self {
         let metrics = statsd(&settings);
-        let base: u64 = (xxhash_rust::xxh3::xxh3_64(settings.advertise.as_bytes()) & 0xffff) << 48;
-        let stamp = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map(|d| d.as_micros() as u64 & 0xffff_ffff)
-            .unwrap_or(0);
+        // Random, not from the time of day: that may step back at a restart.
+        let life: u64 = rand::random();
+        let members = Members::new(settings.advertise.clone(), unix_ms());
+        let owner = format!("{}/{life:016x}", settings.advertise);
+        let contender = Contender::new(owner, settings.lease_ttl);
         Self {
             settings,
             active: ArcSwap::default(),
@@ -121,11 +153,19 @@
             inflight: std::array::from_fn(|_| AtomicU32::new(0)),
             reported: std::array::from_fn(|_| AtomicU32::new(0)),
             down: std::array::from_fn(|_| AtomicBool::new(false)),
+            configured: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             counters: Counters::default(),
             metrics,
             claims: Mutex::new(Claims::new()),
-            next_id: AtomicU64::new(base | (stamp << 16)),
+            cursors: Mutex::default(),
+            offered: Mutex::default(),
+            members: Mutex::new(members),
+            entries: ArcSwap::default(),
+            contender: Mutex::new(contender),
+            links: Links::default(),
+            next_id: AtomicU64::new(life << ID_BITS),
         }
     }
 
@@ -134,18 +174,48 @@
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Whether this router takes callers and duties.
+    pub fn fit(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
+    }
+
+    /// The fencing token, while this router is the keeper.
+    pub fn token(&self) -> Option<Fencing> {
+        self.contender.lock().unwrap().token(clock::now())
+    }
+
+    /// Works out again which routers callers may be sent to.
+    pub fn refresh_entries(&self) {
+        let members = self.members.lock().unwrap();
+        let pool = self.pool.load();
+        let usable = pool.routers.iter().filter(|r| members.usable(&r.addr)).cloned();
+        self.entries.store(Arc::new(usable.collect()));
+    }
+
     /// Load of the engine in `slot`: this node's in-flight plus reported.
     pub fn load(&self, slot: Slot) -> u32 {
         let index = usize::from(slot.0);
         self.inflight[index].load(Ordering::Relaxed) + self.reported[index].load(Ordering::Relaxed)
     }
 
+    /// Whether this node cannot reach the engine in `slot`.
+    pub fn is_down(&self, slot: Slot) -> bool {
+        self.down[usize::from(slot.0)].load(Ordering::Relaxed)
+    }
+
     /// Requests in flight from this node over all engines.
     pub fn inflight_total(&self) -> u32 {
         self.inflight.iter().map(|n| n.load(Ordering::Relaxed)).sum()
     }
 }
 
+/// A number for this life of the process: later lives have higher ones, as
+/// long as the time of day does not step back (see `members`).
+fn unix_ms() -> Incarnation {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    Incarnation(since.map(|d| d.as_millis() as u64).unwrap_or(0))
+}
+
 fn statsd(settings: &Settings) -> StatsdClient {
     let sink = std::net::UdpSocket::bind("0.0.0.0:0")
         .map_err(cadence::MetricError::from)
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -16,23 +16,25 @@
 
 use marjoram_core::claims::{Answer, ClaimRecord, Decision};
 use marjoram_core::ids::{Offset, RequestId};
-use marjoram_core::wire::{Appended, LogRead};
 use ntex::http::client::Client;
 use ntex::http::client::error::SendRequestError;
 use ntex::util::Bytes;
 
+use crate::clock;
 use crate::error::Error;
+use crate::log::{self, Log};
 use crate::node::Node;
 
-/// The log-service stream holding claims.
-pub const STREAM: &str = "claims";
-/// Longest wait for one log-service call.
-const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the service's answer.
+const SERVICE_LIMIT: Duration = Duration::from_secs(10);
+/// A claim not acted on for this long is given up: a claim must be acted on
+/// well before the log service drops it (see `marjoram_core::claims`).
+const CLAIM_FRESH: Duration = Duration::from_secs(10);
 /// Pause between background reads of the claims stream.
 const FOLLOW_EVERY: Duration = Duration::from_millis(500);
 
 thread_local! {
-    static CLIENT: Client = Client::build().timeout(LOG_TIMEOUT).finish();
+    static CLIENT: Client = Client::build().timeout(SERVICE_LIMIT).finish();
 }
 
 /// What the caller is answered.
@@ -46,39 +48,47 @@
 /// Sends `body` to `service` at `path` at most once under `key`.
 pub async fn call(node: &Arc<Node>, service: &str, path: &str, key: &str, body: Bytes) -> Reply {
     let owner = format!("{}/{}", node.settings.advertise, RequestId(node.request_id()));
-    let log = node.settings.log_service.to_string();
+    let log = Log::new(node.settings.log_service);
+    let begun = clock::now();
     let claim = ClaimRecord::Claim { key: key.into(), owner: owner.clone() };
-    let claimed = match append(&log, &claim).await {
-        Ok(offset) => offset,
-        Err(why) => {
+    match hold(node, &log, &claim, key, &owner).await {
+        Ok(Decision::Send) if clock::now() < begun + CLAIM_FRESH => {
+            send(&log, service, path, key, &owner, body).await
+        }
+        Ok(Decision::Done(answer)) => Reply::Answer(answer, true),
+        Ok(Decision::Held(_)) => Reply::Refused(Error::Held(key.into())),
+        Ok(Decision::Send | Decision::Unseen) => {
             abandon(&log, key, &owner).await;
-            return Reply::Refused(Error::Claim("append claim", log, why));
+            let why = "own claim not found in time".to_string();
+            Reply::Refused(Error::Claim("read claims", node.settings.log_service.to_string(), why))
         }
-    };
-    if let Err(why) = catch_up(node, Offset(claimed.0 + 1)).await {
-        abandon(&log, key, &owner).await;
-        return Reply::Refused(Error::Claim("read claims", log, why));
-    }
-    let decision = node.claims.lock().unwrap().decide(key, &owner, claimed);
-    match decision {
-        Decision::Send => send(node, service, path, key, &owner, body).await,
-        Decision::Done(answer) => Reply::Answer(answer, true),
-        Decision::Held(_) => Reply::Refused(Error::Held(key.into())),
-        Decision::Unseen => {
+        Err(error) => {
             abandon(&log, key, &owner).await;
-            Reply::Refused(Error::Claim("read claims", log, "own claim not found".into()))
+            Reply::Refused(error)
         }
     }
 }
 
+/// Claims `key` for `owner` and reads back what that came to.
+async fn hold(
+    node: &Node,
+    log: &Log,
+    claim: &ClaimRecord,
+    key: &str,
+    owner: &str,
+) -> Result<Decision, Error> {
+    let peer = || node.settings.log_service.to_string();
+    let appended = log.append(log::CLAIMS, claim).await;
+    let claimed = appended.map_err(|e| Error::Claim("append claim", peer(), e.to_string()))?;
+    let caught = catch_up(node, log, Offset(claimed.0 + 1)).await;
+    caught.map_err(|e| Error::Claim("read claims", peer(), e.to_string()))?;
+    Ok(node.claims.lock().unwrap().decide(key, owner, claimed))
+}
+
 /// Sends a call with no idempotency key once, without any claim.
 pub async fn call_plain(service: &str, path: &str, body: Bytes) -> Reply {
     let url = format!("http://{service}/v1/{path}");
-    let sent = CLIENT
-        .with(|client| client.post(&url))
-        .timeout(Duration::from_secs(10))
-        .send_body(body)
-        .await;
+    let sent = CLIENT.with(|client| client.post(&url)).send_body(body).await;
     match sent {
         Ok(mut response) => match response.body().await {
             Ok(bytes) => {
@@ -94,25 +104,16 @@
     }
 }
 
-async fn send(
-    node: &Arc<Node>,
-    service: &str,
-    path: &str,
-    key: &str,
-    owner: &str,
-    body: Bytes,
-) -> Reply {
-    let log = node.settings.log_service.to_string();
+async fn send(log: &Log, service: &str, path: &str, key: &str, owner: &str, body: Bytes) -> Reply {
     let url = format!("http://{service}/v1/{path}");
     let sent = CLIENT
         .with(|client| client.post(&url).header(marjoram_core::wire::IDEMPOTENCY_KEY, key))
-        .timeout(Duration::from_secs(10))
         .send_body(body)
         .await;
     let mut response = match sent {
         Ok(response) => response,
         Err(SendRequestError::Connect(e)) => {
-            abandon(&log, key, owner).await;
+            abandon(log, key, owner).await;
             return Reply::Refused(Error::Connect(service.into(), e.to_string()));
         }
         Err(e) => return Reply::Refused(Error::Engine("send", service.into(), e.to_string())),
@@ -125,68 +126,53 @@
     let answer = Answer { status, body: text };
     let outcome =
         ClaimRecord::Outcome { key: key.into(), owner: owner.into(), answer: answer.clone() };
-    if let Err(why) = append(&log, &outcome).await {
-        tracing::warn!(target: "once", "once: outcome of {key} not recorded at {log}: {why}.");
+    if let Err(error) = log.append(log::CLAIMS, &outcome).await {
+        tracing::warn!(target: "once", "once: outcome of {key} not recorded: {error}.");
     }
     Reply::Answer(answer, false)
 }
 
 /// Best effort: tells later claims that `owner` never sent the call.
-async fn abandon(log: &str, key: &str, owner: &str) {
+async fn abandon(log: &Log, key: &str, owner: &str) {
     let record = ClaimRecord::Abandon { key: key.into(), owner: owner.into() };
-    if let Err(why) = append(log, &record).await {
-        tracing::info!(target: "once", "once: abandon of {key} not recorded at {log}: {why}.");
+    if let Err(error) = log.append(log::CLAIMS, &record).await {
+        tracing::info!(target: "once", "once: abandon of {key} not recorded: {error}.");
     }
 }
 
-async fn append(log: &str, record: &ClaimRecord) -> Result<Offset, String> {
-    let body = serde_json::to_string(record).map_err(|e| e.to_string())?;
-    let url = format!("http://{log}/v1/streams/{STREAM}");
-    let mut response =
-        CLIENT.with(|client| client.post(&url)).send_body(body).await.map_err(|e| e.to_string())?;
-    if !response.status().is_success() {
-        return Err(format!("status {}", response.status()));
-    }
-    let bytes = response.body().await.map_err(|e| e.to_string())?;
-    let appended: Appended = serde_json::from_slice(&bytes).map_err(|e| e.to_string())?;
-    Ok(appended.offset)
-}
-
-/// Reads the claims stream until every record below `until` is applied.
-pub async fn catch_up(node: &Node, until: Offset) -> Result<(), String> {
-    let log = node.settings.log_service;
+/// Reads the claims stream until every record below `until` is applied, or
+/// to its end when that comes first.
+async fn catch_up(node: &Node, log: &Log, until: Offset) -> Result<(), Error> {
     loop {
         let from = node.claims.lock().unwrap().next();
         if from >= until {
             return Ok(());
         }
-        let url = format!("http://{log}/v1/streams/{STREAM}?from={from}");
-        let mut response =
-            CLIENT.with(|client| client.get(&url)).send().await.map_err(|e| e.to_string())?;
-        if !response.status().is_success() {
-            return Err(format!("status {}", response.status()));
-        }
-        let bytes = response.body().limit(64 << 20).await.map_err(|e| e.to_string())?;
-        let read: LogRead = serde_json::from_slice(&bytes).map_err(|e| e.to_string())?;
-        if read.oldest > from {
-            return Err(format!("claims {from} to {} expired unread", read.oldest));
-        }
-        if read.records.is_empty() {
-            return Err(format!("stream ends at {} before {until}", read.next));
-        }
+        let read = log.read(log::CLAIMS, from).await?;
         let mut claims = node.claims.lock().unwrap();
+        claims.forget_before(read.oldest);
         for record in &read.records {
-            let parsed: ClaimRecord = serde_json::from_str(&record.body)
-                .map_err(|e| format!("claim record {} malformed: {e}", record.offset))?;
-            claims.apply(record.offset, &parsed);
+            match serde_json::from_str::<ClaimRecord>(&record.body) {
+                Ok(parsed) => {
+                    claims.apply(record.offset, &parsed);
+                }
+                Err(error) => {
+                    tracing::warn!(target: "once", "once: claim record {} passed over, malformed: {error}.", record.offset);
+                    claims.skip(record.offset);
+                }
+            }
+        }
+        if read.records.is_empty() {
+            return Ok(());
         }
     }
 }
 
 /// Keeps the claims read current in the background, for ever.
 pub async fn follow(node: Arc<Node>) {
+    let log = Log::new(node.settings.log_service);
     loop {
-        let _ = catch_up(&node, Offset(u64::MAX)).await;
+        let _ = catch_up(&node, &log, Offset(u64::MAX)).await;
         ntex::time::sleep(FOLLOW_EVERY).await;
     }
 }
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -33,6 +33,14 @@
     pub route_ttl: Duration,
     /// How long to keep serving after SIGTERM before closing.
     pub drain: Duration,
+    /// Added to a router's port for the link between routers.
+    pub peer_offset: u16,
+    /// Time to live of the fleet's lease.
+    pub lease_ttl: Duration,
+    /// How long the log service keeps records.
+    pub log_retention: Duration,
+    /// Longest silence inside an engine's stream.
+    pub stream_idle: Duration,
     /// Worker threads serving callers.
     pub workers: usize,
     /// Write logs as JSON.
@@ -61,6 +69,20 @@
     opts.optopt("", "max-prompt", "largest prompt in bytes [4194304]", "BYTES");
     opts.optopt("", "route-ttl-ms", "ms a caller may keep a route answer [10000]", "MS");
     opts.optopt("", "drain-ms", "ms to keep serving after SIGTERM [3000]", "MS");
+    opts.optopt(
+        "",
+        "peer-offset",
+        "added to a router's port for the link between routers [50]",
+        "N",
+    );
+    opts.optopt("", "lease-ttl-ms", "ms the fleet's lease lives [3000]", "MS");
+    opts.optopt("", "log-retention-s", "seconds the log service keeps records [3600]", "S");
+    opts.optopt(
+        "",
+        "stream-idle-ms",
+        "ms of silence after which a stream is resumed elsewhere [3000]",
+        "MS",
+    );
     opts.optopt("", "workers", "threads serving callers [2]", "N");
     opts.optopt("", "log-format", "text or json [text]", "FORMAT");
     let m = opts.parse(args).map_err(|e| Error::Usage(e.to_string()))?;
@@ -74,9 +96,12 @@
         "json" => true,
         _ => return Err(Error::Setting("log-format", format!("{format:?} is not text or json"))),
     };
-    let workers: usize = setting(&m, "workers", 2)?;
-    if workers == 0 {
-        return Err(Error::Setting("workers", "must be above zero".into()));
+    let peer_offset = at_least(&m, "peer-offset", 50, 1)?;
+    if listen.port().checked_add(peer_offset).is_none() {
+        return Err(Error::Setting(
+            "peer-offset",
+            format!("port of {listen} plus {peer_offset} is too high"),
+        ));
     }
     Ok(Parsed::Run(Box::new(Settings {
         listen,
@@ -88,7 +113,11 @@
         max_prompt: setting(&m, "max-prompt", 4 << 20)?,
         route_ttl: Duration::from_millis(setting(&m, "route-ttl-ms", 10_000)?),
         drain: Duration::from_millis(setting(&m, "drain-ms", 3_000)?),
-        workers,
+        peer_offset,
+        lease_ttl: Duration::from_millis(at_least(&m, "lease-ttl-ms", 3_000, 300)?),
+        log_retention: Duration::from_secs(at_least(&m, "log-retention-s", 3_600, 30)?),
+        stream_idle: Duration::from_millis(at_least(&m, "stream-idle-ms", 3_000, 100)?),
+        workers: at_least(&m, "workers", 2, 1)?,
         json_logs,
     })))
 }
@@ -124,6 +153,20 @@
     optional(m, name).map(|v| v.unwrap_or(default))
 }
 
+/// A number that must not be below `least`.
+fn at_least<T>(m: &Matches, name: &'static str, default: T, least: T) -> Result<T, Error>
+where
+    T: FromStr + PartialOrd + std::fmt::Display,
+    T::Err: std::fmt::Display,
+{
+    match setting(m, name, default)? {
+        value if value < least => {
+            Err(Error::Setting(name, format!("{value} is below the least, {least}")))
+        }
+        value => Ok(value),
+    }
+}
+
 fn required<T: FromStr>(m: &Matches, name: &'static str) -> Result<T, Error>
 where
     T::Err: std::fmt::Display,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -3,7 +3,7 @@
 //! - `POST /v1/completions`: a completion, streamed or whole.
 //! - `GET /v1/route?dc=NAME`: which entry host a caller should use.
 //! - `GET /debug/state`: the node's state as JSON.
-//! - `GET /healthz`: 200 while serving, 503 once draining.
+//! - `GET /healthz`: 200 while serving, 503 while warming up or draining.
 //!
 //! On SIGTERM or SIGINT the node drains: `/v1/route` sends callers to other
 //! routers, new completions get 503 with `Retry-After`, requests in flight
@@ -16,6 +16,7 @@
 use futures::SinkExt;
 use futures::channel::mpsc;
 use marjoram_core::ids::{RequestId, WorkspaceId};
+use marjoram_core::members::Status;
 use marjoram_core::wire::{
     Chunk, Completion, CompletionRequest, HostEntry, IDEMPOTENCY_KEY, RouteAnswer,
 };
@@ -23,12 +24,17 @@
 use ntex::web::{self, HttpRequest, HttpResponse, types};
 use serde::Deserialize;
 
+use crate::duty;
 use crate::error::Error;
 use crate::follow;
 use crate::forward::{self, Out};
+use crate::gossip;
+use crate::job::Job;
 use crate::node::Node;
 use crate::once;
 use crate::options::Settings;
+use crate::peer;
+use crate::warm;
 
 type Shared = types::State<Arc<Node>>;
 type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
@@ -47,9 +53,16 @@
     let listen = settings.listen;
     let workers = settings.workers;
     let node = Arc::new(Node::new(settings));
+    let link = peer::link_addr(&node, &listen.to_string())?;
+    let links =
+        tokio::net::TcpListener::bind(link).await.map_err(|e| Error::Bind(link.to_string(), e))?;
+    ntex::rt::spawn(peer::serve(node.clone(), links));
     ntex::rt::spawn(follow::config(node.clone()));
     ntex::rt::spawn(follow::hosts(node.clone()));
-    ntex::rt::spawn(follow::engines(node.clone()));
+    ntex::rt::spawn(warm::start(node.clone()));
+    ntex::rt::spawn(gossip::run(node.clone()));
+    ntex::rt::spawn(duty::contend(node.clone()));
+    ntex::rt::spawn(duty::keep(node.clone()));
     ntex::rt::spawn(once::follow(node.clone()));
     let shared = node.clone();
     let body_limit = node.settings.max_prompt + BODY_SLACK;
@@ -88,6 +101,8 @@
     }
     node.draining.store(true, Ordering::Release);
     tracing::info!(target: "serve", "serve: draining for {:?}.", node.settings.drain);
+    gossip::declare(&node, Status::Draining).await;
+    duty::release(&node).await;
     ntex::time::sleep(node.settings.drain).await;
     let deadline = Instant::now() + DRAIN_LIMIT;
     while node.inflight_total() > 0 && Instant::now() < deadline {
@@ -124,22 +139,26 @@
         .workspace
         .parse()
         .map_err(|e: marjoram_core::Error| Error::Parse(peer.into(), e.to_string()))?;
+    if !node.configured.load(Ordering::Acquire) {
+        return Err(Error::NotConfigured);
+    }
     let active = node.active.load();
     let routing = *active
         .routing
         .get(&workspace)
         .ok_or_else(|| Error::UnknownWorkspace(peer.into(), workspace.to_string()))?;
     let id = RequestId(node.request_id());
-    let mut job = forward::Job::new(node, id, &workspace, &request, routing);
+    let streamed = request.stream;
+    let mut job = Job::new(id, workspace, request, routing);
     let opened = forward::open(node, &mut job).await?;
-    match request.stream {
+    match streamed {
         true => {
             let (tx, rx) = mpsc::channel(64);
             ntex::rt::spawn(stream(node.clone(), job, opened, tx));
             Ok(HttpResponse::Ok().content_type("text/event-stream").streaming(rx))
         }
         false => {
-            let mut whole = Whole(String::new(), opened.engine.clone());
+            let mut whole = Whole(String::new(), opened.engine.addr.clone());
             let usage = forward::pump(node, &mut job, opened, &mut whole).await?;
             node.counters.answered.fetch_add(1, Ordering::Relaxed);
             Ok(HttpResponse::Ok().json(&Completion { id, text: whole.0, usage, engine: whole.1 }))
@@ -147,7 +166,7 @@
     }
 }
 
-async fn stream(node: Arc<Node>, mut job: forward::Job, opened: forward::Opened, tx: Sender) {
+async fn stream(node: Arc<Node>, mut job: Job, opened: forward::Opened, tx: Sender) {
     let mut out = Sse(tx);
     let id = job.id;
     match forward::pump(&node, &mut job, opened, &mut out).await {
@@ -250,16 +269,16 @@
         true => DRAINING_TTL,
         false => node.settings.route_ttl,
     };
-    let pool = node.pool.load();
+    let entries = node.entries.load();
     let me = &node.settings.advertise;
-    let usable: Vec<&HostEntry> =
-        pool.routers.iter().filter(|r| !(draining && &r.addr == me)).collect();
+    let usable: Vec<&HostEntry> = entries.iter().collect();
     let local: Vec<&HostEntry> =
         usable.iter().copied().filter(|r| Some(&r.dc) == query.dc.as_ref()).collect();
     let from = if local.is_empty() { usable } else { local };
     let spread = xxhash_rust::xxh3::xxh3_64(query.caller.as_deref().unwrap_or("").as_bytes());
     let (addr, dc) = match from.len() {
         0 if draining => return reply_error(&Error::Draining),
+        0 if !node.fit() => return reply_error(&Error::NotConfigured),
         0 => (me.clone(), node.settings.dc.clone()),
         n => {
             let router = from[(spread % n as u64) as usize];
@@ -297,12 +316,22 @@
         "picture": node.picture.counts(),
         "counters": &node.counters,
         "claims": node.claims.lock().unwrap().len(),
+        "ready": node.ready.load(Ordering::Acquire),
+        "members": node.members.lock().unwrap().all().collect::<Vec<_>>(),
+        "entries": &**node.entries.load(),
+        "lease": {
+            "holder": node.contender.lock().unwrap().holder(),
+            "token": node.token(),
+        },
+        "weights": active.config.weights,
     }))
 }
 
 async fn health(node: Shared) -> HttpResponse {
-    match node.draining.load(Ordering::Acquire) {
-        true => HttpResponse::ServiceUnavailable().body("draining"),
-        false => HttpResponse::Ok().body("ok"),
+    let ready = node.ready.load(Ordering::Acquire);
+    match (node.draining.load(Ordering::Acquire), ready) {
+        (true, _) => HttpResponse::ServiceUnavailable().body("draining"),
+        (false, false) => HttpResponse::ServiceUnavailable().body("warming"),
+        (false, true) => HttpResponse::Ok().body("ok"),
     }
 }
--- a/crates/router/tests/at_most_once.rs
+++ b/crates/router/tests/at_most_once.rs
@@ -38,7 +38,7 @@
 
 #[test]
 fn retry_on_another_router_replays_instead_of_running_again() {
-    let site = Site::start(22_800, 1, 2, &[]);
+    let site = Site::start(1, 2, &[]);
     run(async move {
         services_known(&site).await;
         let (status, body, replayed) = alert(&site.routers[0], "line-4-alert-1").await;
@@ -54,7 +54,7 @@
 
 #[test]
 fn log_outage_refuses_as_not_run_and_runs_nothing() {
-    let site = Site::start(22_900, 1, 1, &[]);
+    let site = Site::start(1, 1, &[]);
     run(async move {
         services_known(&site).await;
         client().post(format!("http://{}/v1/admin/outage?ms=1000", site.log)).send().await.unwrap();
@@ -73,7 +73,7 @@
 
 #[test]
 fn service_refusing_connections_is_not_run_and_can_be_retried() {
-    let mut site = Site::start(23_000, 1, 1, &[]);
+    let mut site = Site::start(1, 1, &[]);
     site.kill("service");
     let router = site.routers[0].clone();
     let mut site = run(async move {
@@ -91,3 +91,47 @@
         assert_eq!(runs(&site.service).await, 1);
     });
 }
+
+/// A call whose claim the log took and never acknowledged, or took late, is
+/// refused as not run, does not run, and can be called again.
+#[test_case::test_case("lose?stream=claims&count=1" ; "answer lost")]
+#[test_case::test_case("lose?stream=claims&count=1&late_ms=2500" ; "carried out after the abandon")]
+fn unacknowledged_claim_is_not_run_and_can_be_retried(fault: &str) {
+    let site = Site::start(1, 2, &[]);
+    let fault = fault.to_string();
+    run(async move {
+        services_known(&site).await;
+        site.log_fault(&fault).await;
+        let (status, body, _) = alert(&site.routers[0], "line-2-alert-8").await;
+        assert_eq!(status, 503, "{body}");
+        let refusal: ErrorBody = serde_json::from_str(&body).unwrap();
+        assert!(refusal.error.not_run, "{body}");
+        assert_eq!(runs(&site.service).await, 0);
+        ntex::time::sleep(Duration::from_millis(1000)).await;
+        let (status, body, _) = alert(&site.routers[1], "line-2-alert-8").await;
+        assert_eq!(status, 200, "given up unsent, so free again: {body}");
+        assert_eq!(runs(&site.service).await, 1);
+    });
+}
+
+/// A router that starts after old claims have expired still takes calls.
+#[test]
+fn calls_go_on_after_old_claims_have_expired() {
+    let site = Site::start(1, 1, &[]);
+    let mut site = run(async move {
+        services_known(&site).await;
+        assert_eq!(alert(&site.routers[0], "old").await.0, 200);
+        site.log_fault("expire?stream=claims").await;
+        site
+    });
+    site.kill("router0");
+    site.start_router(0);
+    site::wait_listening(&site.routers[0]);
+    run(async move {
+        services_known(&site).await;
+        let (status, body, _) = alert(&site.routers[0], "new").await;
+        assert_eq!(status, 200, "{body}");
+        let (status, again, replayed) = alert(&site.routers[0], "new").await;
+        assert_eq!((status, again, replayed), (200, body, true));
+    });
+}
--- a/crates/router/tests/bad_input.rs
+++ b/crates/router/tests/bad_input.rs
@@ -13,8 +13,7 @@
 #[test_case(r#"{"workspace": "nowhere", "prompt": "x"}"#, 404, "route" ; "unknown workspace")]
 #[test_case(r#"{"workspace": "kili-checks", "prompt": "x", "extra": 1}"#, 400, "parse" ; "unknown field")]
 fn bad_request_is_refused_clearly(body: &str, status: u16, step: &str) {
-    let base = 20_000 + (xxhash_rust::xxh3::xxh3_64(body.as_bytes()) % 40) as u16 * 50;
-    let site = Site::start(base, 1, 1, &[]);
+    let site = Site::start(1, 1, &[]);
     let (body, step) = (body.to_string(), step.to_string());
     run(async move {
         let offset = site.configure("kili-checks", "round-robin").await;
@@ -37,7 +36,7 @@
 
 #[test]
 fn oversized_prompt_is_refused_with_413() {
-    let site = Site::start(22_100, 1, 1, &[]);
+    let site = Site::start(1, 1, &[]);
     run(async move {
         let offset = site.configure("kili-checks", "round-robin").await;
         site.wait_in_force(offset).await;
--- a/crates/router/tests/config_in_force.rs
+++ b/crates/router/tests/config_in_force.rs
@@ -10,7 +10,7 @@
 
 #[test]
 fn published_policy_swap_reaches_every_router_and_survives_an_outage() {
-    let site = Site::start(22_500, 2, 2, &[]);
+    let site = Site::start(2, 2, &[]);
     run(async move {
         let offset = site.configure("star-quotes", "round-robin").await;
         site.wait_in_force(offset).await;
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -36,7 +36,7 @@
 
 #[test]
 fn sigterm_under_load_cuts_no_stream() {
-    let mut site = Site::start(22_400, 2, 2, &["--decode-ms", "60", "--slots", "8"]);
+    let mut site = Site::start(2, 2, &["--decode-ms", "60", "--slots", "8"]);
     run(async move {
         let offset = site.configure("kili-checks", "least-load").await;
         site.wait_in_force(offset).await;
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -1,11 +1,12 @@
 //! A small site on loopback for failure tests: stand-ins and routers as
 //! real processes, killed when the test ends, and a few HTTP helpers.
 //!
-//! Every test passes its own base port, so tests run side by side.
+//! Each site takes a block of ports of its own, so tests run side by side:
+//! it holds a listener on the block's last port for as long as it lives.
 
 #![allow(dead_code)]
 
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -16,15 +17,25 @@
 /// Longest wait for anything in these tests.
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
+/// Ports of one site.
+const BLOCK: u16 = 100;
+
+/// Blocks of ports sites are placed in, from this port on.
+const FIRST_PORT: u16 = 20_000;
+const BLOCKS: u16 = 110;
+
 /// Processes of one site, killed when dropped.
 pub struct Site {
-    pub base: u16,
     pub log: String,
     pub hosts: String,
     pub service: String,
     pub engines: Vec<String>,
     pub routers: Vec<String>,
-    engine_args: Vec<String>,
+    /// Extra arguments of routers started from now on.
+    pub router_args: Vec<String>,
+    /// Extra arguments of engines started from now on.
+    pub engine_args: Vec<String>,
+    _block: TcpListener,
     children: Vec<(String, Child)>,
 }
 
@@ -50,19 +61,34 @@
 impl Site {
     /// Starts the log, host list, service, `engines` engines and `routers`
     /// routers, lists them all in the host list and waits until they listen.
-    pub fn start(base: u16, engines: usize, routers: usize, engine_args: &[&str]) -> Site {
+    pub fn start(engines: usize, routers: usize, engine_args: &[&str]) -> Site {
+        Self::start_with(engines, routers, engine_args, &[], &[])
+    }
+
+    /// As [`Site::start`], with arguments for the routers and the log.
+    pub fn start_with(
+        engines: usize,
+        routers: usize,
+        engine_args: &[&str],
+        router_args: &[&str],
+        log_args: &[&str],
+    ) -> Site {
+        let (base, block) = take_block();
         let addr = |n: u16| format!("127.0.0.1:{}", base + n);
         let mut site = Site {
-            base,
             log: addr(0),
             hosts: addr(1),
             service: addr(2),
             engines: (0..engines as u16).map(|i| addr(10 + i)).collect(),
             routers: (0..routers as u16).map(|i| addr(40 + i)).collect(),
             engine_args: engine_args.iter().map(|s| s.to_string()).collect(),
+            router_args: router_args.iter().map(|s| s.to_string()).collect(),
+            _block: block,
             children: Vec::new(),
         };
-        site.spawn("log", standin_bin(), &["log", "--listen", &site.log.clone()]);
+        let log = site.log.clone();
+        let log_args = [&["log", "--listen", log.as_str()], log_args].concat();
+        site.spawn("log", standin_bin(), &log_args);
         site.spawn(
             "hosts",
             standin_bin(),
@@ -96,7 +122,7 @@
     fn spawn(&mut self, name: &str, program: PathBuf, args: &[&str]) {
         let child = Command::new(program)
             .args(args)
-            .env("MARJORAM_LOG", "warn")
+            .env("MARJORAM_LOG", std::env::var("SITE_LOG").unwrap_or("warn".into()))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .spawn()
@@ -126,20 +152,10 @@
         let addr = self.routers[i].clone();
         let dc = format!("dc{}", i + 1);
         let (log, hosts) = (self.log.clone(), self.hosts.clone());
-        let args = [
-            "--listen",
-            &addr,
-            "--dc",
-            &dc,
-            "--log-service",
-            &log,
-            "--host-list",
-            &hosts,
-            "--drain-ms",
-            "1500",
-            "--max-prompt",
-            "200000",
-        ];
+        let mut args = vec!["--listen", &addr, "--dc", &dc, "--log-service", &log];
+        args.extend(["--host-list", &hosts, "--drain-ms", "1500", "--max-prompt", "200000"]);
+        let extra = self.router_args.clone();
+        args.extend(extra.iter().map(String::as_str));
         self.spawn(&format!("router{i}"), router_bin(), &args);
     }
 
@@ -153,11 +169,31 @@
 
     /// Sends SIGTERM to process `name` and returns its handle.
     pub fn terminate(&mut self, name: &str) -> Child {
+        self.signal(name, "-TERM");
         let index = self.children.iter().position(|(n, _)| n == name).expect("known process");
-        let (_, child) = self.children.remove(index);
-        let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
-        assert!(status.is_ok_and(|s| s.success()), "kill -TERM works");
-        child
+        self.children.remove(index).1
+    }
+
+    /// Stops process `name` where it is (SIGSTOP): its connections stay open.
+    pub fn freeze(&self, name: &str) {
+        self.signal(name, "-STOP");
+    }
+
+    /// Lets a frozen process go on (SIGCONT).
+    pub fn thaw(&self, name: &str) {
+        self.signal(name, "-CONT");
+    }
+
+    fn signal(&self, name: &str, signal: &str) {
+        let (_, child) = self.children.iter().find(|(n, _)| n == name).expect("known process");
+        let status = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        assert!(status.is_ok_and(|s| s.success()), "kill {signal} works");
+    }
+
+    /// Orders a fault at the log service, such as `outage?ms=500`.
+    pub async fn log_fault(&self, order: &str) {
+        let url = format!("http://{}/v1/admin/{order}", self.log);
+        client().post(url).send().await.expect("fault ordered");
     }
 
     fn host_entries(&self) -> Vec<HostEntry> {
@@ -191,6 +227,16 @@
             .await
     }
 
+    /// Waits until router `i` says it is ready.
+    pub async fn wait_ready(&self, i: usize) {
+        let url = format!("http://{}/healthz", self.routers[i]);
+        wait_for(|| async {
+            let response = client().get(&url).send().await.ok()?;
+            response.status().is_success().then_some(())
+        })
+        .await;
+    }
+
     /// Waits until every router has `offset` in force and sees engines.
     pub async fn wait_in_force(&self, offset: u64) {
         for router in &self.routers {
@@ -205,6 +251,18 @@
     }
 }
 
+/// A free block of ports and the listener that holds it.
+fn take_block() -> (u16, TcpListener) {
+    let first = std::process::id() as u16 % BLOCKS;
+    for turn in 0..BLOCKS {
+        let base = FIRST_PORT + (first + turn) % BLOCKS * BLOCK;
+        if let Ok(held) = TcpListener::bind(("127.0.0.1", base + BLOCK - 1)) {
+            return (base, held);
+        }
+    }
+    panic!("no free block of ports from {FIRST_PORT} on");
+}
+
 /// Puts one host entry in the host list at `hosts`.
 pub async fn put_host(hosts: &str, host: &HostEntry) {
     let response = client().put(format!("http://{hosts}/v1/hosts")).send_json(host).await;
--- a/crates/router/tests/upstreams.rs
+++ b/crates/router/tests/upstreams.rs
@@ -11,7 +11,7 @@
 
 #[test]
 fn leaving_engine_gets_no_new_work_after_a_few_seconds() {
-    let site = Site::start(22_600, 3, 1, &[]);
+    let site = Site::start(3, 1, &[]);
     run(async move {
         let offset = site.configure("kili-checks", "round-robin").await;
         site.wait_in_force(offset).await;
@@ -39,7 +39,7 @@
 
 #[test]
 fn restarted_engine_starts_with_no_entries() {
-    let mut site = Site::start(22_700, 1, 1, &["--event-lag-ms", "0", "--event-loss", "0"]);
+    let mut site = Site::start(1, 1, &["--event-lag-ms", "0", "--event-loss", "0"]);
     run(async move {
         let offset = site.configure("kili-checks", "prefix-aware").await;
         site.wait_in_force(offset).await;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,8 +9,11 @@
 //! - Cache events are published `event_lag_ms` late and a share
 //!   `event_loss` of them is lost, leaving a gap in the sequence.
 //! - Load is reported every `load_lag_ms`, so it lags.
-//! - `POST /v1/admin/weights` loads new weights under a fencing token; a
-//!   fenced engine refuses an older token, an unfenced one obeys it.
+//! - `POST /v1/admin/weights` loads new weights under a fencing token, which
+//!   takes `weights_ms`; a fenced engine refuses an older token, an unfenced
+//!   one obeys it. `GET /v1/admin/orders` lists the orders received.
+//! - Every `cross_every`th answer begins with a chunk of another request, as
+//!   a faulty engine might mix answers up.
 
 use std::collections::VecDeque;
 use std::num::NonZeroUsize;
@@ -20,15 +23,18 @@
 
 use futures::channel::mpsc;
 use lru::LruCache;
-use marjoram_core::ids::{BlockHash, Fencing, Incarnation, ModelVersion, Priority, Tokens};
+use marjoram_core::ids::{
+    BlockHash, Fencing, Incarnation, ModelVersion, Priority, RequestId, Tokens,
+};
 use marjoram_core::prefix::{BLOCK_TOKENS, Prefix};
 use marjoram_core::wire::{
-    CacheEvent, CacheEvents, Chunk, EngineRequest, EventKind, LoadReport, Usage,
+    CacheEvent, CacheEvents, Chunk, EngineRequest, EventKind, LoadReport, NOT_EXECUTED, Usage,
+    WEIGHTS_VERSION, WeightsOrder,
 };
 use ntex::web::{self, HttpResponse, types};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
 use crate::options::EngineOptions;
@@ -51,6 +57,16 @@
     running: AtomicU32,
     waiting: AtomicU32,
     report: Mutex<LoadReport>,
+    orders: Mutex<Vec<Order>>,
+    answers: AtomicU64,
+}
+
+/// An order received, and whether it was obeyed.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Order {
+    version: ModelVersion,
+    fencing: Fencing,
+    obeyed: bool,
 }
 
 /// Published events, each visible from its instant on.
@@ -74,13 +90,6 @@
     from: u64,
 }
 
-/// Body of `POST /v1/admin/weights`.
-#[derive(Debug, Deserialize)]
-struct Weights {
-    version: ModelVersion,
-    fencing: Fencing,
-}
-
 /// Serves an engine until stopped.
 pub async fn serve(opts: EngineOptions) -> Result<(), Error> {
     let listen = opts.listen.clone();
@@ -104,6 +113,8 @@
             running: 0,
             waiting: 0,
         }),
+        orders: Mutex::default(),
+        answers: AtomicU64::new(0),
         opts,
     }));
     engine.refresh_report();
@@ -119,6 +130,7 @@
             .route("/v1/load", web::get().to(load))
             .route("/v1/admin/clear", web::post().to(clear))
             .route("/v1/admin/weights", web::post().to(weights))
+            .route("/v1/admin/orders", web::get().to(orders))
     })
     .workers(2)
     .bind(&listen)
@@ -134,18 +146,30 @@
 ) -> HttpResponse {
     let engine: &'static Engine = *engine;
     let request = body.into_inner();
+    let version = ModelVersion(engine.version.load(Ordering::Acquire));
+    if engine.opts.refuse {
+        return HttpResponse::ServiceUnavailable().header(NOT_EXECUTED, "true").body("full");
+    }
+    if request.expect_version.is_some_and(|due| due != version) {
+        return HttpResponse::Conflict()
+            .header(NOT_EXECUTED, "true")
+            .body(format!("weights version is {version}"));
+    }
     let (tx, rx) = mpsc::channel::<Result<ntex::util::Bytes, std::io::Error>>(64);
-    ntex::rt::spawn(generate(engine, request, tx));
-    HttpResponse::Ok().content_type("text/event-stream").streaming(rx)
+    ntex::rt::spawn(generate(engine, version, request, tx));
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .header(WEIGHTS_VERSION, version.to_string())
+        .streaming(rx)
 }
 
 async fn generate(
     engine: &'static Engine,
+    version: ModelVersion,
     request: EngineRequest,
     mut tx: mpsc::Sender<Result<ntex::util::Bytes, std::io::Error>>,
 ) {
     use futures::SinkExt;
-    let version = ModelVersion(engine.version.load(Ordering::Acquire));
     let Ok(workspace) = request.workspace.parse() else {
         return;
     };
@@ -166,10 +190,11 @@
     };
     for seq in request.resume_from..request.max_tokens {
         let last = seq + 1 == request.max_tokens;
+        let crossed = seq == request.resume_from && engine.crosses();
         let chunk = Chunk {
-            id: request.id,
+            id: if crossed { RequestId(request.id.0 ^ 1) } else { request.id },
             seq,
-            text: format!("t{}.{seq} ", request.id),
+            text: format!("t{}.{seq}v{version} ", request.id),
             usage: last.then_some(usage),
         };
         let line = format!("data: {}\n\n", serde_json::to_string(&chunk).unwrap_or_default());
@@ -212,23 +237,36 @@
 
 async fn weights(
     engine: types::State<&'static Engine>,
-    body: types::Json<Weights>,
+    body: types::Json<WeightsOrder>,
 ) -> HttpResponse {
+    let WeightsOrder { version, fencing } = body.into_inner();
     let held = engine.fencing.load(Ordering::Acquire);
-    if engine.opts.fenced && body.fencing.0 < held {
-        tracing::info!(target: "engine", "engine: refused weights order with fencing token {} below {held}.", body.fencing);
-        return HttpResponse::Conflict()
-            .body(format!("fencing token {} is below {held}", body.fencing));
+    let obeyed = !engine.opts.fenced || fencing.0 >= held;
+    engine.orders.lock().unwrap().push(Order { version, fencing, obeyed });
+    if !obeyed {
+        tracing::info!(target: "engine", "engine: refused weights order with fencing token {fencing} below {held}.");
+        return HttpResponse::Conflict().body(format!("fencing token {fencing} is below {held}"));
     }
-    engine.fencing.fetch_max(body.fencing.0, Ordering::AcqRel);
-    engine.version.store(body.version.0, Ordering::Release);
+    engine.fencing.fetch_max(fencing.0, Ordering::AcqRel);
+    ntex::time::sleep(Duration::from_millis(engine.opts.weights_ms)).await;
+    engine.version.store(version.0, Ordering::Release);
     engine.cache.lock().unwrap().clear();
     engine.publish(EventKind::Cleared, Vec::new());
-    tracing::info!(target: "engine", "engine: now serving weights version {}.", body.version);
+    tracing::info!(target: "engine", "engine: now serving weights version {version}.");
     HttpResponse::NoContent().finish()
 }
 
+async fn orders(engine: types::State<&'static Engine>) -> HttpResponse {
+    HttpResponse::Ok().json(&*engine.orders.lock().unwrap())
+}
+
 impl Engine {
+    /// Whether the answer now beginning is one to mix up.
+    fn crosses(&self) -> bool {
+        let every = self.opts.cross_every;
+        every > 0 && self.answers.fetch_add(1, Ordering::Relaxed) % every == every - 1
+    }
+
     /// Waits for a compute slot; higher priority first, then arrival.
     async fn acquire(&self, priority: Priority) {
         let rx = {
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -48,6 +48,12 @@
     pub load_lag_ms: u64,
     /// Whether orders with an old fencing token are refused.
     pub fenced: bool,
+    /// Milliseconds loading weights takes.
+    pub weights_ms: u64,
+    /// Refuse every request as not executed, as a full engine does.
+    pub refuse: bool,
+    /// Mix up every answer of this number; 0 for none.
+    pub cross_every: u64,
     /// Seed for event loss.
     pub seed: u64,
 }
@@ -168,6 +174,9 @@
     opts.optopt("", "event-lag-ms", "ms before an event is published [200]", "MS");
     opts.optopt("", "load-lag-ms", "ms between load reports [500]", "MS");
     opts.optopt("", "fenced", "refuse orders with an old fencing token [true]", "BOOL");
+    opts.optopt("", "weights-ms", "ms loading weights takes [200]", "MS");
+    opts.optopt("", "refuse", "refuse every request, as a full engine does [false]", "BOOL");
+    opts.optopt("", "cross-every", "mix up every Nth answer; 0 for none [0]", "N");
     opts.optopt("", "seed", "seed for event loss [1]", "N");
     let m = matches(&opts, args, "engine")?;
     if m.opt_present("help") {
@@ -184,6 +193,9 @@
         event_lag_ms: setting(&m, "event-lag-ms", 200)?,
         load_lag_ms: setting(&m, "load-lag-ms", 500)?,
         fenced: setting(&m, "fenced", true)?,
+        weights_ms: setting(&m, "weights-ms", 200)?,
+        refuse: setting(&m, "refuse", false)?,
+        cross_every: setting(&m, "cross-every", 0)?,
         seed: setting(&m, "seed", 1)?,
     }))
 }
