--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`config`]: operator configuration read from the log service.
 //! - [`wire`]: the JSON shapes spoken over HTTP.
 //! - [`workload`]: seeded workloads modelled on the two deployments.
+//! - [`feed`]: reading an engine's cache events into the picture.
 //! - [`lease`]: a lease with a fencing token, kept in the log service.
 //! - [`members`]: which routers are up, as they tell each other.
 //! - [`measure`]: the measures of the brief.
@@ -19,6 +20,7 @@
 pub mod claims;
 pub mod config;
 pub mod error;
+pub mod feed;
 pub mod ids;
 pub mod lease;
 pub mod measure;
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -14,9 +14,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use marjoram_core::cache::{Life, MAX_SLOTS, Slot};
+use marjoram_core::cache::{MAX_SLOTS, Slot};
 use marjoram_core::config::{Applied, Config, Record};
-use marjoram_core::wire::{CacheEvents, EventKind, HostList, HostState, LoadReport, LogRead, Role};
+use marjoram_core::feed;
+use marjoram_core::wire::{CacheEvents, HostList, HostState, LoadReport, LogRead, Role};
 use ntex::http::client::Client;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -29,8 +30,18 @@
 const CONFIG_EVERY: Duration = Duration::from_millis(200);
 /// Pause between reads of the host list.
 const HOSTS_EVERY: Duration = Duration::from_millis(300);
-/// Pause between reads of engine events and load.
+/// Longest wait for the host list.
+const HOSTS_LIMIT: Duration = Duration::from_secs(1);
+/// Pause between looks for engines not yet followed.
 const ENGINES_EVERY: Duration = Duration::from_millis(100);
+/// How long a read of an engine's events waits there for some.
+const EVENTS_WAIT: Duration = Duration::from_secs(1);
+/// Pause between reads of an engine's events.
+const EVENTS_EVERY: Duration = Duration::from_millis(50);
+/// Pause between reads of an engine's load report.
+const LOAD_EVERY: Duration = Duration::from_millis(250);
+/// Longest wait for an engine's answer, the wait it was asked for aside.
+const ENGINE_LIMIT: Duration = Duration::from_millis(1000);
 
 /// Follows the `config` stream for ever.
 pub async fn config(node: Arc<Node>) {
@@ -115,7 +126,7 @@
     let mut slots: HashMap<String, Slot> = HashMap::new();
     let url = format!("http://{}/v1/hosts", node.settings.host_list);
     loop {
-        match get_json::<HostList>(&client, &url).await {
+        match get_json::<HostList>(&client, &url, HOSTS_LIMIT).await {
             Ok(list) => {
                 node.pool.store(Arc::new(pool(&node, &list, &mut slots)));
                 node.refresh_entries();
@@ -192,81 +203,91 @@
 /// Follows one engine until it leaves the pool.
 async fn follow_engine(node: Arc<Node>, engine: Engine) {
     let client = Client::new();
-    let listed = |node: &Node| {
-        node.pool.load().engines.iter().any(|e| e.addr == engine.addr && e.slot == engine.slot)
-    };
-    while listed(&node) {
-        let result = read_engine(&client, &engine, &node).await;
-        if listed(&node) {
-            apply_engine(&node, &engine, result);
-        }
-        ntex::time::sleep(ENGINES_EVERY).await;
-    }
+    futures::join!(follow_events(&node, &engine, &client), follow_load(&node, &engine, &client));
 }
 
-type EngineRead = Result<(CacheEvents, LoadReport), String>;
-
-async fn read_engine(client: &Client, engine: &Engine, node: &Node) -> EngineRead {
-    let cursor = node.cursors.lock().unwrap().get(&engine.slot).copied();
-    let from = cursor.map(|(_, next)| next).unwrap_or(0);
-    let events = get_json(client, &format!("http://{}/v1/events?from={from}", engine.addr)).await?;
-    let load = get_json(client, &format!("http://{}/v1/load", engine.addr)).await?;
-    Ok((events, load))
+/// Whether the pool still holds `engine` in its slot.
+fn listed(node: &Node, engine: &Engine) -> bool {
+    node.pool.load().engines.iter().any(|e| e.addr == engine.addr && e.slot == engine.slot)
 }
 
-fn apply_engine(node: &Node, engine: &Engine, result: EngineRead) {
-    let mut cursors = node.cursors.lock().unwrap();
-    let index = usize::from(engine.slot.0);
-    let (events, load) = match result {
-        Ok(read) => read,
-        Err(error) => {
-            if !node.down[index].swap(true, Ordering::AcqRel) {
-                tracing::warn!(target: "follow", "engines: {} unreachable, entries dropped: {error}.", engine.addr);
-            }
-            node.picture.clear(engine.slot);
-            cursors.remove(&engine.slot);
+/// Reads an engine's events as they come: each read waits at the engine
+/// until there are some.
+async fn follow_events(node: &Node, engine: &Engine, client: &Client) {
+    while listed(node, engine) {
+        let cursor = node.cursors.lock().unwrap().get(&engine.slot).copied();
+        let from = cursor.map(|cursor| cursor.next).unwrap_or(0);
+        let wait = match cursor {
+            Some(_) => EVENTS_WAIT.as_millis(),
+            None => 0,
+        };
+        let url = format!("http://{}/v1/events?from={from}&wait_ms={wait}", engine.addr);
+        let read = get_json::<CacheEvents>(client, &url, EVENTS_WAIT + ENGINE_LIMIT).await;
+        if !listed(node, engine) {
             return;
         }
-    };
-    if node.down[index].swap(false, Ordering::AcqRel) {
-        tracing::info!(target: "follow", "engines: {} reachable again.", engine.addr);
-    }
-    node.reported[index].store(load.running + load.waiting, Ordering::Relaxed);
-    let life = Life { incarnation: events.incarnation, version: events.version };
-    let expected = match cursors.get(&engine.slot) {
-        Some((known, next)) if *known == life => *next,
-        _ => {
-            node.picture.clear(engine.slot);
-            node.picture.begin(engine.slot, life);
-            0
+        match read {
+            Ok(events) => {
+                reached(node, engine);
+                apply_events(node, engine, &events);
+            }
+            Err(error) => lost(node, engine, &error),
         }
-    };
-    let mut next = expected;
-    for event in &events.events {
-        if event.seq != next {
-            node.counters.gaps.fetch_add(1, Ordering::Relaxed);
+        ntex::time::sleep(EVENTS_EVERY).await;
+    }
+}
+
+/// Reads an engine's load report now and again.
+async fn follow_load(node: &Node, engine: &Engine, client: &Client) {
+    let url = format!("http://{}/v1/load", engine.addr);
+    while listed(node, engine) {
+        let read = get_json::<LoadReport>(client, &url, ENGINE_LIMIT).await;
+        if !listed(node, engine) {
+            return;
         }
-        next = event.seq + 1;
-        match event.kind {
-            EventKind::Stored => node.picture.stored(engine.slot, life, &event.blocks),
-            EventKind::Removed => node.picture.removed(engine.slot, life, &event.blocks),
-            EventKind::Cleared => {
-                node.picture.clear(engine.slot);
-                node.picture.begin(engine.slot, life);
+        match read {
+            Ok(load) => {
+                reached(node, engine);
+                node.reported[usize::from(engine.slot.0)]
+                    .store(load.running + load.waiting, Ordering::Relaxed);
             }
+            Err(error) => lost(node, engine, &error),
         }
-        node.counters.events.fetch_add(1, Ordering::Relaxed);
+        ntex::time::sleep(LOAD_EVERY).await;
+    }
+}
+
+/// Marks an engine reachable.
+fn reached(node: &Node, engine: &Engine) {
+    if node.down[usize::from(engine.slot.0)].swap(false, Ordering::AcqRel) {
+        tracing::info!(target: "follow", "engines: {} reachable again.", engine.addr);
     }
-    cursors.insert(engine.slot, (life, next.max(events.next)));
 }
 
-async fn get_json<T: serde::de::DeserializeOwned>(client: &Client, url: &str) -> Result<T, String> {
-    let mut response = client
-        .get(url)
-        .timeout(Duration::from_millis(1000))
-        .send()
-        .await
-        .map_err(|e| e.to_string())?;
+/// Marks an engine unreachable and forgets what it was known to hold.
+fn lost(node: &Node, engine: &Engine, error: &str) {
+    if !node.down[usize::from(engine.slot.0)].swap(true, Ordering::AcqRel) {
+        tracing::warn!(target: "follow", "engines: {} unreachable, entries dropped: {error}.", engine.addr);
+    }
+    node.cursors.lock().unwrap().remove(&engine.slot);
+    node.picture.clear(engine.slot);
+}
+
+fn apply_events(node: &Node, engine: &Engine, read: &CacheEvents) {
+    let mut cursors = node.cursors.lock().unwrap();
+    let known = cursors.get(&engine.slot).copied();
+    let (cursor, taken) = feed::apply(&node.picture, engine.slot, known, read);
+    cursors.insert(engine.slot, cursor);
+    node.counters.events.fetch_add(taken.events, Ordering::Relaxed);
+    node.counters.gaps.fetch_add(taken.gaps, Ordering::Relaxed);
+}
+
+async fn get_json<T: serde::de::DeserializeOwned>(
+    client: &Client,
+    url: &str,
+    limit: Duration,
+) -> Result<T, String> {
+    let mut response = client.get(url).timeout(limit).send().await.map_err(|e| e.to_string())?;
     if !response.status().is_success() {
         return Err(format!("status {}", response.status()));
     }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -10,9 +10,10 @@
 
 use arc_swap::ArcSwap;
 use cadence::{BufferedUdpMetricSink, QueuingMetricSink, StatsdClient};
-use marjoram_core::cache::{Life, MAX_SLOTS, Picture, Slot};
+use marjoram_core::cache::{MAX_SLOTS, Picture, Slot};
 use marjoram_core::claims::Claims;
 use marjoram_core::config::{Config, Routing};
+use marjoram_core::feed::Cursor;
 use marjoram_core::ids::{Fencing, Incarnation, Offset, WorkspaceId};
 use marjoram_core::lease::Contender;
 use marjoram_core::members::Members;
@@ -120,8 +121,8 @@
     pub metrics: StatsdClient,
     /// Claims of at-most-once calls read from the log service.
     pub claims: Mutex<Claims>,
-    /// Where each engine's events have been read up to, and in which life.
-    pub cursors: Mutex<HashMap<Slot, (Life, u64)>>,
+    /// Where each engine's events have been read up to.
+    pub cursors: Mutex<HashMap<Slot, Cursor>>,
     /// A configuration another router offered, not yet taken up.
     pub offered: Mutex<Option<Config>>,
     /// Which routers are up.
--- a/crates/router/src/warm.rs
+++ b/crates/router/src/warm.rs
@@ -23,6 +23,7 @@
 
 use marjoram_core::cache::Life;
 use marjoram_core::config::Config;
+use marjoram_core::feed::Cursor;
 use marjoram_core::members::Status;
 use rand::seq::SliceRandom;
 
@@ -72,7 +73,7 @@
     let cursors = node.cursors.lock().unwrap().clone();
     let pool = node.pool.load();
     let engines = pool.engines.iter().filter_map(|engine| {
-        let (life, next) = cursors.get(&engine.slot).copied()?;
+        let Cursor { life, next } = cursors.get(&engine.slot).copied()?;
         let blocks = node.picture.held(engine.slot).into_iter().map(|b| b.0).collect();
         Some(WireEngine {
             addr: engine.addr.clone(),
@@ -123,7 +124,7 @@
         let (incarnation, version, blocks) = told.entries();
         let life = Life { incarnation, version };
         node.picture.stored(engine.slot, life, &blocks);
-        node.cursors.lock().unwrap().insert(engine.slot, (life, told.next));
+        node.cursors.lock().unwrap().insert(engine.slot, Cursor { life, next: told.next });
     }
 }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,13 +1,11 @@
 //! A model engine with a prefix cache, for tests and the demo.
 //!
-//! - Prompts are cut into blocks as in [`marjoram_core::prefix`]; the
-//!   longest cached run of leading blocks costs nothing to compute, every
-//!   other token costs `prefill_us`. `slots` prompts compute at once; the
-//!   rest wait, interactive before normal before batch.
-//! - The cache holds `capacity` blocks, least recently used out first, and
-//!   drops blocks left unused for `idle_ms`.
-//! - Cache events are published `event_lag_ms` late and a share
-//!   `event_loss` of them is lost, leaving a gap in the sequence.
+//! - Requests run by continuous batching ([`batch`]): the longest cached run
+//!   of leading prompt blocks costs nothing to read.
+//! - The cache ([`cache`]) holds `capacity` blocks, least recently used out
+//!   first, and drops blocks left unused for `idle_ms`. Its events are
+//!   published late, and some never. `GET /v1/events?from=N&wait_ms=M` waits
+//!   up to M ms until there are some.
 //! - Load is reported every `load_lag_ms`, so it lags.
 //! - `POST /v1/admin/weights` loads new weights under a fencing token, which
 //!   takes `weights_ms`; a fenced engine refuses an older token, an unfenced
@@ -15,35 +13,35 @@
 //! - Every `cross_every`th answer begins with a chunk of another request, as
 //!   a faulty engine might mix answers up.
 
-use std::collections::VecDeque;
-use std::num::NonZeroUsize;
+mod batch;
+mod cache;
+
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use futures::channel::mpsc;
-use lru::LruCache;
-use marjoram_core::ids::{
-    BlockHash, Fencing, Incarnation, ModelVersion, Priority, RequestId, Tokens,
-};
-use marjoram_core::prefix::{BLOCK_TOKENS, Prefix};
+use marjoram_core::ids::{Fencing, Incarnation, ModelVersion};
+use marjoram_core::prefix::Prefix;
 use marjoram_core::wire::{
-    CacheEvent, CacheEvents, Chunk, EngineRequest, EventKind, LoadReport, NOT_EXECUTED, Usage,
-    WEIGHTS_VERSION, WeightsOrder,
+    CacheEvents, EngineRequest, LoadReport, NOT_EXECUTED, WEIGHTS_VERSION, WeightsOrder,
 };
 use ntex::web::{self, HttpResponse, types};
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
 use crate::options::EngineOptions;
 
+use batch::Batch;
+use cache::Cache;
+
 /// Largest request body, in bytes.
 const BODY_LIMIT: usize = 8 << 20;
 
-/// Events kept for readers; older ones are gone for good.
-const EVENTS_KEPT: usize = 100_000;
+/// Longest wait for events, and how often a waiting reader looks.
+const WAIT_LIMIT: Duration = Duration::from_secs(1);
+const WAIT_STEP: Duration = Duration::from_millis(10);
 
 /// The engine's whole state.
 struct Engine {
@@ -51,11 +49,8 @@
     incarnation: Incarnation,
     version: AtomicU32,
     fencing: AtomicU64,
-    cache: Mutex<LruCache<BlockHash, Instant>>,
-    events: Mutex<Events>,
-    queue: Mutex<Queue>,
-    running: AtomicU32,
-    waiting: AtomicU32,
+    cache: Mutex<Cache>,
+    batch: Batch,
     report: Mutex<LoadReport>,
     orders: Mutex<Vec<Order>>,
     answers: AtomicU64,
@@ -69,44 +64,22 @@
     obeyed: bool,
 }
 
-/// Published events, each visible from its instant on.
-struct Events {
-    next: u64,
-    kept: VecDeque<(Instant, CacheEvent)>,
-    rng: ChaCha8Rng,
-}
-
-/// Prompts waiting for a compute slot, by priority.
-#[derive(Default)]
-struct Queue {
-    free: usize,
-    waiters: Vec<(Priority, u64, futures::channel::oneshot::Sender<()>)>,
-    ticket: u64,
-}
-
 /// Query of `GET /v1/events`.
 #[derive(Debug, Deserialize)]
 struct From {
     from: u64,
+    wait_ms: Option<u64>,
 }
 
 /// Serves an engine until stopped.
 pub async fn serve(opts: EngineOptions) -> Result<(), Error> {
     let listen = opts.listen.clone();
-    let seed = opts.seed;
     let engine = Box::leak(Box::new(Engine {
         incarnation: Incarnation(rand::rng().random()),
         version: AtomicU32::new(1),
         fencing: AtomicU64::new(0),
-        cache: Mutex::new(LruCache::new(NonZeroUsize::new(opts.capacity.max(1)).unwrap())),
-        events: Mutex::new(Events {
-            next: 0,
-            kept: VecDeque::new(),
-            rng: ChaCha8Rng::seed_from_u64(seed),
-        }),
-        queue: Mutex::new(Queue { free: opts.slots.max(1), ..Queue::default() }),
-        running: AtomicU32::new(0),
-        waiting: AtomicU32::new(0),
+        cache: Mutex::new(Cache::new(&opts)),
+        batch: Batch::default(),
         report: Mutex::new(LoadReport {
             incarnation: Incarnation(0),
             version: ModelVersion(1),
@@ -119,8 +92,9 @@
     }));
     engine.refresh_report();
     tracing::info!(target: "engine", "engine: listening on {listen}, incarnation {}.", engine.incarnation);
-    ntex::rt::spawn(sweep(engine));
     let engine: &'static Engine = engine;
+    ntex::rt::spawn(sweep(engine));
+    ntex::rt::spawn(batch::run(engine));
     web::HttpServer::new(move || {
         web::App::new()
             .state(engine)
@@ -146,7 +120,7 @@
 ) -> HttpResponse {
     let engine: &'static Engine = *engine;
     let request = body.into_inner();
-    let version = ModelVersion(engine.version.load(Ordering::Acquire));
+    let version = engine.version();
     if engine.opts.refuse {
         return HttpResponse::ServiceUnavailable().header(NOT_EXECUTED, "true").body("full");
     }
@@ -155,73 +129,34 @@
             .header(NOT_EXECUTED, "true")
             .body(format!("weights version is {version}"));
     }
-    let (tx, rx) = mpsc::channel::<Result<ntex::util::Bytes, std::io::Error>>(64);
-    ntex::rt::spawn(generate(engine, version, request, tx));
+    let Ok(workspace) = request.workspace.parse() else {
+        return HttpResponse::BadRequest().header(NOT_EXECUTED, "true").body("bad workspace");
+    };
+    let prefix = Prefix::new(&request.prompt, &workspace, version);
+    let (tx, rx) = mpsc::unbounded();
+    engine.batch.push(request, prefix, version, engine.crosses(), tx);
     HttpResponse::Ok()
         .content_type("text/event-stream")
         .header(WEIGHTS_VERSION, version.to_string())
         .streaming(rx)
 }
 
-async fn generate(
-    engine: &'static Engine,
-    version: ModelVersion,
-    request: EngineRequest,
-    mut tx: mpsc::Sender<Result<ntex::util::Bytes, std::io::Error>>,
-) {
-    use futures::SinkExt;
-    let Ok(workspace) = request.workspace.parse() else {
-        return;
-    };
-    let prefix = Prefix::new(&request.prompt, &workspace, version);
-    engine.acquire(request.priority).await;
-    let cached = engine.lookup(&prefix.blocks);
-    let computed = prefix.tokens.0 - cached.min(prefix.tokens.0);
-    let cost = Duration::from_micros(computed * engine.opts.prefill_us + cached);
-    if !cost.is_zero() {
-        ntex::time::sleep(cost).await;
-    }
-    engine.store(&prefix.blocks);
-    engine.release();
-    let usage = Usage {
-        prompt_tokens: prefix.tokens,
-        cached_tokens: Tokens(cached),
-        completion_tokens: Tokens(u64::from(request.max_tokens)),
-    };
-    for seq in request.resume_from..request.max_tokens {
-        let last = seq + 1 == request.max_tokens;
-        let crossed = seq == request.resume_from && engine.crosses();
-        let chunk = Chunk {
-            id: if crossed { RequestId(request.id.0 ^ 1) } else { request.id },
-            seq,
-            text: format!("t{}.{seq}v{version} ", request.id),
-            usage: last.then_some(usage),
-        };
-        let line = format!("data: {}\n\n", serde_json::to_string(&chunk).unwrap_or_default());
-        if tx.send(Ok(line.into())).await.is_err() {
-            return;
-        }
-        if !last {
-            ntex::time::sleep(Duration::from_millis(engine.opts.decode_ms)).await;
-        }
-    }
-}
-
 async fn events(engine: types::State<&'static Engine>, query: types::Query<From>) -> HttpResponse {
-    let now = Instant::now();
-    let events = engine.events.lock().unwrap();
-    let list: Vec<CacheEvent> = events
-        .kept
-        .iter()
-        .filter(|(at, event)| *at <= now && event.seq >= query.from)
-        .map(|(_, event)| event.clone())
-        .collect();
-    let visible = list.last().map(|e| e.seq + 1).unwrap_or(query.from);
+    let wait = Duration::from_millis(query.wait_ms.unwrap_or(0)).min(WAIT_LIMIT);
+    let deadline = Instant::now() + wait;
+    let version = engine.version();
+    let (events, next) = loop {
+        let found = engine.cache.lock().unwrap().events(query.from);
+        if !found.0.is_empty() || Instant::now() >= deadline || engine.version() != version {
+            break found;
+        }
+        ntex::time::sleep(WAIT_STEP).await;
+    };
     HttpResponse::Ok().json(&CacheEvents {
         incarnation: engine.incarnation,
-        version: ModelVersion(engine.version.load(Ordering::Acquire)),
-        next: visible.max(query.from),
-        events: list,
+        version: engine.version(),
+        next,
+        events,
     })
 }
 
@@ -231,7 +166,6 @@
 
 async fn clear(engine: types::State<&'static Engine>) -> HttpResponse {
     engine.cache.lock().unwrap().clear();
-    engine.publish(EventKind::Cleared, Vec::new());
     HttpResponse::NoContent().finish()
 }
 
@@ -251,7 +185,6 @@
     ntex::time::sleep(Duration::from_millis(engine.opts.weights_ms)).await;
     engine.version.store(version.0, Ordering::Release);
     engine.cache.lock().unwrap().clear();
-    engine.publish(EventKind::Cleared, Vec::new());
     tracing::info!(target: "engine", "engine: now serving weights version {version}.");
     HttpResponse::NoContent().finish()
 }
@@ -267,126 +200,18 @@
         every > 0 && self.answers.fetch_add(1, Ordering::Relaxed) % every == every - 1
     }
 
-    /// Waits for a compute slot; higher priority first, then arrival.
-    async fn acquire(&self, priority: Priority) {
-        let rx = {
-            let mut queue = self.queue.lock().unwrap();
-            if queue.free > 0 && queue.waiters.is_empty() {
-                queue.free -= 1;
-                self.running.fetch_add(1, Ordering::Relaxed);
-                return;
-            }
-            let (tx, rx) = futures::channel::oneshot::channel();
-            queue.ticket += 1;
-            let ticket = queue.ticket;
-            queue.waiters.push((priority, ticket, tx));
-            self.waiting.fetch_add(1, Ordering::Relaxed);
-            rx
-        };
-        let _ = rx.await;
-    }
-
-    /// Hands the slot to the best waiter, or frees it.
-    fn release(&self) {
-        let mut queue = self.queue.lock().unwrap();
-        loop {
-            let best = (0..queue.waiters.len())
-                .max_by_key(|&i| (queue.waiters[i].0, std::cmp::Reverse(queue.waiters[i].1)));
-            match best {
-                None => {
-                    queue.free += 1;
-                    self.running.fetch_sub(1, Ordering::Relaxed);
-                    return;
-                }
-                Some(index) => {
-                    let (_, _, tx) = queue.waiters.swap_remove(index);
-                    self.waiting.fetch_sub(1, Ordering::Relaxed);
-                    if tx.send(()).is_ok() {
-                        return;
-                    }
-                }
-            }
-        }
-    }
-
-    /// Cached prompt tokens: the longest run of leading blocks held.
-    fn lookup(&self, blocks: &[BlockHash]) -> u64 {
-        let mut cache = self.cache.lock().unwrap();
-        let held = blocks.iter().take_while(|block| cache.get(*block).is_some()).count();
-        (held * BLOCK_TOKENS) as u64
-    }
-
-    /// Holds `blocks`, evicting the least recently used beyond capacity.
-    fn store(&self, blocks: &[BlockHash]) {
-        let now = Instant::now();
-        let mut fresh = Vec::new();
-        let mut evicted = Vec::new();
-        {
-            let mut cache = self.cache.lock().unwrap();
-            for block in blocks {
-                match cache.push(*block, now) {
-                    None => fresh.push(*block),
-                    Some((old, _)) if old != *block => {
-                        fresh.push(*block);
-                        evicted.push(old);
-                    }
-                    Some(_) => {}
-                }
-            }
-        }
-        if !evicted.is_empty() {
-            self.publish(EventKind::Removed, evicted);
-        }
-        if !fresh.is_empty() {
-            self.publish(EventKind::Stored, fresh);
-        }
-    }
-
-    /// Publishes an event after the lag, unless it is lost.
-    fn publish(&self, kind: EventKind, blocks: Vec<BlockHash>) {
-        let visible = Instant::now() + Duration::from_millis(self.opts.event_lag_ms);
-        let mut events = self.events.lock().unwrap();
-        let seq = events.next;
-        events.next += 1;
-        let lost = self.opts.event_loss > 0.0 && events.rng.random_bool(self.opts.event_loss);
-        if lost {
-            return;
-        }
-        events.kept.push_back((visible, CacheEvent { seq, kind, blocks }));
-        if events.kept.len() > EVENTS_KEPT {
-            events.kept.pop_front();
-        }
+    fn version(&self) -> ModelVersion {
+        ModelVersion(self.version.load(Ordering::Acquire))
     }
 
     fn refresh_report(&self) {
         *self.report.lock().unwrap() = LoadReport {
             incarnation: self.incarnation,
-            version: ModelVersion(self.version.load(Ordering::Acquire)),
-            running: self.running.load(Ordering::Relaxed),
-            waiting: self.waiting.load(Ordering::Relaxed),
+            version: self.version(),
+            running: self.batch.running.load(Ordering::Relaxed),
+            waiting: self.batch.waiting(),
         };
     }
-
-    /// Drops blocks left unused for `idle_ms`.
-    fn expire(&self) {
-        let horizon = Duration::from_millis(self.opts.idle_ms);
-        let now = Instant::now();
-        let mut evicted = Vec::new();
-        {
-            let mut cache = self.cache.lock().unwrap();
-            while let Some((_, at)) = cache.peek_lru() {
-                if now.duration_since(*at) < horizon {
-                    break;
-                }
-                if let Some((block, _)) = cache.pop_lru() {
-                    evicted.push(block);
-                }
-            }
-        }
-        if !evicted.is_empty() {
-            self.publish(EventKind::Removed, evicted);
-        }
-    }
 }
 
 /// Refreshes the load report and expires idle blocks, forever.
@@ -395,6 +220,6 @@
     loop {
         ntex::time::sleep(step).await;
         engine.refresh_report();
-        engine.expire();
+        engine.cache.lock().unwrap().expire();
     }
 }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -36,9 +36,13 @@
     pub idle_ms: u64,
     /// Microseconds of compute per uncached prompt token.
     pub prefill_us: u64,
-    /// Milliseconds per generated token.
+    /// Milliseconds a step of the batch takes at the least.
     pub decode_ms: u64,
-    /// Requests computing their prompt at once.
+    /// Microseconds each token made adds to its step.
+    pub batch_us: u64,
+    /// Prompt tokens read in one step at the most.
+    pub chunk: u64,
+    /// Requests in the batch at once.
     pub slots: usize,
     /// Share of cache events lost, from 0 to 1.
     pub event_loss: f64,
@@ -168,8 +172,10 @@
     opts.optopt("", "capacity", "cache capacity in blocks [2000]", "N");
     opts.optopt("", "idle-ms", "ms a block stays cached unused [10000]", "MS");
     opts.optopt("", "prefill-us", "us of compute per uncached token [40]", "US");
-    opts.optopt("", "decode-ms", "ms per generated token [4]", "MS");
-    opts.optopt("", "slots", "prompts computed at once [1]", "N");
+    opts.optopt("", "decode-ms", "ms a step takes at the least [4]", "MS");
+    opts.optopt("", "batch-us", "us each token made adds to its step [100]", "US");
+    opts.optopt("", "chunk", "prompt tokens read in one step at most [512]", "N");
+    opts.optopt("", "slots", "requests in the batch at once [16]", "N");
     opts.optopt("", "event-loss", "share of cache events lost [0.05]", "P");
     opts.optopt("", "event-lag-ms", "ms before an event is published [200]", "MS");
     opts.optopt("", "load-lag-ms", "ms between load reports [500]", "MS");
@@ -188,7 +194,9 @@
         idle_ms: setting(&m, "idle-ms", 10_000)?,
         prefill_us: setting(&m, "prefill-us", 40)?,
         decode_ms: setting(&m, "decode-ms", 4)?,
-        slots: setting(&m, "slots", 1)?,
+        batch_us: setting(&m, "batch-us", 100)?,
+        chunk: positive(setting(&m, "chunk", 512)?, "chunk")?,
+        slots: positive(setting(&m, "slots", 16)?, "slots")?,
         event_loss: setting(&m, "event-loss", 0.05)?,
         event_lag_ms: setting(&m, "event-lag-ms", 200)?,
         load_lag_ms: setting(&m, "load-lag-ms", 500)?,
