Prefix-aware routing by expected wait; callers of the load tool ask for their router

The load term counted requests in flight at 256 tokens each, decoding ones too, which do not hold up a prompt, and counted the router's own requests twice (its count plus the engine's lagging report).

Change: a candidate carries 'pending', the prompt tokens this router sent there that are not yet read (added at dispatch, taken off at the first chunk); prefix-aware picks the least pending + unread + 32 per request in flight. The engine's report adds only what exceeds the router's own count. Defaults: load_tokens 256 -> 32, balance_cap 4 -> 16.

Test changed: 'gives way when swamped' asserted the old weights (9 in flight cost more than 640 tokens). It now asserts the same of 700 pending tokens and of 21 in flight, and that 300 pending tokens do not drive a 640-token prompt away.

--- a/crates/core/benches/routing.rs
+++ b/crates/core/benches/routing.rs
@@ -11,7 +11,7 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 use marjoram_core::cache::{Life, Picture, Slot};
 use marjoram_core::config::{Config, Record};
-use marjoram_core::ids::{BlockHash, ModelVersion, Offset, WorkspaceId};
+use marjoram_core::ids::{BlockHash, ModelVersion, Offset, Tokens, WorkspaceId};
 use marjoram_core::policy::{Ask, Candidate, PolicyName, Router};
 use marjoram_core::prefix::Prefix;
 
@@ -50,6 +50,7 @@
                         slot: *s,
                         key: u64::from(s.0) * 7919,
                         load: 1,
+                        pending: Tokens(100),
                         matched: m,
                     })
                     .collect();
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -53,14 +53,14 @@
         }
     }
 
-    /// Prompt tokens one request in flight costs; 256 unless set.
+    /// Prompt tokens one request in flight costs; 32 unless set.
     pub fn load_tokens(&self) -> u32 {
-        self.load_tokens.unwrap_or(256)
+        self.load_tokens.unwrap_or(32)
     }
 
-    /// Allowed excess over the idlest engine, in requests; 4 unless set.
+    /// Allowed excess over the idlest engine, in requests; 16 unless set.
     pub fn balance_cap(&self) -> u32 {
-        self.balance_cap.unwrap_or(4)
+        self.balance_cap.unwrap_or(16)
     }
 
     /// Blocks of prefix hashed by Maglev; 48 unless set.
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -24,6 +24,7 @@
 use crate::Error;
 use crate::cache::Slot;
 use crate::config::Params;
+use crate::ids::Tokens;
 use crate::prefix::Prefix;
 
 /// One engine that may take a request.
@@ -33,9 +34,12 @@
     pub slot: Slot,
     /// Stable key of the engine (a hash of its address), for hashing policies.
     pub key: u64,
-    /// Requests in flight there, as this router counts them plus the
-    /// engine's last reported queue.
+    /// Requests in flight there: this router's own, and what the engine
+    /// last reported beyond those.
     pub load: u32,
+    /// Prompt tokens this router has sent there that are not yet read, as
+    /// far as the picture tells.
+    pub pending: Tokens,
     /// Leading prompt blocks the engine is believed to hold.
     pub matched: u32,
 }
@@ -117,13 +121,15 @@
     /// ```
     /// use marjoram_core::cache::Slot;
     /// use marjoram_core::config::Params;
+    /// use marjoram_core::ids::Tokens;
     /// use marjoram_core::policy::{Ask, Candidate, PolicyName, Router};
     /// use marjoram_core::prefix::Prefix;
-    /// let prefix = Prefix { blocks: vec![], tokens: marjoram_core::ids::Tokens(0) };
+    /// let prefix = Prefix { blocks: vec![], tokens: Tokens(0) };
     /// let params = Params::default();
     /// let ask = Ask { prefix: &prefix, params: &params };
-    /// let idle = Candidate { slot: Slot(0), key: 1, load: 0, matched: 0 };
-    /// let busy = Candidate { slot: Slot(1), key: 2, load: 9, matched: 0 };
+    /// let idle =
+    ///     Candidate { slot: Slot(0), key: 1, load: 0, pending: Tokens(0), matched: 0 };
+    /// let busy = Candidate { slot: Slot(1), load: 9, ..idle };
     /// let router = Router::new();
     /// assert_eq!(router.pick(PolicyName::LeastLoad, ask, &[busy, idle]), Some(1));
     /// ```
--- a/crates/core/src/policy/prefix_aware.rs
+++ b/crates/core/src/policy/prefix_aware.rs
@@ -1,17 +1,21 @@
-//! The engine with the most of the prompt cached, weighed against load.
+//! The engine that will have read the prompt soonest.
 //!
-//! Each candidate costs the prompt tokens it would have to compute plus
-//! `load_tokens` for every request already in flight there; the cheapest
-//! wins. When the cheapest is more than `balance_cap` requests busier than
-//! the idlest, the idlest wins instead, so a hot prefix cannot pile all
-//! traffic on one engine.
+//! Each candidate costs the prompt tokens it has to read before the first
+//! token of this answer: those sent there and not yet read, those of this
+//! prompt it does not have cached, and `load_tokens` for every request in
+//! flight, which slows each step of its batch. The cheapest wins. So a hot
+//! prefix draws requests to the engine that holds it until waiting there
+//! costs more than reading the prefix again elsewhere.
+//!
+//! `balance_cap` bounds the requests by which the chosen engine may exceed
+//! the idlest, for engines that hold few at once.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::{Ask, Candidate, Policy};
 use crate::prefix::BLOCK_TOKENS;
 
-/// Prefix-aware policy with a load term and a balance cap.
+/// Prefix-aware policy: least expected wait for the first token.
 #[derive(Debug, Default)]
 pub struct PrefixAware {
     next: AtomicUsize,
@@ -22,8 +26,8 @@
         let blocks = ask.prefix.blocks.len() as u64;
         let per_load = u64::from(ask.params.load_tokens());
         let cost = |c: &Candidate| {
-            (blocks - u64::from(c.matched).min(blocks)) * BLOCK_TOKENS as u64
-                + u64::from(c.load) * per_load
+            let unread = (blocks - u64::from(c.matched).min(blocks)) * BLOCK_TOKENS as u64;
+            c.pending.0 + unread + u64::from(c.load) * per_load
         };
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
         let count = candidates.len().max(1);
--- a/crates/core/tests/policies.rs
+++ b/crates/core/tests/policies.rs
@@ -70,7 +70,7 @@
 }
 
 fn candidate(slot: u8, load: u32, matched: u32) -> Candidate {
-    Candidate { slot: Slot(slot), key: u64::from(slot) + 1, load, matched }
+    Candidate { slot: Slot(slot), key: u64::from(slot) + 1, load, pending: Tokens(0), matched }
 }
 
 #[test]
@@ -85,8 +85,15 @@
 fn prefix_aware_gives_way_when_the_cached_engine_is_swamped() {
     let prefix = Prefix::new(&"w ".repeat(640), &"ws".parse().unwrap(), ModelVersion(1));
     let ask = ask_with(&prefix, &Params::default());
-    let cands = [candidate(0, 0, 0), candidate(1, 9, 40)];
-    assert_eq!(Router::new().pick(PolicyName::PrefixAware, ask, &cands), Some(0));
+    let pick = |cands: &[Candidate]| Router::new().pick(PolicyName::PrefixAware, ask, cands);
+    // Prompts waiting to be read before ours: more than reading it anew.
+    let waiting = Candidate { pending: Tokens(700), ..candidate(1, 2, 40) };
+    assert_eq!(pick(&[candidate(0, 0, 0), waiting]), Some(0));
+    // So many requests that each step is slow.
+    assert_eq!(pick(&[candidate(0, 0, 0), candidate(1, 21, 40)]), Some(0));
+    // A prompt longer than what waits is still better off where it is cached.
+    let short = Candidate { pending: Tokens(300), ..candidate(1, 2, 40) };
+    assert_eq!(pick(&[candidate(0, 0, 0), short]), Some(1));
 }
 
 #[test]
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -248,8 +248,7 @@
         match read {
             Ok(load) => {
                 reached(node, engine);
-                node.reported[usize::from(engine.slot.0)]
-                    .store(load.running + load.waiting, Ordering::Relaxed);
+                node.report(engine.slot, load.running + load.waiting);
             }
             Err(error) => lost(node, engine, &error),
         }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -22,7 +22,7 @@
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use marjoram_core::cache::Slot;
-use marjoram_core::ids::ModelVersion;
+use marjoram_core::ids::{ModelVersion, Tokens};
 use marjoram_core::wire::{Chunk, NOT_EXECUTED, Usage, WEIGHTS_VERSION};
 use ntex::http::client::error::SendRequestError;
 use ntex::http::client::{Client, ClientResponse};
@@ -40,21 +40,31 @@
     static CLIENT: Client = Client::build().timeout(FIRST_CHUNK).finish();
 }
 
-/// Counts a request in flight at one engine until dropped.
+/// Counts a request in flight at one engine until dropped, and its prompt
+/// tokens as pending there until they are read.
 struct Inflight {
     node: Arc<Node>,
     slot: Slot,
+    unread: u64,
 }
 
 impl Inflight {
-    fn new(node: Arc<Node>, slot: Slot) -> Self {
+    fn new(node: Arc<Node>, slot: Slot, unread: Tokens) -> Self {
         node.inflight[usize::from(slot.0)].fetch_add(1, Ordering::Relaxed);
-        Self { node, slot }
+        node.pending[usize::from(slot.0)].fetch_add(unread.0, Ordering::Relaxed);
+        Self { node, slot, unread: unread.0 }
+    }
+
+    /// The prompt has been read.
+    fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.node.pending[usize::from(self.slot.0)].fetch_sub(unread, Ordering::Relaxed);
     }
 }
 
 impl Drop for Inflight {
     fn drop(&mut self) {
+        self.read();
         self.node.inflight[usize::from(self.slot.0)].fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -66,7 +76,7 @@
     response: ClientResponse,
     /// The weights it computes the answer under.
     version: ModelVersion,
-    _inflight: Inflight,
+    inflight: Inflight,
 }
 
 /// Where the checked chunks of an answer go.
@@ -78,8 +88,8 @@
 /// Sends `job` to engines in turn until one accepts it.
 pub async fn open(node: &Arc<Node>, job: &mut Job) -> Result<Opened, Error> {
     loop {
-        let engine = job.choose(node)?;
-        let inflight = Inflight::new(node.clone(), engine.slot);
+        let (engine, unread) = job.choose(node)?;
+        let inflight = Inflight::new(node.clone(), engine.slot, unread);
         let error = match send(node, job, &engine).await {
             Ok(response) => {
                 let life = node.picture.life(engine.slot);
@@ -88,7 +98,7 @@
                     let blocks = &job.prefix(version).blocks;
                     node.picture.predicted(engine.slot, life, blocks);
                 }
-                return Ok(Opened { engine, response, version, _inflight: inflight });
+                return Ok(Opened { engine, response, version, inflight });
             }
             Err(error) => error,
         };
@@ -160,6 +170,7 @@
 ) -> Result<Usage, Error> {
     let addr = opened.engine.addr.clone();
     let broken = |why: String| Error::Engine("stream", addr.clone(), why);
+    let mut inflight = opened.inflight;
     let mut events = opened.response.eventsource();
     let mut first = true;
     loop {
@@ -175,6 +186,7 @@
             Ok(Some(Ok(event))) => event,
         };
         first = false;
+        inflight.read();
         let chunk: Chunk =
             serde_json::from_str(&event.data).map_err(|e| broken(format!("bad chunk: {e}")))?;
         match chunk {
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -4,9 +4,9 @@
 
 use marjoram_core::cache::Life;
 use marjoram_core::config::Routing;
-use marjoram_core::ids::{ModelVersion, RequestId, WorkspaceId};
+use marjoram_core::ids::{ModelVersion, RequestId, Tokens, WorkspaceId};
 use marjoram_core::policy::{Ask, Candidate};
-use marjoram_core::prefix::Prefix;
+use marjoram_core::prefix::{BLOCK_TOKENS, Prefix};
 use marjoram_core::wire::{CompletionRequest, EngineRequest};
 
 use crate::error::Error;
@@ -66,8 +66,9 @@
     }
 
     /// Chooses the engine for the next attempt by the workspace's policy;
-    /// the last failure when none is left or every attempt is used up.
-    pub fn choose(&mut self, node: &Node) -> Result<Engine, Error> {
+    /// the last failure when none is left or every attempt is used up. With
+    /// it comes the number of prompt tokens it will have to read.
+    pub fn choose(&mut self, node: &Node) -> Result<(Engine, Tokens), Error> {
         let pool = node.pool.load();
         let engines: Vec<(&Engine, ModelVersion)> = pool
             .engines
@@ -86,7 +87,10 @@
         match node.policies.pick(policy, ask, &candidates) {
             Some(index) if self.attempts < ATTEMPTS => {
                 self.attempts += 1;
-                Ok(engines[index].0.clone())
+                let cached = u64::from(candidates[index].matched) * BLOCK_TOKENS as u64;
+                let (engine, version) = engines[index];
+                let unread = self.prefix(version).tokens.0.saturating_sub(cached);
+                Ok((engine.clone(), Tokens(unread)))
             }
             _ => Err(self.give_up()),
         }
@@ -95,7 +99,13 @@
     fn candidate(&mut self, node: &Node, engine: &Engine, version: ModelVersion) -> Candidate {
         let blocks = &self.prefix(version).blocks;
         let matched = node.picture.matched(blocks, &[engine.slot])[0];
-        Candidate { slot: engine.slot, key: engine.key, load: node.load(engine.slot), matched }
+        Candidate {
+            slot: engine.slot,
+            key: engine.key,
+            load: node.load(engine.slot),
+            pending: node.pending(engine.slot),
+            matched,
+        }
     }
 
     /// The prompt's blocks under `version`, hashed at first use.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -14,7 +14,7 @@
 use marjoram_core::claims::Claims;
 use marjoram_core::config::{Config, Routing};
 use marjoram_core::feed::Cursor;
-use marjoram_core::ids::{Fencing, Incarnation, Offset, WorkspaceId};
+use marjoram_core::ids::{Fencing, Incarnation, Offset, Tokens, WorkspaceId};
 use marjoram_core::lease::Contender;
 use marjoram_core::members::Members;
 use marjoram_core::policy;
@@ -105,8 +105,10 @@
     pub policies: policy::Router,
     /// Requests in flight from this node, by slot.
     pub inflight: [AtomicU32; MAX_SLOTS],
-    /// Running plus waiting requests each engine last reported, by slot.
-    pub reported: [AtomicU32; MAX_SLOTS],
+    /// Prompt tokens sent from this node and not yet read, by slot.
+    pub pending: [AtomicU64; MAX_SLOTS],
+    /// Requests each engine last reported beyond this node's own, by slot.
+    pub others: [AtomicU32; MAX_SLOTS],
     /// Engines this node could not reach, by slot.
     pub down: [AtomicBool; MAX_SLOTS],
     /// A configuration has been read up to the stream's end once.
@@ -152,7 +154,8 @@
             picture: Picture::new(),
             policies: policy::Router::new(),
             inflight: std::array::from_fn(|_| AtomicU32::new(0)),
-            reported: std::array::from_fn(|_| AtomicU32::new(0)),
+            pending: std::array::from_fn(|_| AtomicU64::new(0)),
+            others: std::array::from_fn(|_| AtomicU32::new(0)),
             down: std::array::from_fn(|_| AtomicBool::new(false)),
             configured: AtomicBool::new(false),
             ready: AtomicBool::new(false),
@@ -193,10 +196,24 @@
         self.entries.store(Arc::new(usable.collect()));
     }
 
-    /// Load of the engine in `slot`: this node's in-flight plus reported.
+    /// Requests in flight at the engine in `slot`, from this node and others.
     pub fn load(&self, slot: Slot) -> u32 {
         let index = usize::from(slot.0);
-        self.inflight[index].load(Ordering::Relaxed) + self.reported[index].load(Ordering::Relaxed)
+        self.inflight[index].load(Ordering::Relaxed) + self.others[index].load(Ordering::Relaxed)
+    }
+
+    /// Takes in that the engine in `slot` reports `total` requests. Its
+    /// report lags, so what it says of this node's own requests is replaced
+    /// by what this node knows.
+    pub fn report(&self, slot: Slot, total: u32) {
+        let index = usize::from(slot.0);
+        let own = self.inflight[index].load(Ordering::Relaxed);
+        self.others[index].store(total.saturating_sub(own), Ordering::Relaxed);
+    }
+
+    /// Prompt tokens this node has sent to `slot` that are not yet read.
+    pub fn pending(&self, slot: Slot) -> Tokens {
+        Tokens(self.pending[usize::from(slot.0)].load(Ordering::Relaxed))
     }
 
     /// Whether this node cannot reach the engine in `slot`.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -299,7 +299,8 @@
             serde_json::json!({
                 "engine": e,
                 "inflight": node.inflight[index].load(Ordering::Relaxed),
-                "reported": node.reported[index].load(Ordering::Relaxed),
+                "pending": node.pending(e.slot),
+                "others": node.others[index].load(Ordering::Relaxed),
                 "down": node.down[index].load(Ordering::Relaxed),
                 "life": node.picture.life(e.slot),
             })
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -24,7 +24,7 @@
 
 use crate::error::Error;
 use crate::load::{self, Report};
-use crate::options::{DemoOptions, LoadOptions};
+use crate::options::{CALLERS, DemoOptions, LoadOptions};
 
 /// Longest wait for a process to listen or a router to apply config.
 const READY: Duration = Duration::from_secs(20);
@@ -88,7 +88,7 @@
         offset = publish(&client, &log, &template).await?;
     }
     let mut table = Vec::new();
-    for policy in PolicyName::ALL {
+    for &policy in &opts.policies {
         for site_kind in [Site::Kilimanjaro, Site::LoneStar] {
             for ws in workspaces(site_kind) {
                 let record = Record::Workspace {
@@ -107,6 +107,7 @@
                 site: site_kind,
                 calls: opts.calls,
                 rate: opts.rate,
+                callers: CALLERS,
                 seed: opts.seed,
                 service: Some(service.clone()),
                 horizon_ms: 10_000,
@@ -295,7 +296,7 @@
     let mut out = String::new();
     let _ = writeln!(
         out,
-        "{:<13} {:<12} {:>8} {:>9} {:>9} {:>9} {:>7} {:>6} {:>8} {:>8}",
+        "{:<13} {:<12} {:>8} {:>9} {:>9} {:>9} {:>7} {:>6} {:>8} {:>8} {:>10}",
         "policy",
         "workload",
         "answered",
@@ -305,7 +306,8 @@
         "wasted",
         "lost",
         "repeated",
-        "refused"
+        "refused",
+        "false ref."
     );
     for (policy, report) in table {
         let m = &report.measures;
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -1,11 +1,13 @@
 //! The load tool: replays a seeded workload against routers and reports
 //! the measures of the brief.
 //!
-//! It asks a router which entry host to use (there is no balancer), sends
-//! each call at its time, reads every answer whole and checks it: chunks
-//! must carry the request's own id in sequence, and a refusal must say
-//! whether the call ran. Alerts go to the plain service through the router
-//! with an idempotency key; the service's own counts tell repeats.
+//! A number of callers take turns. Each asks a router which entry host to
+//! use (there is no balancer), keeps the answer as long as it may, and asks
+//! again when its router cannot be reached. Calls are sent at their times;
+//! every answer is read whole and checked: chunks must carry the request's
+//! own id in sequence, and a refusal must say whether the call ran. Alerts
+//! go to the plain service through the router with an idempotency key; the
+//! service's own counts tell repeats.
 
 use std::cell::RefCell;
 use std::fmt;
@@ -59,6 +61,37 @@
     }
 }
 
+/// One caller: the router it was told to use, until when.
+#[derive(Debug, Default)]
+struct Caller {
+    told: RefCell<Option<(String, Instant)>>,
+}
+
+impl Caller {
+    /// The router to use now.
+    async fn router(&self, client: &Client, routers: &[String], name: usize) -> Option<String> {
+        let told = self.told.borrow().clone();
+        if let Some((router, _)) = told.filter(|(_, until)| Instant::now() < *until) {
+            return Some(router);
+        }
+        let answer = match ask_route(client, routers, name).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                tracing::warn!(target: "load", "load: {error}.");
+                return None;
+            }
+        };
+        let until = Instant::now() + Duration::from_millis(answer.ttl_ms);
+        *self.told.borrow_mut() = Some((answer.addr.clone(), until));
+        Some(answer.addr)
+    }
+
+    /// Forgets the router told: it could not be reached.
+    fn forget(&self) {
+        *self.told.borrow_mut() = None;
+    }
+}
+
 struct Run {
     /// Prefix of this run's idempotency keys, so runs never share keys.
     nonce: u64,
@@ -71,8 +104,9 @@
 /// Runs the workload and returns what was measured.
 pub async fn run(opts: LoadOptions) -> Result<Report, Error> {
     let client = Client::build().timeout(ntex::time::Seconds(60)).finish();
-    let entry = ask_route(&client, &opts.routers).await?;
-    tracing::info!(target: "load", "load: using router {} in {}.", entry.addr, entry.dc);
+    ask_route(&client, &opts.routers, 0).await?;
+    let callers: Rc<Vec<Caller>> = Rc::new((0..opts.callers).map(|_| Caller::default()).collect());
+    let routers = Rc::new(opts.routers.clone());
     let run = Rc::new(RefCell::new(Run {
         nonce: rand::random(),
         refused_keys: Vec::new(),
@@ -90,8 +124,16 @@
         if due > now {
             ntex::time::sleep(due - now).await;
         }
-        let (client, run, addr) = (client.clone(), run.clone(), entry.addr.clone());
-        tasks.push(ntex::rt::spawn(async move { send(&client, &addr, call, &run).await }));
+        let (client, run) = (client.clone(), run.clone());
+        let (callers, routers) = (callers.clone(), routers.clone());
+        tasks.push(ntex::rt::spawn(async move {
+            let name = index % callers.len();
+            match callers[name].router(&client, &routers, name).await {
+                Some(router) if !send(&client, &router, call, &run).await => callers[name].forget(),
+                Some(_) => {}
+                None => run.borrow_mut().measures.lost += 1,
+            }
+        }));
     }
     for task in tasks {
         let _ = task.await;
@@ -112,10 +154,11 @@
     })
 }
 
-async fn ask_route(client: &Client, routers: &[String]) -> Result<RouteAnswer, Error> {
+/// Asks routers in turn, as caller `name`, which router to use.
+async fn ask_route(client: &Client, routers: &[String], name: usize) -> Result<RouteAnswer, Error> {
     let mut last = String::from("no router given");
     for router in routers {
-        let url = format!("http://{router}/v1/route?dc=dc1&caller=load");
+        let url = format!("http://{router}/v1/route?caller=caller-{name}");
         match client.get(&url).send().await {
             Ok(mut response) if response.status().is_success() => {
                 let body = response
@@ -138,7 +181,8 @@
     serde_json::from_slice(&body).ok()
 }
 
-async fn send(client: &Client, router: &str, call: Call, run: &RefCell<Run>) {
+/// Sends one call; false when the router could not be reached.
+async fn send(client: &Client, router: &str, call: Call, run: &RefCell<Run>) -> bool {
     match call {
         Call::Completion { workspace, prompt, max_tokens, priority } => {
             let request = CompletionRequest {
@@ -148,7 +192,7 @@
                 stream: true,
                 priority,
             };
-            complete(client, router, request, run).await;
+            complete(client, router, request, run).await
         }
         Call::Alert { key } => {
             let key = {
@@ -156,12 +200,17 @@
                 run.alerts += 1;
                 format!("{}-{key}", run.nonce)
             };
-            alert(client, router, &key, run).await;
+            alert(client, router, &key, run).await
         }
     }
 }
 
-async fn complete(client: &Client, router: &str, request: CompletionRequest, run: &RefCell<Run>) {
+async fn complete(
+    client: &Client,
+    router: &str,
+    request: CompletionRequest,
+    run: &RefCell<Run>,
+) -> bool {
     let workspace: WorkspaceId = request.workspace.parse().expect("workload workspaces are valid");
     let prefix = Prefix::new(&request.prompt, &workspace, ModelVersion(1));
     let sent = Instant::now();
@@ -171,13 +220,13 @@
         Err(error) => {
             tracing::warn!(target: "load", "load: send to {router} failed: {error}.");
             run.borrow_mut().measures.lost += 1;
-            return;
+            return false;
         }
     };
     if !response.status().is_success() {
         let body = response.body().await.unwrap_or_default();
         refused(run, &body);
-        return;
+        return true;
     }
     let mut events = response.eventsource();
     let mut first = None;
@@ -198,7 +247,7 @@
                 let ours = *id.get_or_insert(chunk.id);
                 if chunk.id != ours || chunk.seq != expected {
                     run.borrow_mut().measures.repeated += 1;
-                    return;
+                    return true;
                 }
                 expected += 1;
                 if let Some(usage) = chunk.usage {
@@ -211,15 +260,16 @@
                     m.cached += usage.cached_tokens.0;
                     m.wasted += wasted;
                     let _ = m.ttft.record(first.unwrap_or_default().as_micros().max(1) as u64);
-                    return;
+                    return true;
                 }
             }
         }
     }
     run.borrow_mut().measures.lost += 1;
+    true
 }
 
-async fn alert(client: &Client, router: &str, key: &str, run: &RefCell<Run>) {
+async fn alert(client: &Client, router: &str, key: &str, run: &RefCell<Run>) -> bool {
     let url = format!("http://{router}/v1/services/alerts");
     let response =
         client.post(url).header(IDEMPOTENCY_KEY, key).send_body("press-line alert").await;
@@ -231,8 +281,12 @@
                 run.borrow_mut().refused_keys.push(key.to_string());
             }
         }
-        Err(_) => run.borrow_mut().measures.lost += 1,
+        Err(_) => {
+            run.borrow_mut().measures.lost += 1;
+            return false;
+        }
     }
+    true
 }
 
 /// Counts a refusal; true when it said "not run".
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -6,10 +6,14 @@
 use std::str::FromStr;
 
 use getopts::{Matches, Options};
+use marjoram_core::policy::PolicyName;
 use marjoram_core::workload::Site;
 
 use crate::error::Error;
 
+/// Callers of the load tool unless set.
+pub const CALLERS: usize = 16;
+
 const USAGE: &str = "\
 Usage: marjoram-standin COMMAND [OPTIONS]
 
@@ -100,6 +104,8 @@
     pub calls: u64,
     /// Calls a second.
     pub rate: u64,
+    /// Callers taking turns.
+    pub callers: usize,
     /// Workload seed.
     pub seed: u64,
     /// Address of the plain service, to count repeated calls.
@@ -125,6 +131,8 @@
     pub seed: u64,
     /// Kill an engine and cut the log service during each run.
     pub faults: bool,
+    /// Policies to run, in order.
+    pub policies: Vec<PolicyName>,
 }
 
 /// A parsed command line.
@@ -250,6 +258,7 @@
     opts.optopt("", "site", "kilimanjaro or lone-star [kilimanjaro]", "SITE");
     opts.optopt("", "calls", "calls to make [400]", "N");
     opts.optopt("", "rate", "calls a second [40]", "N");
+    opts.optopt("", "callers", "callers taking turns [16]", "N");
     opts.optopt("", "seed", "workload seed [1]", "N");
     opts.optopt("", "service", "plain service address, to count repeats", "ADDR");
     opts.optopt("", "horizon-ms", "ms a computed block counts as held [10000]", "MS");
@@ -263,6 +272,7 @@
         site: setting(&m, "site", Site::Kilimanjaro)?,
         calls: setting(&m, "calls", 400)?,
         rate: positive(setting(&m, "rate", 40)?, "rate")?,
+        callers: positive(setting(&m, "callers", CALLERS)?, "callers")?,
         seed: setting(&m, "seed", 1)?,
         service: optional(&m, "service")?,
         horizon_ms: setting(&m, "horizon-ms", 10_000)?,
@@ -276,6 +286,7 @@
     opts.optopt("", "routers", "routers to start [2]", "N");
     opts.optopt("", "port", "first port; the demo uses the next 20 [17100]", "PORT");
     opts.optopt("", "seed", "workload seed [1]", "N");
+    opts.optopt("", "policies", "comma-separated policies to run [all]", "NAMES");
     opts.optflag("", "faults", "kill an engine and cut the log service in each run");
     let m = matches(&opts, args, "demo")?;
     if m.opt_present("help") {
@@ -289,9 +300,19 @@
         port: setting(&m, "port", 17100)?,
         seed: setting(&m, "seed", 1)?,
         faults: m.opt_present("faults"),
+        policies: policies(&m)?,
     }))
 }
 
+/// The policies named by `--policies`; all of them unless set.
+fn policies(m: &Matches) -> Result<Vec<PolicyName>, Error> {
+    let Some(names) = optional::<String>(m, "policies")? else {
+        return Ok(PolicyName::ALL.to_vec());
+    };
+    let parse = |name: &str| name.parse().map_err(|e| Error::Usage(format!("--policies: {e}")));
+    names.split(',').map(parse).collect()
+}
+
 fn matches(opts: &Options, args: &[String], command: &str) -> Result<Matches, Error> {
     opts.parse(args).map_err(|e| Error::Usage(format!("{command}: {e}; see --help")))
 }
