Admission by expected wait, deadlines, and a budget of second attempts

A request carried no deadline, and each failing request was tried three times whatever the rest were doing.

Change: admission.rs: Pace learns each engine's time per prompt token ahead and turns queued work into an expected wait; Budget allows second attempts up to a fifth of requests and a reserve of 20. A request may name deadline_ms for its first token (--max-wait-ms, 10 s, stands in; batch four times that). Expected later: refused at once, 503 not_run, Retry-After by when the queue should have drained.

Ruled out: refusing by queue length (a count says nothing of prompts of 40 or 17,000 tokens); holding a request back until its deadline (the users forbid it).

Found on the way: a third of the alerts failed at 500/s ('Disconnected'). Ruled out by runs: a stale pooled connection (same count on fresh ones).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`ids`]: newtypes for ids, counts and offsets.
 //! - [`prefix`]: how a prompt is cut into cache blocks and hashed.
+//! - [`admission`]: whether to take a request on under load.
 //! - [`cache`]: the router's picture of which engine holds which block.
 //! - [`claims`]: at-most-once calls to plain services, ordered by the log.
 //! - [`policy`]: the routing policies, behind one small trait.
@@ -16,6 +17,7 @@
 //! - [`members`]: which routers are up, as they tell each other.
 //! - [`measure`]: the measures of the brief.
 
+pub mod admission;
 pub mod cache;
 pub mod claims;
 pub mod config;
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -37,6 +37,10 @@
     /// Scheduling priority at the engine.
     #[serde(default)]
     pub priority: Priority,
+    /// Milliseconds the caller waits for the first token; a request that is
+    /// not expected to make it is refused at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
 }
 
 fn default_max_tokens() -> u32 {
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of the router, each naming the step and the peer.
 
+use std::time::Duration;
+
 use marjoram_core::wire::{ErrorBody, ErrorDetail};
 use ntex::http::StatusCode;
 use quick_error::quick_error;
@@ -37,6 +39,14 @@
         NoEngine(workspace: String) {
             display("route request of {workspace}: no live engine")
         }
+        /// Every engine's queue is longer than the caller waits.
+        Late(workspace: String, wait: Duration, limit: Duration) {
+            display("route request of {workspace}: the first token is expected in {wait:?}, later than the {limit:?} it may take")
+        }
+        /// The caller's deadline passed before the first token.
+        Deadline(peer: String) {
+            display("stream at engine {peer}: the caller's deadline passed before the first token")
+        }
         /// No plain service of that name is live.
         NoService(name: String) {
             display("route call to service {name}: none is live")
@@ -77,9 +87,10 @@
         Connect(peer: String, message: String) {
             display("connect to service {peer}: {message}")
         }
-        /// An engine failed after the request was sent; outcome unknown.
+        /// An engine or plain service failed after the request was sent;
+        /// its outcome is unknown.
         Engine(step: &'static str, peer: String, message: String) {
-            display("{step} at engine {peer}: {message}")
+            display("{step} at upstream {peer}: {message}")
         }
     }
 }
@@ -92,6 +103,7 @@
             Self::TooLarge(..) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownWorkspace(..) => StatusCode::NOT_FOUND,
             Self::NoEngine(..)
+            | Self::Late(..)
             | Self::NoService(..)
             | Self::Draining
             | Self::NotConfigured
@@ -101,6 +113,7 @@
             | Self::Log(..) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Held(..) => StatusCode::CONFLICT,
             Self::Engine(..) => StatusCode::BAD_GATEWAY,
+            Self::Deadline(..) => StatusCode::GATEWAY_TIMEOUT,
             Self::Usage(..)
             | Self::Setting(..)
             | Self::Bind(..)
@@ -109,6 +122,20 @@
         }
     }
 
+    /// When the caller may come back, where coming back may help: a late
+    /// queue by when it should have drained, anything else after a second.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Late(_, wait, limit) => Some(wait.saturating_sub(*limit)),
+            _ => match self.status() {
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT => {
+                    Some(Duration::from_secs(1))
+                }
+                _ => None,
+            },
+        }
+    }
+
     /// The wire form of this error.
     pub fn body(&self) -> ErrorBody {
         let (step, peer) = match self {
@@ -117,12 +144,15 @@
             Self::Bind(addr, _) => ("bind", addr.clone()),
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
             Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
-            Self::NoEngine(_) | Self::NoService(_) | Self::Draining | Self::NotConfigured => {
-                ("route", "router".to_string())
-            }
+            Self::NoEngine(_)
+            | Self::Late(..)
+            | Self::NoService(_)
+            | Self::Draining
+            | Self::NotConfigured => ("route", "router".to_string()),
             Self::Connect(peer, _) => ("connect", peer.clone()),
             Self::Refused(peer, _) => ("send", peer.clone()),
             Self::Engine(step, peer, _) => (*step, peer.clone()),
+            Self::Deadline(peer) => ("deadline", peer.clone()),
             Self::Claim(step, peer, _) | Self::Log(step, peer, _) | Self::Peer(step, peer, _) => {
                 (*step, peer.clone())
             }
@@ -134,7 +164,7 @@
                 step: step.into(),
                 peer,
                 message: self.to_string(),
-                not_run: !matches!(self, Self::Engine(..) | Self::Held(..)),
+                not_run: !matches!(self, Self::Engine(..) | Self::Held(..) | Self::Deadline(..)),
             },
         }
     }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -16,7 +16,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cadence::prelude::*;
 use eventsource_stream::Eventsource;
@@ -28,7 +28,7 @@
 use ntex::http::client::{Client, ClientResponse};
 
 use crate::error::Error;
-use crate::job::{Job, version};
+use crate::job::{Choice, Job, version};
 use crate::node::{Engine, Node};
 
 /// Longest wait for an engine's first chunk: its queue may be long.
@@ -77,6 +77,9 @@
     /// The weights it computes the answer under.
     version: ModelVersion,
     inflight: Inflight,
+    /// Prompt tokens to be read before its first chunk, and since when.
+    ahead: Tokens,
+    sent: Instant,
 }
 
 /// Where the checked chunks of an answer go.
@@ -88,8 +91,9 @@
 /// Sends `job` to engines in turn until one accepts it.
 pub async fn open(node: &Arc<Node>, job: &mut Job) -> Result<Opened, Error> {
     loop {
-        let (engine, unread) = job.choose(node)?;
+        let Choice { engine, unread, ahead } = job.choose(node)?;
         let inflight = Inflight::new(node.clone(), engine.slot, unread);
+        let sent = Instant::now();
         let error = match send(node, job, &engine).await {
             Ok(response) => {
                 let life = node.picture.life(engine.slot);
@@ -98,8 +102,9 @@
                     let blocks = &job.prefix(version).blocks;
                     node.picture.predicted(engine.slot, life, blocks);
                 }
-                return Ok(Opened { engine, response, version, inflight });
+                return Ok(Opened { engine, response, version, inflight, ahead, sent });
             }
+            Err(error @ Error::Deadline(_)) => return Err(error),
             Err(error) => error,
         };
         tracing::info!(target: "forward", "forward: {error}; {} goes to another engine.", job.id);
@@ -115,6 +120,7 @@
     let request = CLIENT.with(|client| client.post(&url).send_json(&job.order));
     let sent = tokio::select! {
         sent = request => sent,
+        () = until_deadline(job) => return Err(Error::Deadline(engine.addr.clone())),
         () = until_down(node, engine.slot) => {
             return Err(failed("send", "engine became unreachable".into()));
         }
@@ -150,7 +156,7 @@
         let addr = opened.engine.addr.clone();
         let error = match relay(node, job, opened, out).await {
             Ok(usage) => return Ok(usage),
-            Err(error @ Error::Engine("reply", ..)) => return Err(error),
+            Err(error @ (Error::Engine("reply", ..) | Error::Deadline(_))) => return Err(error),
             Err(error) => error,
         };
         tracing::info!(target: "forward", "forward: {error}; resuming {} from chunk {}.", job.id, job.order.resume_from);
@@ -175,18 +181,25 @@
     let mut first = true;
     loop {
         let due = job.order.resume_from;
-        let limit = match first {
-            true => FIRST_CHUNK,
-            false => node.settings.stream_idle,
+        let limit = match (first, job.left()) {
+            (true, Some(left)) => left,
+            (true, None) => FIRST_CHUNK,
+            (false, _) => node.settings.stream_idle,
         };
         let event = match next(node, opened.engine.slot, &mut events, limit).await {
+            Err(_) if job.left().is_some_and(|left| left.is_zero()) => {
+                return Err(Error::Deadline(addr));
+            }
             Err(silent) => return Err(broken(format!("silent for {silent:?} at chunk {due}"))),
             Ok(None) => return Err(broken(format!("cut before chunk {due}"))),
             Ok(Some(Err(error))) => return Err(broken(error.to_string())),
             Ok(Some(Ok(event))) => event,
         };
-        first = false;
-        inflight.read();
+        if std::mem::take(&mut first) {
+            inflight.read();
+            let pace = &node.pace[usize::from(opened.engine.slot.0)];
+            pace.observe(opened.ahead, opened.sent.elapsed());
+        }
         let chunk: Chunk =
             serde_json::from_str(&event.data).map_err(|e| broken(format!("bad chunk: {e}")))?;
         match chunk {
@@ -222,9 +235,10 @@
 ) -> Result<Option<S::Item>, Duration> {
     let mut silent = Duration::ZERO;
     loop {
-        match ntex::time::timeout(WATCH, events.next()).await {
+        let watch = WATCH.min(limit.saturating_sub(silent));
+        match ntex::time::timeout(watch, events.next()).await {
             Ok(item) => return Ok(item),
-            Err(()) => silent += WATCH,
+            Err(()) => silent += watch,
         }
         if silent >= limit || node.is_down(slot) {
             return Err(silent);
@@ -232,6 +246,14 @@
     }
 }
 
+/// Returns once the caller's deadline for the first token has passed.
+async fn until_deadline(job: &Job) {
+    match job.left() {
+        Some(left) => ntex::time::sleep(left).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns once the engine in `slot` is found unreachable.
 async fn until_down(node: &Node, slot: Slot) {
     while !node.is_down(slot) {
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -1,10 +1,11 @@
 //! One caller request on its way through engines.
 
-use std::time::Instant;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
-use marjoram_core::cache::Life;
+use marjoram_core::cache::{Life, Slot};
 use marjoram_core::config::Routing;
-use marjoram_core::ids::{ModelVersion, RequestId, Tokens, WorkspaceId};
+use marjoram_core::ids::{ModelVersion, Priority, RequestId, Tokens, WorkspaceId};
 use marjoram_core::policy::{Ask, Candidate};
 use marjoram_core::prefix::{BLOCK_TOKENS, Prefix};
 use marjoram_core::wire::{CompletionRequest, EngineRequest};
@@ -13,7 +14,10 @@
 use crate::node::{Engine, Node};
 
 /// Engines tried for one request, resumptions included.
-pub const ATTEMPTS: usize = 3;
+const ATTEMPTS: usize = 3;
+
+/// How many times as long batch requests may wait.
+const BATCH_PATIENCE: u32 = 4;
 
 /// A request, what has become of it so far, and where it may still go.
 pub struct Job {
@@ -33,16 +37,37 @@
     failed: Vec<String>,
     last: Option<Error>,
     attempts: usize,
+    /// How long after `started` the first token may come.
+    limit: Duration,
+    /// Whether the caller named that limit: then it is a deadline.
+    deadline: bool,
+}
+
+/// Where a job goes next.
+pub struct Choice {
+    /// The engine.
+    pub engine: Engine,
+    /// Prompt tokens it will have to read for this job.
+    pub unread: Tokens,
+    /// Those and the ones sent there before and not yet read.
+    pub ahead: Tokens,
 }
 
 impl Job {
-    /// A job for `request` in `workspace`, routed by `routing`.
+    /// A job for `request` in `workspace`, routed by `routing`; `max_wait`
+    /// stands in for a deadline the caller did not name.
     pub fn new(
         id: RequestId,
         workspace: WorkspaceId,
         request: CompletionRequest,
         routing: Routing,
+        max_wait: Duration,
     ) -> Self {
+        let limit = match (request.deadline_ms, request.priority) {
+            (Some(ms), _) => Duration::from_millis(ms),
+            (None, Priority::Batch) => max_wait * BATCH_PATIENCE,
+            (None, _) => max_wait,
+        };
         let order = EngineRequest {
             id,
             workspace: workspace.to_string(),
@@ -62,13 +87,16 @@
             failed: Vec::new(),
             last: None,
             attempts: 0,
+            limit,
+            deadline: request.deadline_ms.is_some(),
         }
     }
 
     /// Chooses the engine for the next attempt by the workspace's policy;
-    /// the last failure when none is left or every attempt is used up. With
-    /// it comes the number of prompt tokens it will have to read.
-    pub fn choose(&mut self, node: &Node) -> Result<(Engine, Tokens), Error> {
+    /// the failure to tell the caller when none is left, every attempt or
+    /// the node's budget of second attempts is used up, or the first token
+    /// is not expected in time.
+    pub fn choose(&mut self, node: &Node) -> Result<Choice, Error> {
         let pool = node.pool.load();
         let engines: Vec<(&Engine, ModelVersion)> = pool
             .engines
@@ -84,16 +112,42 @@
         let newest = engines.iter().map(|(_, version)| *version).max().unwrap_or_default();
         let (policy, params) = (self.routing.policy, self.routing.params);
         let ask = Ask { prefix: self.prefix(newest), params: &params };
-        match node.policies.pick(policy, ask, &candidates) {
-            Some(index) if self.attempts < ATTEMPTS => {
-                self.attempts += 1;
-                let cached = u64::from(candidates[index].matched) * BLOCK_TOKENS as u64;
-                let (engine, version) = engines[index];
-                let unread = self.prefix(version).tokens.0.saturating_sub(cached);
-                Ok((engine.clone(), Tokens(unread)))
-            }
-            _ => Err(self.give_up()),
+        let Some(index) = node.policies.pick(policy, ask, &candidates) else {
+            return Err(self.give_up());
+        };
+        let cached = u64::from(candidates[index].matched) * BLOCK_TOKENS as u64;
+        let (engine, version) = engines[index];
+        let unread = self.prefix(version).tokens.0.saturating_sub(cached);
+        let ahead = Tokens(candidates[index].pending.0 + unread);
+        self.admit(node, engine.slot, ahead)?;
+        Ok(Choice { engine: engine.clone(), unread: Tokens(unread), ahead })
+    }
+
+    /// Whether the next attempt may be made, behind `ahead` prompt tokens.
+    fn admit(&mut self, node: &Node, slot: Slot, ahead: Tokens) -> Result<(), Error> {
+        if self.attempts == ATTEMPTS {
+            return Err(self.give_up());
+        }
+        let begun = self.order.resume_from > 0;
+        let wait = node.pace[usize::from(slot.0)].wait(ahead).unwrap_or_default();
+        if !begun && self.started.elapsed() + wait > self.limit {
+            node.counters.late.fetch_add(1, Ordering::Relaxed);
+            let late = Error::Late(self.workspace.to_string(), wait, self.limit);
+            return Err(self.last.take().unwrap_or(late));
+        }
+        if self.attempts > 0 && !node.budget.take() {
+            node.counters.unretried.fetch_add(1, Ordering::Relaxed);
+            return Err(self.give_up());
         }
+        self.attempts += 1;
+        Ok(())
+    }
+
+    /// How much longer the caller waits for the first token, if it named a
+    /// deadline and has not had one.
+    pub fn left(&self) -> Option<Duration> {
+        let waiting = self.deadline && self.order.resume_from == 0;
+        waiting.then(|| self.limit.saturating_sub(self.started.elapsed()))
     }
 
     fn candidate(&mut self, node: &Node, engine: &Engine, version: ModelVersion) -> Candidate {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use cadence::{BufferedUdpMetricSink, QueuingMetricSink, StatsdClient};
+use marjoram_core::admission::{Budget, Pace};
 use marjoram_core::cache::{MAX_SLOTS, Picture, Slot};
 use marjoram_core::claims::Claims;
 use marjoram_core::config::{Config, Routing};
@@ -25,6 +26,11 @@
 use crate::options::Settings;
 use crate::peer::Links;
 
+/// Second attempts allowed, in thousandths of the requests.
+const RETRY_SHARE: u32 = 200;
+/// Second attempts allowed at once beyond that share.
+const RETRY_RESERVE: u32 = 20;
+
 /// Low bits of a request id that count this process's requests.
 const ID_BITS: u32 = 24;
 
@@ -83,6 +89,10 @@
     pub failed: AtomicU64,
     /// Attempts that moved to another engine before it accepted.
     pub retried: AtomicU64,
+    /// Requests refused because every queue was too long.
+    pub late: AtomicU64,
+    /// Second attempts not made because the budget was spent.
+    pub unretried: AtomicU64,
     /// Streams resumed on another engine after a break.
     pub resumed: AtomicU64,
     /// Cache events applied.
@@ -107,6 +117,10 @@
     pub inflight: [AtomicU32; MAX_SLOTS],
     /// Prompt tokens sent from this node and not yet read, by slot.
     pub pending: [AtomicU64; MAX_SLOTS],
+    /// How fast each engine reads prompts, by slot.
+    pub pace: [Pace; MAX_SLOTS],
+    /// Second attempts this node may make.
+    pub budget: Budget,
     /// Requests each engine last reported beyond this node's own, by slot.
     pub others: [AtomicU32; MAX_SLOTS],
     /// Engines this node could not reach, by slot.
@@ -155,6 +169,8 @@
             policies: policy::Router::new(),
             inflight: std::array::from_fn(|_| AtomicU32::new(0)),
             pending: std::array::from_fn(|_| AtomicU64::new(0)),
+            pace: std::array::from_fn(|_| Pace::new()),
+            budget: Budget::new(RETRY_SHARE, RETRY_RESERVE),
             others: std::array::from_fn(|_| AtomicU32::new(0)),
             down: std::array::from_fn(|_| AtomicBool::new(false)),
             configured: AtomicBool::new(false),
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -16,6 +16,7 @@
 
 use marjoram_core::claims::{Answer, ClaimRecord, Decision};
 use marjoram_core::ids::{Offset, RequestId};
+use marjoram_core::wire::IDEMPOTENCY_KEY;
 use ntex::http::client::Client;
 use ntex::http::client::error::SendRequestError;
 use ntex::util::Bytes;
@@ -106,10 +107,8 @@
 
 async fn send(log: &Log, service: &str, path: &str, key: &str, owner: &str, body: Bytes) -> Reply {
     let url = format!("http://{service}/v1/{path}");
-    let sent = CLIENT
-        .with(|client| client.post(&url).header(marjoram_core::wire::IDEMPOTENCY_KEY, key))
-        .send_body(body)
-        .await;
+    let sent =
+        CLIENT.with(|client| client.post(&url).header(IDEMPOTENCY_KEY, key)).send_body(body).await;
     let mut response = match sent {
         Ok(response) => response,
         Err(SendRequestError::Connect(e)) => {
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -41,6 +41,9 @@
     pub log_retention: Duration,
     /// Longest silence inside an engine's stream.
     pub stream_idle: Duration,
+    /// Longest expected wait for the first token of a request that names no
+    /// deadline; batch requests may wait four times as long.
+    pub max_wait: Duration,
     /// Worker threads serving callers.
     pub workers: usize,
     /// Write logs as JSON.
@@ -83,6 +86,12 @@
         "ms of silence after which a stream is resumed elsewhere [3000]",
         "MS",
     );
+    opts.optopt(
+        "",
+        "max-wait-ms",
+        "ms of expected wait over which a request is refused [10000]",
+        "MS",
+    );
     opts.optopt("", "workers", "threads serving callers [2]", "N");
     opts.optopt("", "log-format", "text or json [text]", "FORMAT");
     let m = opts.parse(args).map_err(|e| Error::Usage(e.to_string()))?;
@@ -117,6 +126,7 @@
         lease_ttl: Duration::from_millis(at_least(&m, "lease-ttl-ms", 3_000, 300)?),
         log_retention: Duration::from_secs(at_least(&m, "log-retention-s", 3_600, 30)?),
         stream_idle: Duration::from_millis(at_least(&m, "stream-idle-ms", 3_000, 100)?),
+        max_wait: Duration::from_millis(at_least(&m, "max-wait-ms", 10_000, 1)?),
         workers: at_least(&m, "workers", 2, 1)?,
         json_logs,
     })))
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -149,7 +149,8 @@
         .ok_or_else(|| Error::UnknownWorkspace(peer.into(), workspace.to_string()))?;
     let id = RequestId(node.request_id());
     let streamed = request.stream;
-    let mut job = Job::new(id, workspace, request, routing);
+    node.budget.earn();
+    let mut job = Job::new(id, workspace, request, routing, node.settings.max_wait);
     let opened = forward::open(node, &mut job).await?;
     match streamed {
         true => {
@@ -205,11 +206,8 @@
 
 fn reply_error(error: &Error) -> HttpResponse {
     let mut builder = HttpResponse::build(error.status());
-    let status = error.status();
-    if status == ntex::http::StatusCode::SERVICE_UNAVAILABLE
-        || status == ntex::http::StatusCode::CONFLICT
-    {
-        builder.header("retry-after", "1");
+    if let Some(wait) = error.retry_after() {
+        builder.header("retry-after", wait.as_secs_f64().ceil().max(1.0).to_string());
     }
     builder.json(&error.body())
 }
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -108,6 +108,7 @@
                 calls: opts.calls,
                 rate: opts.rate,
                 callers: CALLERS,
+                deadline_ms: opts.deadline_ms,
                 seed: opts.seed,
                 service: Some(service.clone()),
                 horizon_ms: 10_000,
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -107,6 +107,7 @@
     ask_route(&client, &opts.routers, 0).await?;
     let callers: Rc<Vec<Caller>> = Rc::new((0..opts.callers).map(|_| Caller::default()).collect());
     let routers = Rc::new(opts.routers.clone());
+    let deadline_ms = opts.deadline_ms;
     let run = Rc::new(RefCell::new(Run {
         nonce: rand::random(),
         refused_keys: Vec::new(),
@@ -129,7 +130,9 @@
         tasks.push(ntex::rt::spawn(async move {
             let name = index % callers.len();
             match callers[name].router(&client, &routers, name).await {
-                Some(router) if !send(&client, &router, call, &run).await => callers[name].forget(),
+                Some(router) if !send(&client, &router, call, deadline_ms, &run).await => {
+                    callers[name].forget()
+                }
                 Some(_) => {}
                 None => run.borrow_mut().measures.lost += 1,
             }
@@ -182,7 +185,13 @@
 }
 
 /// Sends one call; false when the router could not be reached.
-async fn send(client: &Client, router: &str, call: Call, run: &RefCell<Run>) -> bool {
+async fn send(
+    client: &Client,
+    router: &str,
+    call: Call,
+    deadline_ms: Option<u64>,
+    run: &RefCell<Run>,
+) -> bool {
     match call {
         Call::Completion { workspace, prompt, max_tokens, priority } => {
             let request = CompletionRequest {
@@ -191,6 +200,7 @@
                 max_tokens,
                 stream: true,
                 priority,
+                deadline_ms,
             };
             complete(client, router, request, run).await
         }
@@ -281,7 +291,8 @@
                 run.borrow_mut().refused_keys.push(key.to_string());
             }
         }
-        Err(_) => {
+        Err(error) => {
+            tracing::warn!(target: "load", "load: call to {router} failed: {error}.");
             run.borrow_mut().measures.lost += 1;
             return false;
         }
@@ -298,6 +309,8 @@
             true
         }
         _ => {
+            let text = String::from_utf8_lossy(body);
+            tracing::info!(target: "load", "load: a call failed: {text}.");
             run.measures.lost += 1;
             false
         }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -108,6 +108,8 @@
     pub callers: usize,
     /// Workload seed.
     pub seed: u64,
+    /// Deadline for the first token, in milliseconds, if any.
+    pub deadline_ms: Option<u64>,
     /// Address of the plain service, to count repeated calls.
     pub service: Option<String>,
     /// Milliseconds a block counts as held after it was computed.
@@ -131,6 +133,8 @@
     pub seed: u64,
     /// Kill an engine and cut the log service during each run.
     pub faults: bool,
+    /// Deadline for the first token, in milliseconds, if any.
+    pub deadline_ms: Option<u64>,
     /// Policies to run, in order.
     pub policies: Vec<PolicyName>,
 }
@@ -260,6 +264,7 @@
     opts.optopt("", "rate", "calls a second [40]", "N");
     opts.optopt("", "callers", "callers taking turns [16]", "N");
     opts.optopt("", "seed", "workload seed [1]", "N");
+    opts.optopt("", "deadline-ms", "ms to the first token, named to the router [none]", "MS");
     opts.optopt("", "service", "plain service address, to count repeats", "ADDR");
     opts.optopt("", "horizon-ms", "ms a computed block counts as held [10000]", "MS");
     let m = matches(&opts, args, "load")?;
@@ -274,6 +279,7 @@
         rate: positive(setting(&m, "rate", 40)?, "rate")?,
         callers: positive(setting(&m, "callers", CALLERS)?, "callers")?,
         seed: setting(&m, "seed", 1)?,
+        deadline_ms: optional(&m, "deadline-ms")?,
         service: optional(&m, "service")?,
         horizon_ms: setting(&m, "horizon-ms", 10_000)?,
     }))
@@ -286,6 +292,7 @@
     opts.optopt("", "routers", "routers to start [2]", "N");
     opts.optopt("", "port", "first port; the demo uses the next 20 [17100]", "PORT");
     opts.optopt("", "seed", "workload seed [1]", "N");
+    opts.optopt("", "deadline-ms", "ms to the first token, named to the routers [none]", "MS");
     opts.optopt("", "policies", "comma-separated policies to run [all]", "NAMES");
     opts.optflag("", "faults", "kill an engine and cut the log service in each run");
     let m = matches(&opts, args, "demo")?;
@@ -300,6 +307,7 @@
         port: setting(&m, "port", 17100)?,
         seed: setting(&m, "seed", 1)?,
         faults: m.opt_present("faults"),
+        deadline_ms: optional(&m, "deadline-ms")?,
         policies: policies(&m)?,
     }))
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -50,7 +50,13 @@
     .map_err(|e| Error::Io("serve", listen, e))
 }
 
-async fn alert(service: types::State<&'static Service>, request: HttpRequest) -> HttpResponse {
+/// Runs a call. It reads the body although it needs none of it: a server
+/// that closes with unread bytes resets the connection, answer and all.
+async fn alert(
+    service: types::State<&'static Service>,
+    request: HttpRequest,
+    _body: ntex::util::Bytes,
+) -> HttpResponse {
     let key = request
         .headers()
         .get(IDEMPOTENCY_KEY)
