--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -63,8 +63,27 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
-    /// Body, as text.
-    pub body: String,
+    /// Its content type.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kind: Option<String>,
+    /// Body; base64 on the wire, since it need not be text.
+    #[serde(with = "base64_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// Bytes as a base64 string.
+mod base64_bytes {
+    use base64::prelude::{BASE64_STANDARD, Engine as _};
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&BASE64_STANDARD.encode(bytes))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
+        let text = String::deserialize(from)?;
+        BASE64_STANDARD.decode(text).map_err(serde::de::Error::custom)
+    }
 }
 
 /// What a claimant should do.
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -261,9 +261,13 @@
     pub dc: String,
 }
 
-/// Answer of `GET /v1/hosts` on the host list.
+/// Answer of `GET /v1/hosts?version=N` on the host list; 304 when N is
+/// still its version.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct HostList {
+    /// Changes with the list; meaningful only to the host list that gave it.
+    #[serde(default)]
+    pub version: u64,
     /// Every known host.
     pub hosts: Vec<HostEntry>,
 }
--- a/crates/core/tests/claims_model.rs
+++ b/crates/core/tests/claims_model.rs
@@ -164,7 +164,7 @@
                 match decision {
                     Decision::Send => {
                         attempt.stage = Stage::Sent;
-                        let answer = Answer { status: 200, body: owner.clone() };
+                        let answer = Answer { status: 200, kind: None, body: owner.clone().into() };
                         let base = world.base;
                         let sends = world.sent.entry(key.clone()).or_default();
                         let kept: Vec<_> = sends.iter().filter(|(_, last)| *last >= base).collect();
@@ -189,7 +189,7 @@
                     world.attempts[index].stage = Stage::Over;
                     let Attempt { key, owner, .. } = world.attempts[index].clone();
                     if !crash {
-                        let answer = Answer { status: 200, body: owner.clone() };
+                        let answer = Answer { status: 200, kind: None, body: owner.clone().into() };
                         let record = ClaimRecord::Outcome {
                             key: key.clone(),
                             owner,
@@ -220,7 +220,7 @@
         for attempt in world.attempts.iter().filter(|a| a.not_run) {
             let sent = world.sent.get(&attempt.key).into_iter().flatten();
             assert!(
-                sent.into_iter().all(|(a, _)| a.body != attempt.owner),
+                sent.into_iter().all(|(a, _)| a.body != attempt.owner.as_bytes()),
                 "{} said not run but sent",
                 attempt.owner
             );
--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -28,8 +28,14 @@
 use crate::log::{self, Conditional, Log};
 use crate::node::{Engine, Node};
 
-/// Pause between looks at the lease, as a share of its time to live.
+/// Pause between looks at the lease, as a share of its time to live, while
+/// the fleet has at most [`SMALL_FLEET`] routers.
 const LOOKS: u32 = 6;
+/// In a larger fleet routers that are not the keeper look the more rarely,
+/// so that the log service is not read more often by more routers.
+const SMALL_FLEET: u32 = 9;
+/// Longest pause between looks.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 /// Pause between rounds of duties.
 const ROUND: Duration = Duration::from_millis(500);
 /// Least time between two snapshots.
@@ -48,7 +54,17 @@
         if let Err(error) = look(&node, &log).await {
             tracing::debug!(target: "duty", "duty: lease: {error}.");
         }
-        ntex::time::sleep(node.settings.lease_ttl / LOOKS).await;
+        ntex::time::sleep(pause(&node)).await;
+    }
+}
+
+/// How long to wait before the next look at the lease.
+fn pause(node: &Node) -> Duration {
+    let shortest = node.settings.lease_ttl / LOOKS;
+    let routers = node.pool.load().routers.len() as u32;
+    match node.token() {
+        Some(_) => shortest,
+        None => (shortest * routers / SMALL_FLEET).clamp(shortest, LONGEST_PAUSE.max(shortest)),
     }
 }
 
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -18,7 +18,9 @@
 use marjoram_core::config::{Applied, Config, Record};
 use marjoram_core::feed;
 use marjoram_core::wire::{CacheEvents, HostList, HostState, LoadReport, LogRead, Role};
+use ntex::http::StatusCode;
 use ntex::http::client::Client;
+use serde::de::DeserializeOwned;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::duty;
@@ -27,9 +29,11 @@
 use crate::node::{Active, Engine, Node, Pool};
 
 /// Pause between reads of the config stream.
-const CONFIG_EVERY: Duration = Duration::from_millis(200);
+const CONFIG_EVERY: Duration = Duration::from_millis(500);
 /// Pause between reads of the host list.
 const HOSTS_EVERY: Duration = Duration::from_millis(300);
+/// Largest answer read.
+const BODY_LIMIT: usize = 64 << 20;
 /// Longest wait for the host list.
 const HOSTS_LIMIT: Duration = Duration::from_secs(1);
 /// Pause between looks for engines not yet followed.
@@ -39,7 +43,7 @@
 /// Pause between reads of an engine's events.
 const EVENTS_EVERY: Duration = Duration::from_millis(50);
 /// Pause between reads of an engine's load report.
-const LOAD_EVERY: Duration = Duration::from_millis(250);
+const LOAD_EVERY: Duration = Duration::from_millis(500);
 /// Longest wait for an engine's answer, the wait it was asked for aside.
 const ENGINE_LIMIT: Duration = Duration::from_millis(1000);
 
@@ -124,10 +128,14 @@
 pub async fn hosts(node: Arc<Node>) {
     let client = Client::new();
     let mut slots: HashMap<String, Slot> = HashMap::new();
-    let url = format!("http://{}/v1/hosts", node.settings.host_list);
+    let mut version = None;
     loop {
-        match get_json::<HostList>(&client, &url, HOSTS_LIMIT).await {
-            Ok(list) => {
+        let known = version.map(|v: u64| format!("?version={v}")).unwrap_or_default();
+        let url = format!("http://{}/v1/hosts{known}", node.settings.host_list);
+        match read_json::<HostList>(&client, &url, HOSTS_LIMIT).await {
+            Ok(None) => {}
+            Ok(Some(list)) => {
+                version = Some(list.version);
                 node.pool.store(Arc::new(pool(&node, &list, &mut slots)));
                 node.refresh_entries();
             }
@@ -281,15 +289,27 @@
     node.counters.gaps.fetch_add(taken.gaps, Ordering::Relaxed);
 }
 
-async fn get_json<T: serde::de::DeserializeOwned>(
+/// The JSON body at `url`.
+async fn get_json<T: DeserializeOwned>(
     client: &Client,
     url: &str,
     limit: Duration,
 ) -> Result<T, String> {
+    read_json(client, url, limit).await?.ok_or_else(|| "not modified".into())
+}
+
+/// The JSON body at `url`; `None` when it is not modified.
+async fn read_json<T: DeserializeOwned>(
+    client: &Client,
+    url: &str,
+    limit: Duration,
+) -> Result<Option<T>, String> {
     let mut response = client.get(url).timeout(limit).send().await.map_err(|e| e.to_string())?;
-    if !response.status().is_success() {
-        return Err(format!("status {}", response.status()));
+    match response.status() {
+        StatusCode::NOT_MODIFIED => return Ok(None),
+        status if !status.is_success() => return Err(format!("status {status}")),
+        _ => {}
     }
-    let body = response.body().limit(64 << 20).await.map_err(|e| e.to_string())?;
-    serde_json::from_slice(&body).map_err(|e| e.to_string())
+    let body = response.body().limit(BODY_LIMIT).await.map_err(|e| e.to_string())?;
+    serde_json::from_slice(&body).map(Some).map_err(|e| e.to_string())
 }
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -19,6 +19,7 @@
 use marjoram_core::wire::IDEMPOTENCY_KEY;
 use ntex::http::client::Client;
 use ntex::http::client::error::SendRequestError;
+use ntex::http::header::CONTENT_TYPE;
 use ntex::util::Bytes;
 
 use crate::clock;
@@ -32,7 +33,7 @@
 /// well before the log service drops it (see `marjoram_core::claims`).
 const CLAIM_FRESH: Duration = Duration::from_secs(10);
 /// Pause between background reads of the claims stream.
-const FOLLOW_EVERY: Duration = Duration::from_millis(500);
+const FOLLOW_EVERY: Duration = Duration::from_secs(2);
 
 thread_local! {
     static CLIENT: Client = Client::build().timeout(SERVICE_LIMIT).finish();
@@ -46,28 +47,87 @@
     Refused(Error),
 }
 
-/// Sends `body` to `service` at `path` at most once under `key`.
-pub async fn call(node: &Arc<Node>, service: &str, path: &str, key: &str, body: Bytes) -> Reply {
+/// A call to a plain service.
+pub struct Call {
+    /// Live runners of the service, in the order to try them.
+    pub services: Vec<String>,
+    /// The call's path at the service, without `/v1/`.
+    pub path: String,
+    /// The caller's body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Sends the call to the first runner that takes the connection; a
+    /// refused one has not seen it.
+    async fn send(&self, key: Option<&str>) -> Result<Answer, Error> {
+        let mut refused = Error::NoService(self.path.clone());
+        for service in &self.services {
+            match self.send_to(service, key).await {
+                Err(error @ Error::Connect(..)) => refused = error,
+                sent => return sent,
+            }
+        }
+        Err(refused)
+    }
+
+    async fn send_to(&self, service: &str, key: Option<&str>) -> Result<Answer, Error> {
+        let failed = |step, why| Error::Engine(step, service.to_string(), why);
+        let url = format!("http://{service}/v1/{}", self.path);
+        let mut request = CLIENT.with(|client| client.post(&url));
+        if let Some(key) = key {
+            request = request.header(IDEMPOTENCY_KEY, key);
+        }
+        let mut response = match request.send_body(self.body.clone()).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(e)) => {
+                return Err(Error::Connect(service.to_string(), e.to_string()));
+            }
+            Err(e) => return Err(failed("send", e.to_string())),
+        };
+        let kind = response.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+        let (status, kind) = (response.status().as_u16(), kind.map(str::to_owned));
+        let body = response.body().await.map_err(|e| failed("answer", e.to_string()))?;
+        Ok(Answer { status, kind, body: body.to_vec() })
+    }
+}
+
+/// Sends `call` once, without any claim.
+pub async fn call_plain(call: Call) -> Reply {
+    match call.send(None).await {
+        Ok(answer) => Reply::Answer(answer, false),
+        Err(error) => Reply::Refused(error),
+    }
+}
+
+/// Sends `call` at most once under `key`.
+pub async fn call(node: &Arc<Node>, key: &str, call: Call) -> Reply {
     let owner = format!("{}/{}", node.settings.advertise, RequestId(node.request_id()));
     let log = Log::new(node.settings.log_service);
     let begun = clock::now();
     let claim = ClaimRecord::Claim { key: key.into(), owner: owner.clone() };
-    match hold(node, &log, &claim, key, &owner).await {
+    let error = match hold(node, &log, &claim, key, &owner).await {
         Ok(Decision::Send) if clock::now() < begun + CLAIM_FRESH => {
-            send(&log, service, path, key, &owner, body).await
+            match call.send(Some(key)).await {
+                Ok(answer) => {
+                    record(&log, key, &owner, &answer).await;
+                    return Reply::Answer(answer, false);
+                }
+                Err(error @ Error::Engine(..)) => return Reply::Refused(error),
+                Err(error) => error,
+            }
         }
-        Ok(Decision::Done(answer)) => Reply::Answer(answer, true),
-        Ok(Decision::Held(_)) => Reply::Refused(Error::Held(key.into())),
+        Ok(Decision::Done(answer)) => return Reply::Answer(answer, true),
+        Ok(Decision::Held(_)) => return Reply::Refused(Error::Held(key.into())),
         Ok(Decision::Send | Decision::Unseen) => {
-            abandon(&log, key, &owner).await;
-            let why = "own claim not found in time".to_string();
-            Reply::Refused(Error::Claim("read claims", node.settings.log_service.to_string(), why))
+            let log = node.settings.log_service.to_string();
+            Error::Claim("read claims", log, "own claim not found in time".into())
         }
-        Err(error) => {
-            abandon(&log, key, &owner).await;
-            Reply::Refused(error)
-        }
-    }
+        Err(error) => error,
+    };
+    // Nothing was sent.
+    abandon(&log, key, &owner).await;
+    Reply::Refused(error)
 }
 
 /// Claims `key` for `owner` and reads back what that came to.
@@ -86,49 +146,13 @@
     Ok(node.claims.lock().unwrap().decide(key, owner, claimed))
 }
 
-/// Sends a call with no idempotency key once, without any claim.
-pub async fn call_plain(service: &str, path: &str, body: Bytes) -> Reply {
-    let url = format!("http://{service}/v1/{path}");
-    let sent = CLIENT.with(|client| client.post(&url)).send_body(body).await;
-    match sent {
-        Ok(mut response) => match response.body().await {
-            Ok(bytes) => {
-                let body = String::from_utf8_lossy(&bytes).into_owned();
-                Reply::Answer(Answer { status: response.status().as_u16(), body }, false)
-            }
-            Err(e) => Reply::Refused(Error::Engine("answer", service.into(), e.to_string())),
-        },
-        Err(SendRequestError::Connect(e)) => {
-            Reply::Refused(Error::Connect(service.into(), e.to_string()))
-        }
-        Err(e) => Reply::Refused(Error::Engine("send", service.into(), e.to_string())),
-    }
-}
-
-async fn send(log: &Log, service: &str, path: &str, key: &str, owner: &str, body: Bytes) -> Reply {
-    let url = format!("http://{service}/v1/{path}");
-    let sent =
-        CLIENT.with(|client| client.post(&url).header(IDEMPOTENCY_KEY, key)).send_body(body).await;
-    let mut response = match sent {
-        Ok(response) => response,
-        Err(SendRequestError::Connect(e)) => {
-            abandon(log, key, owner).await;
-            return Reply::Refused(Error::Connect(service.into(), e.to_string()));
-        }
-        Err(e) => return Reply::Refused(Error::Engine("send", service.into(), e.to_string())),
-    };
-    let status = response.status().as_u16();
-    let text = match response.body().await {
-        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-        Err(e) => return Reply::Refused(Error::Engine("answer", service.into(), e.to_string())),
-    };
-    let answer = Answer { status, body: text };
+/// Records the holder's answer for later claims.
+async fn record(log: &Log, key: &str, owner: &str, answer: &Answer) {
     let outcome =
         ClaimRecord::Outcome { key: key.into(), owner: owner.into(), answer: answer.clone() };
     if let Err(error) = log.append(log::CLAIMS, &outcome).await {
         tracing::warn!(target: "once", "once: outcome of {key} not recorded: {error}.");
     }
-    Reply::Answer(answer, false)
 }
 
 /// Best effort: tells later claims that `owner` never sent the call.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -22,6 +22,7 @@
 };
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, types};
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 
 use crate::duty;
@@ -224,22 +225,23 @@
     body: Bytes,
 ) -> HttpResponse {
     let node: Arc<Node> = node.get_ref().clone();
-    let pool = node.pool.load();
+    if node.draining.load(Ordering::Acquire) {
+        return reply_error(&Error::Draining);
+    }
+    let mut services = node.pool.load().services.clone();
+    services.shuffle(&mut rand::rng());
+    let call = once::Call { services, path: name.into_inner(), body };
     let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
-    let (Some(service), false) = (pool.services.first(), node.draining.load(Ordering::Acquire))
-    else {
-        return reply_error(&Error::NoService(name.into_inner()));
-    };
     let reply = match key {
-        Some(key) => once::call(&node, service, name.as_str(), key, body).await,
-        None => once::call_plain(service, name.as_str(), body).await,
+        Some(key) => once::call(&node, key, call).await,
+        None => once::call_plain(call).await,
     };
     match reply {
         once::Reply::Answer(answer, replayed) => {
             let status = ntex::http::StatusCode::from_u16(answer.status)
                 .unwrap_or(ntex::http::StatusCode::BAD_GATEWAY);
             HttpResponse::build(status)
-                .content_type("application/json")
+                .content_type(answer.kind.as_deref().unwrap_or("application/octet-stream"))
                 .header("idempotent-replayed", if replayed { "true" } else { "false" })
                 .body(answer.body)
         }
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -147,6 +147,15 @@
         wait_listening(&addr);
     }
 
+    /// Starts a second plain service, not yet listed; its address.
+    pub fn start_second_service(&mut self) -> String {
+        let first: std::net::SocketAddr = self.service.parse().expect("ip:port");
+        let addr = format!("127.0.0.1:{}", first.port() + 1);
+        self.spawn("service2", standin_bin(), &["service", "--listen", &addr]);
+        wait_listening(&addr);
+        addr
+    }
+
     /// Starts router `i`.
     pub fn start_router(&mut self, i: usize) {
         let addr = self.routers[i].clone();
--- a/crates/router/tests/upstreams.rs
+++ b/crates/router/tests/upstreams.rs
@@ -68,3 +68,37 @@
         assert_eq!(answer.usage.cached_tokens.0, 0, "the new engine had nothing cached");
     });
 }
+
+#[test]
+fn leaving_service_gets_no_new_calls_and_a_dead_one_is_passed_over() {
+    let mut site = Site::start(1, 1, &[]);
+    let second = site.start_second_service();
+    run(async move {
+        let router = site.routers[0].clone();
+        let services = |count: usize| {
+            let router = router.clone();
+            wait_for(move || {
+                let router = router.clone();
+                async move {
+                    let listed = state(&router).await?["services"].as_array()?.len();
+                    (listed == count).then_some(())
+                }
+            })
+        };
+        put_host(&site.hosts, &host(&second, Role::Service, HostState::Live)).await;
+        services(2).await;
+        // The first dies; the host list has not noticed.
+        site.kill("service");
+        let url = format!("http://{}/v1/services/alerts", site.routers[0]);
+        for _ in 0..8 {
+            let (status, text) = post(&url, "short shot").await;
+            assert_eq!(status, 200, "{text}");
+        }
+        put_host(&site.hosts, &host(&site.service, Role::Service, HostState::Leaving)).await;
+        put_host(&site.hosts, &host(&second, Role::Service, HostState::Leaving)).await;
+        services(0).await;
+        let (status, text) = post(&url, "short shot").await;
+        assert_eq!(status, 503, "the leaving service gets nothing: {text}");
+        assert!(text.contains(r#""not_run":true"#), "{text}");
+    });
+}
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -2,7 +2,7 @@
 //!
 //! Hosts are put in with `PUT /v1/hosts` (a [`HostEntry`]; the same address
 //! again replaces it) and listed with `GET /v1/hosts`, which answers the
-//! list as it stood `lag_ms` ago.
+//! list as it stood `lag_ms` ago, or 304 when the reader has that version.
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -10,6 +10,7 @@
 
 use marjoram_core::wire::{HostEntry, HostList};
 use ntex::web::{self, HttpResponse, types};
+use serde::Deserialize;
 
 use crate::error::Error;
 use crate::options::HostsOptions;
@@ -19,11 +20,18 @@
     history: Mutex<VecDeque<(Instant, HostList)>>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Known {
+    version: Option<u64>,
+}
+
 /// Serves the host list until stopped.
 pub async fn serve(opts: HostsOptions) -> Result<(), Error> {
     let listen = opts.listen.clone();
     let mut history = VecDeque::new();
-    history.push_back((Instant::now(), HostList::default()));
+    // Versions of another life of this process must not be taken for ours.
+    let version = rand::random::<u32>().into();
+    history.push_back((Instant::now(), HostList { version, hosts: Vec::new() }));
     let hosts: &'static Hosts = Box::leak(Box::new(Hosts {
         lag: Duration::from_millis(opts.lag_ms),
         history: Mutex::new(history),
@@ -49,15 +57,19 @@
     let mut list = history.back().map(|(_, list)| list.clone()).unwrap_or_default();
     list.hosts.retain(|host| host.addr != entry.addr);
     list.hosts.push(entry);
+    list.version += 1;
     history.push_back((Instant::now(), list));
     HttpResponse::NoContent().finish()
 }
 
-async fn get(hosts: types::State<&'static Hosts>) -> HttpResponse {
+async fn get(hosts: types::State<&'static Hosts>, query: types::Query<Known>) -> HttpResponse {
     let now = Instant::now();
     let mut history = hosts.history.lock().unwrap();
     while history.len() > 1 && now.duration_since(history[1].0) >= hosts.lag {
         history.pop_front();
     }
-    HttpResponse::Ok().json(&history[0].1)
+    match &history[0].1 {
+        list if query.version == Some(list.version) => HttpResponse::NotModified().finish(),
+        list => HttpResponse::Ok().json(list),
+    }
 }
