--- a/crates/core/benches/memory.rs
+++ b/crates/core/benches/memory.rs
@@ -1,9 +1,10 @@
-//! Heap bytes of the cache picture per block entry, and of the
-//! configuration per workspace, measured with dhat's heap counters.
+//! Heap bytes of the cache picture per block entry, of the configuration
+//! per workspace and of a claim, measured with dhat's heap counters.
 //!
 //! Run with `cargo bench -p marjoram-core --bench memory`.
 
 use marjoram_core::cache::{Life, Picture, Slot};
+use marjoram_core::claims::{Answer, ClaimRecord, Claims};
 use marjoram_core::config::{Config, Record};
 use marjoram_core::ids::{BlockHash, Offset, WorkspaceId};
 
@@ -14,6 +15,29 @@
     dhat::HeapStats::get().curr_bytes as u64
 }
 
+/// Heap and wire bytes of one finished at-most-once call.
+fn claims() {
+    const CALLS: u64 = 10_000;
+    let before = heap();
+    let mut claims = Claims::new();
+    let mut wire = 0;
+    for i in 0..CALLS {
+        let (key, owner) = (format!("line4-{i:016}"), format!("10.0.0.5:8000/{i:016}"));
+        let answer = Answer { status: 200, kind: None, body: vec![b'x'; 64] };
+        let claim = ClaimRecord::Claim { key: key.clone(), owner: owner.clone() };
+        let outcome = ClaimRecord::Outcome { key, owner, answer };
+        for (step, record) in [claim, outcome].iter().enumerate() {
+            wire += serde_json::to_string(record).unwrap().len();
+            claims.apply(Offset(i * 2 + step as u64), record);
+        }
+    }
+    println!(
+        "claims: {:.0} bytes a call in memory, {} on the wire (64-byte answer)",
+        (heap() - before) as f64 / CALLS as f64,
+        wire as u64 / CALLS
+    );
+}
+
 fn main() {
     let _profiler = dhat::Profiler::builder().testing().build();
     for blocks in [100_000u64, 1_000_000] {
@@ -47,6 +71,11 @@
         "config: 1500 workspaces, {bytes} bytes, {:.0} bytes a workspace",
         bytes as f64 / 1500.0
     );
+    println!(
+        "config: snapshot of 1500 workspaces is {} bytes on the wire",
+        serde_json::to_string(&config).unwrap().len()
+    );
+    claims();
     let sample = Record::Workspace {
         id: "workspace-00001".parse().unwrap(),
         template: "t".into(),
--- a/crates/router/src/duty.rs
+++ b/crates/router/src/duty.rs
@@ -30,7 +30,7 @@
 
 /// Pause between looks at the lease, as a share of its time to live, while
 /// the fleet has at most [`SMALL_FLEET`] routers.
-const LOOKS: u32 = 6;
+const LOOKS: u32 = 3;
 /// In a larger fleet routers that are not the keeper look the more rarely,
 /// so that the log service is not read more often by more routers.
 const SMALL_FLEET: u32 = 9;
--- /dev/null
+++ b/crates/router/src/follow/hosts.rs
@@ -0,0 +1,87 @@
+//! Reads the host list and swaps in the pool of engines, routers and
+//! services; an engine gone from the list loses its entries.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use marjoram_core::cache::{MAX_SLOTS, Slot};
+use marjoram_core::wire::{HostList, HostState, Role};
+use ntex::http::client::Client;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::read_json;
+use crate::node::{Engine, Node, Pool};
+
+/// Pause between reads of the list.
+const EVERY: Duration = Duration::from_secs(1);
+/// Longest wait for an answer.
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// Follows the host list for ever.
+pub async fn hosts(node: Arc<Node>) {
+    let client = Client::new();
+    let mut slots: HashMap<String, Slot> = HashMap::new();
+    let mut version = None;
+    loop {
+        let known = version.map(|v: u64| format!("?version={v}")).unwrap_or_default();
+        let url = format!("http://{}/v1/hosts{known}", node.settings.host_list);
+        match read_json::<HostList>(&client, &url, LIMIT).await {
+            Ok(None) => {}
+            Ok(Some(list)) => {
+                version = Some(list.version);
+                node.pool.store(Arc::new(pool(&node, &list, &mut slots)));
+                node.refresh_entries();
+            }
+            Err(error) => {
+                tracing::debug!(target: "follow", "hosts: read from {} failed: {error}.", node.settings.host_list)
+            }
+        }
+        ntex::time::sleep(EVERY).await;
+    }
+}
+
+fn pool(node: &Node, list: &HostList, slots: &mut HashMap<String, Slot>) -> Pool {
+    let listed: Vec<_> = list.hosts.iter().filter(|h| h.role == Role::Engine).collect();
+    slots.retain(|addr, slot| {
+        let kept = listed.iter().any(|h| &h.addr == addr);
+        if !kept {
+            tracing::info!(target: "follow", "hosts: engine {addr} left the list.");
+            node.picture.clear(*slot);
+            node.cursors.lock().unwrap().remove(slot);
+        }
+        kept
+    });
+    let mut engines = Vec::new();
+    for host in listed {
+        let slot = match slots.get(&host.addr) {
+            Some(slot) => *slot,
+            None => {
+                let Some(free) =
+                    (0..MAX_SLOTS as u8).map(Slot).find(|s| !slots.values().any(|t| t == s))
+                else {
+                    tracing::warn!(target: "follow", "hosts: no slot left for engine {}.", host.addr);
+                    continue;
+                };
+                slots.insert(host.addr.clone(), free);
+                free
+            }
+        };
+        engines.push(Engine {
+            slot,
+            addr: host.addr.clone(),
+            key: xxh3_64(host.addr.as_bytes()),
+            dc: host.dc.clone(),
+            leaving: host.state == HostState::Leaving,
+        });
+    }
+    engines.sort_by_key(|e| e.slot);
+    let live = |role: Role| {
+        list.hosts.iter().filter(move |h| h.role == role && h.state == HostState::Live)
+    };
+    Pool {
+        engines,
+        routers: live(Role::Router).cloned().collect(),
+        services: live(Role::Service).map(|h| h.addr.clone()).collect(),
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/complete.rs
@@ -0,0 +1,111 @@
+//! `POST /v1/completions`: a completion, streamed or whole.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use futures::SinkExt;
+use futures::channel::mpsc;
+use marjoram_core::ids::{RequestId, WorkspaceId};
+use marjoram_core::wire::{Chunk, Completion, CompletionRequest};
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse};
+
+use super::{Shared, reply_error};
+use crate::error::Error;
+use crate::forward::{self, Out};
+use crate::job::Job;
+use crate::node::Node;
+
+type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
+
+pub async fn complete(node: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let node: Arc<Node> = node.get_ref().clone();
+    let peer = request.peer_addr().map(|a| a.to_string()).unwrap_or_else(|| "caller".into());
+    node.counters.requests.fetch_add(1, Ordering::Relaxed);
+    match accept(&node, &peer, &body).await {
+        Ok(response) => response,
+        Err(error) => {
+            node.counters.failed.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(target: "serve", "serve: refused: {error}.");
+            reply_error(&error)
+        }
+    }
+}
+
+async fn accept(node: &Arc<Node>, peer: &str, body: &[u8]) -> Result<HttpResponse, Error> {
+    if node.draining.load(Ordering::Acquire) {
+        return Err(Error::Draining);
+    }
+    let request: CompletionRequest =
+        serde_json::from_slice(body).map_err(|e| Error::Parse(peer.into(), e.to_string()))?;
+    if request.prompt.len() > node.settings.max_prompt {
+        return Err(Error::TooLarge(peer.into(), request.prompt.len(), node.settings.max_prompt));
+    }
+    let workspace: WorkspaceId = request
+        .workspace
+        .parse()
+        .map_err(|e: marjoram_core::Error| Error::Parse(peer.into(), e.to_string()))?;
+    if !node.configured.load(Ordering::Acquire) {
+        return Err(Error::NotConfigured);
+    }
+    let active = node.active.load();
+    let routing = *active
+        .routing
+        .get(&workspace)
+        .ok_or_else(|| Error::UnknownWorkspace(peer.into(), workspace.to_string()))?;
+    let id = RequestId(node.request_id());
+    let streamed = request.stream;
+    node.budget.earn();
+    let mut job = Job::new(id, workspace, request, routing, node.settings.max_wait);
+    let opened = forward::open(node, &mut job).await?;
+    match streamed {
+        true => {
+            let (tx, rx) = mpsc::channel(64);
+            ntex::rt::spawn(stream(node.clone(), job, opened, tx));
+            Ok(HttpResponse::Ok().content_type("text/event-stream").streaming(rx))
+        }
+        false => {
+            let mut whole = Whole(String::new(), opened.engine.addr.clone());
+            let usage = forward::pump(node, &mut job, opened, &mut whole).await?;
+            node.counters.answered.fetch_add(1, Ordering::Relaxed);
+            Ok(HttpResponse::Ok().json(&Completion { id, text: whole.0, usage, engine: whole.1 }))
+        }
+    }
+}
+
+async fn stream(node: Arc<Node>, mut job: Job, opened: forward::Opened, tx: Sender) {
+    let mut out = Sse(tx);
+    let id = job.id;
+    match forward::pump(&node, &mut job, opened, &mut out).await {
+        Ok(_) => {
+            node.counters.answered.fetch_add(1, Ordering::Relaxed);
+            let _ = out.0.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+        }
+        Err(error) => {
+            node.counters.failed.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(target: "serve", "serve: stream {id} ended early: {error}.");
+            let body = serde_json::to_string(&error.body()).unwrap_or_default();
+            let _ = out.0.send(Ok(Bytes::from(format!("event: error\ndata: {body}\n\n")))).await;
+        }
+    }
+}
+
+/// Server-sent events to the caller.
+struct Sse(Sender);
+
+impl Out for Sse {
+    async fn chunk(&mut self, chunk: &Chunk) -> bool {
+        let line = format!("data: {}\n\n", serde_json::to_string(chunk).unwrap_or_default());
+        self.0.send(Ok(Bytes::from(line))).await.is_ok()
+    }
+}
+
+/// The whole answer, gathered, and the engine that first took it.
+struct Whole(String, String);
+
+impl Out for Whole {
+    async fn chunk(&mut self, chunk: &Chunk) -> bool {
+        self.0.push_str(&chunk.text);
+        true
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/service.rs
@@ -0,0 +1,53 @@
+//! `POST /v1/services/{name}`: a call to a plain service.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use marjoram_core::wire::IDEMPOTENCY_KEY;
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse, types};
+use rand::seq::SliceRandom;
+
+use super::{Shared, reply_error};
+use crate::error::Error;
+use crate::node::Node;
+use crate::once;
+
+/// Forwards a call to a plain service.
+///
+/// With an idempotency key the call runs at most once (see `once`);
+/// without one it is sent once and never retried: a refused connection is
+/// answered "not run", anything later "outcome unknown".
+pub async fn call_service(
+    node: Shared,
+    name: types::Path<String>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let node: Arc<Node> = node.get_ref().clone();
+    if node.draining.load(Ordering::Acquire) {
+        return reply_error(&Error::Draining);
+    }
+    let mut services = node.pool.load().services.clone();
+    services.shuffle(&mut rand::rng());
+    let call = once::Call { services, path: name.into_inner(), body };
+    let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
+    let reply = match key {
+        Some(key) => once::call(&node, key, call).await,
+        None => once::call_plain(call).await,
+    };
+    match reply {
+        once::Reply::Answer(answer, replayed) => {
+            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            HttpResponse::build(status)
+                .content_type(answer.kind.as_deref().unwrap_or("application/octet-stream"))
+                .header("idempotent-replayed", if replayed { "true" } else { "false" })
+                .body(answer.body)
+        }
+        once::Reply::Refused(error) => {
+            tracing::info!(target: "serve", "serve: service call refused: {error}.");
+            reply_error(&error)
+        }
+    }
+}
--- a/crates/router/tests/at_most_once.rs
+++ b/crates/router/tests/at_most_once.rs
@@ -135,3 +135,27 @@
         assert_eq!((status, again, replayed), (200, body, true));
     });
 }
+
+/// A drawing is not text: its answer comes back byte for byte, live and
+/// replayed, with its content type.
+#[test]
+fn answers_are_kept_byte_for_byte() {
+    let site = Site::start(1, 2, &[]);
+    run(async move {
+        services_known(&site).await;
+        let drawing: Vec<u8> = (0..=255).collect();
+        for (router, replayed) in [(0, "false"), (1, "true")] {
+            let mut response = client()
+                .post(format!("http://{}/v1/services/echo", site.routers[router]))
+                .header(IDEMPOTENCY_KEY, "drawing-7-rev-b")
+                .send_body(drawing.clone())
+                .await
+                .unwrap();
+            let headers = response.headers();
+            assert_eq!(headers.get("idempotent-replayed").unwrap(), replayed);
+            assert_eq!(headers.get("content-type").unwrap(), "application/octet-stream");
+            assert_eq!(response.body().await.unwrap().to_vec(), drawing);
+        }
+        assert_eq!(runs(&site.service).await, 1);
+    });
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -2,7 +2,8 @@
 //!
 //! `POST /v1/alerts` runs the call and counts it under the request's
 //! idempotency key; the service itself does not deduplicate, so a repeat
-//! shows as a key run twice. `GET /v1/stats` answers [`Stats`];
+//! shows as a key run twice. `POST /v1/echo` runs the call too and answers its
+//! body as it came. `GET /v1/stats` answers [`Stats`];
 //! `GET /v1/runs/{key}` how often one key ran.
 
 use std::collections::HashMap;
@@ -39,6 +40,7 @@
         web::App::new()
             .state(service)
             .route("/v1/alerts", web::post().to(alert))
+            .route("/v1/echo", web::post().to(echo))
             .route("/v1/stats", web::get().to(stats))
             .route("/v1/runs/{key}", web::get().to(runs))
     })
@@ -57,16 +59,30 @@
     request: HttpRequest,
     _body: ntex::util::Bytes,
 ) -> HttpResponse {
-    let key = request
-        .headers()
-        .get(IDEMPOTENCY_KEY)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or("")
-        .to_owned();
-    *service.runs.lock().unwrap().entry(key.clone()).or_insert(0) += 1;
+    let key = service.run(&request);
     HttpResponse::Ok().json(&serde_json::json!({ "dispatched": key }))
 }
 
+/// Runs a call and answers its body.
+async fn echo(
+    service: types::State<&'static Service>,
+    request: HttpRequest,
+    body: ntex::util::Bytes,
+) -> HttpResponse {
+    service.run(&request);
+    HttpResponse::Ok().content_type("application/octet-stream").body(body)
+}
+
+impl Service {
+    /// Counts a call under its idempotency key, which it returns.
+    fn run(&self, request: &HttpRequest) -> String {
+        let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
+        let key = key.unwrap_or("").to_owned();
+        *self.runs.lock().unwrap().entry(key.clone()).or_insert(0) += 1;
+        key
+    }
+}
+
 /// How often the call with idempotency key `key` ran, as a bare number.
 async fn runs(service: types::State<&'static Service>, key: types::Path<String>) -> HttpResponse {
     let count = service.runs.lock().unwrap().get(key.as_str()).copied().unwrap_or(0);
