Streams that have begun are always resumed; one walk of the picture per decision

Change: begun streams are exempt from the budget (attempts stay at three); candidates are matched together, by version of their weights.

Ruled out: a larger reserve (any number is too small for some engine).

Failed first: every_stream_of_a_crowded_engine_is_resumed, 70 streams on two engines, with begun streams on the budget (an error event where a resumption was due).

Conclusion: retries stay bounded where nothing has been sent to the caller.

--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -1,5 +1,6 @@
 //! One caller request on its way through engines.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -107,7 +108,14 @@
             .collect();
         let candidates: Vec<Candidate> = engines
             .iter()
-            .map(|(engine, version)| self.candidate(node, engine, *version))
+            .zip(self.matched(node, &engines))
+            .map(|((engine, _), matched)| Candidate {
+                slot: engine.slot,
+                key: engine.key,
+                load: node.load(engine.slot),
+                pending: node.pending(engine.slot),
+                matched,
+            })
             .collect();
         let newest = engines.iter().map(|(_, version)| *version).max().unwrap_or_default();
         let (policy, params) = (self.routing.policy, self.routing.params);
@@ -135,7 +143,9 @@
             let late = Error::Late(self.workspace.to_string(), wait, self.limit);
             return Err(self.last.take().unwrap_or(late));
         }
-        if self.attempts > 0 && !node.budget.take() {
+        // A stream that has begun is always gone on with: what it may cost is
+        // bounded by the streams in flight, and a cut one is worth nothing.
+        if self.attempts > 0 && !begun && !node.budget.take() {
             node.counters.unretried.fetch_add(1, Ordering::Relaxed);
             return Err(self.give_up());
         }
@@ -150,16 +160,19 @@
         waiting.then(|| self.limit.saturating_sub(self.started.elapsed()))
     }
 
-    fn candidate(&mut self, node: &Node, engine: &Engine, version: ModelVersion) -> Candidate {
-        let blocks = &self.prefix(version).blocks;
-        let matched = node.picture.matched(blocks, &[engine.slot])[0];
-        Candidate {
-            slot: engine.slot,
-            key: engine.key,
-            load: node.load(engine.slot),
-            pending: node.pending(engine.slot),
-            matched,
+    /// Leading prompt blocks each engine is believed to hold, each matched
+    /// under its own weights: one walk of the picture per version.
+    fn matched(&mut self, node: &Node, engines: &[(&Engine, ModelVersion)]) -> Vec<u32> {
+        let mut matched = vec![0; engines.len()];
+        let versions: BTreeSet<ModelVersion> = engines.iter().map(|(_, v)| *v).collect();
+        for version in versions {
+            let group: Vec<usize> =
+                (0..engines.len()).filter(|&i| engines[i].1 == version).collect();
+            let slots: Vec<Slot> = group.iter().map(|&i| engines[i].0.slot).collect();
+            let found = node.picture.matched(&self.prefix(version).blocks, &slots);
+            group.into_iter().zip(found).for_each(|(i, blocks)| matched[i] = blocks);
         }
+        matched
     }
 
     /// The prompt's blocks under `version`, hashed at first use.
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -222,3 +222,27 @@
         assert_eq!((status, answer.error.not_run), (503, true), "{text}");
     });
 }
+
+/// More streams than the retry budget's reserve lose their engine at once.
+#[test]
+fn every_stream_of_a_crowded_engine_is_resumed() {
+    const STREAMS: usize = 70;
+    let args = ["--decode-ms", "100", "--batch-us", "0", "--slots", "100"];
+    let mut site = configured(2, &args, &[]);
+    run(async move {
+        let mut streams = Vec::new();
+        for _ in 0..STREAMS {
+            let response = open_stream(&site, 25).await;
+            streams.push(ntex::rt::spawn(read_stream(response, |_| {})));
+        }
+        ntex::time::sleep(std::time::Duration::from_millis(600)).await;
+        site.kill("engine0");
+        for stream in streams {
+            let (chunks, error) = stream.await.unwrap();
+            assert!(error.is_none(), "{error:?}");
+            assert_whole(&chunks, 25);
+        }
+        let dump = state(&site.routers[0]).await.unwrap();
+        assert!(dump["counters"]["resumed"].as_u64().unwrap() > 25, "most were under way");
+    });
+}
