A caller that leaves frees its engine; garbage on the link between routers harms nothing

Cause: the router noticed a caller's leaving only when it next had a chunk to send: an engine went on reading a prompt nobody wanted (12.8 s in the test), holding up others. The link between routers had no test of bad input.

Change: while waiting for a chunk the router looks whether the caller has gone (every 100 ms) and ends the request; the engine drops it at the end of its step.

Ruled out: watching the caller's socket (ntex already closes the answer's channel when it is gone).

Conclusion: work for callers that left ends within a step.

--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -86,6 +86,9 @@
 pub trait Out {
     /// Passes one chunk on; false when the caller has gone.
     async fn chunk(&mut self, chunk: &Chunk) -> bool;
+
+    /// Whether the caller is known to have gone.
+    fn gone(&self) -> bool;
 }
 
 /// Sends `job` to engines in turn until one accepts it.
@@ -186,7 +189,8 @@
             (true, None) => FIRST_CHUNK,
             (false, _) => node.settings.stream_idle,
         };
-        let event = match next(node, opened.engine.slot, &mut events, limit).await {
+        let event = match next(node, opened.engine.slot, &mut events, limit, || out.gone()).await {
+            Err(_) if out.gone() => return Err(caller_gone()),
             Err(_) if job.left().is_some_and(|left| left.is_zero()) => {
                 return Err(Error::Deadline(addr));
             }
@@ -215,7 +219,7 @@
             let _ = node.metrics.time("ttft", job.started.elapsed());
         }
         if !out.chunk(&chunk).await {
-            return Err(Error::Engine("reply", "caller".into(), "caller went away".into()));
+            return Err(caller_gone());
         }
         job.order.resume_from = due + 1;
         job.order.expect_version = Some(opened.version);
@@ -225,13 +229,18 @@
     }
 }
 
+fn caller_gone() -> Error {
+    Error::Engine("reply", "caller".into(), "caller went away".into())
+}
+
 /// The stream's next item, or how long it has been silent once that is over
-/// `limit` or the engine is found unreachable.
+/// `limit`, the engine is found unreachable or the caller has `gone`.
 async fn next<S: Stream + Unpin>(
     node: &Node,
     slot: Slot,
     events: &mut S,
     limit: Duration,
+    gone: impl Fn() -> bool,
 ) -> Result<Option<S::Item>, Duration> {
     let mut silent = Duration::ZERO;
     loop {
@@ -240,7 +249,7 @@
             Ok(item) => return Ok(item),
             Err(()) => silent += watch,
         }
-        if silent >= limit || node.is_down(slot) {
+        if silent >= limit || node.is_down(slot) || gone() {
             return Err(silent);
         }
     }
--- a/crates/router/src/serve/complete.rs
+++ b/crates/router/src/serve/complete.rs
@@ -98,6 +98,10 @@
         let line = format!("data: {}\n\n", serde_json::to_string(chunk).unwrap_or_default());
         self.0.send(Ok(Bytes::from(line))).await.is_ok()
     }
+
+    fn gone(&self) -> bool {
+        self.0.is_closed()
+    }
 }
 
 /// The whole answer, gathered, and the engine that first took it.
@@ -108,4 +112,8 @@
         self.0.push_str(&chunk.text);
         true
     }
+
+    fn gone(&self) -> bool {
+        false
+    }
 }
--- a/crates/router/tests/bad_input.rs
+++ b/crates/router/tests/bad_input.rs
@@ -46,3 +46,32 @@
         assert!(text.contains("over the limit of 200000"), "{text}");
     });
 }
+
+/// Bytes that are no call on the link between routers end that connection
+/// and nothing else.
+#[test]
+fn garbage_on_the_peer_link_harms_nothing() {
+    use std::io::{Read, Write};
+
+    let site = Site::start(1, 1, &[]);
+    let router: std::net::SocketAddr = site.routers[0].parse().unwrap();
+    let link = (router.ip(), router.port() + 50);
+    site::wait_listening(&format!("{}:{}", link.0, link.1));
+    let preface: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 4096], &[preface, &[0xff; 64]].concat()] {
+        let mut socket = std::net::TcpStream::connect(link).unwrap();
+        socket.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
+        let _ = socket.write_all(bytes);
+        let _ = socket.shutdown(std::net::Shutdown::Write);
+        let mut rest = Vec::new();
+        let _ = socket.read_to_end(&mut rest);
+    }
+    run(async move {
+        site.wait_ready(0).await;
+        let offset = site.configure("kili-checks", "round-robin").await;
+        site.wait_in_force(offset).await;
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let (status, text) = post(&url, &completion("kili-checks", 8, 2, false)).await;
+        assert_eq!(status, 200, "{text}");
+    });
+}
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -246,3 +246,24 @@
         assert!(dump["counters"]["resumed"].as_u64().unwrap() > 25, "most were under way");
     });
 }
+
+/// A caller that leaves before its first chunk frees the engine: the router
+/// does not wait for a prompt to be read that nobody wants.
+#[test]
+fn a_caller_that_leaves_frees_its_engine() {
+    // The prompt of 64 words takes 12.8 s to read.
+    let site = configured(1, &["--prefill-us", "200000", "--chunk", "1"], &[]);
+    run(async move {
+        let response = open_stream(&site, 4).await;
+        busy_engine(&site).await;
+        drop(response);
+        let left = std::time::Instant::now();
+        site::wait_for(|| async {
+            let dump = state(&site.routers[0]).await?;
+            (dump["engines"][0]["inflight"].as_u64() == Some(0)).then_some(())
+        })
+        .await;
+        let took = left.elapsed();
+        assert!(took < std::time::Duration::from_secs(5), "noticed after {took:?}");
+    });
+}
