Claims: read to the log's end before deciding; a stale claim is left alone

Cause: a longer fuzz (MARJORAM_FUZZ_CASES=5000, then 20000) found two ways to send a call twice, both around the expiry of a claim: (1) a claimant that had read only up to its own claim, after the first claimant's claim expired, missed that one's outcome beyond its own claim; (2) a claimant whose own claim had expired abandoned it: a router that remembered the claim then gave the key to the next claimant, while one that had started after it saw a claim made in between as the holder.

Change: catch_up reads to the end of the stream, always at least once, before a decision (it stopped at the own claim when the background reading had already passed it); a claim not acted on within 10 s is neither sent nor abandoned, but left to expire.

Ruled out: weakening the oracle (both need a claim older than the retention with its claimant still at it, an hour here against the router's 10 s, but a paused router can be that late); making every router forget at the same offset (they learn of expiry at different times).

--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use marjoram_core::claims::{Answer, ClaimRecord, Decision};
-use marjoram_core::ids::{Offset, RequestId};
+use marjoram_core::ids::RequestId;
 use marjoram_core::wire::IDEMPOTENCY_KEY;
 use ntex::http::client::Client;
 use ntex::http::client::error::SendRequestError;
@@ -29,8 +29,9 @@
 
 /// Longest wait for the service's answer.
 const SERVICE_LIMIT: Duration = Duration::from_secs(10);
-/// A claim not acted on for this long is given up: a claim must be acted on
-/// well before the log service drops it (see `marjoram_core::claims`).
+/// A claim not acted on for this long is left alone: a claim must be acted
+/// on, or abandoned, well before the log service drops it (see
+/// `marjoram_core::claims`).
 const CLAIM_FRESH: Duration = Duration::from_secs(10);
 /// Pause between background reads of the claims stream.
 const FOLLOW_EVERY: Duration = Duration::from_secs(2);
@@ -125,8 +126,12 @@
         }
         Err(error) => error,
     };
-    // Nothing was sent.
-    abandon(&log, key, &owner).await;
+    // Nothing was sent. A claim gone stale is left to expire: an abandon that
+    // comes when others no longer see the claim would free the key for one
+    // router and not for another.
+    if clock::now() < begun + CLAIM_FRESH {
+        abandon(&log, key, &owner).await;
+    }
     Reply::Refused(error)
 }
 
@@ -141,7 +146,7 @@
     let peer = || node.settings.log_service.to_string();
     let appended = log.append(log::CLAIMS, claim).await;
     let claimed = appended.map_err(|e| Error::Claim("append claim", peer(), e.to_string()))?;
-    let caught = catch_up(node, log, Offset(claimed.0 + 1)).await;
+    let caught = catch_up(node, log).await;
     caught.map_err(|e| Error::Claim("read claims", peer(), e.to_string()))?;
     Ok(node.claims.lock().unwrap().decide(key, owner, claimed))
 }
@@ -163,14 +168,10 @@
     }
 }
 
-/// Reads the claims stream until every record below `until` is applied, or
-/// to its end when that comes first.
-async fn catch_up(node: &Node, log: &Log, until: Offset) -> Result<(), Error> {
+/// Reads the claims stream to its end, as it was at the last read.
+async fn catch_up(node: &Node, log: &Log) -> Result<(), Error> {
     loop {
         let from = node.claims.lock().unwrap().next();
-        if from >= until {
-            return Ok(());
-        }
         let read = log.read(log::CLAIMS, from).await?;
         let mut claims = node.claims.lock().unwrap();
         claims.forget_before(read.oldest);
@@ -185,7 +186,7 @@
                 }
             }
         }
-        if read.records.is_empty() {
+        if claims.next() >= read.next || read.records.is_empty() {
             return Ok(());
         }
     }
@@ -195,7 +196,7 @@
 pub async fn follow(node: Arc<Node>) {
     let log = Log::new(node.settings.log_service);
     loop {
-        let _ = catch_up(&node, &log, Offset(u64::MAX)).await;
+        let _ = catch_up(&node, &log).await;
         ntex::time::sleep(FOLLOW_EVERY).await;
     }
 }
