Membership: a router never heard of can be declared down

The log showed that the routers left had never heard from it (it died within two seconds of its start). missed() did nothing for an unknown router, so it stayed 'usable', and the gossip loop, which pings a missed router again until it is declared down, pinged it for ever and nobody else.

Change: missed() enters an unknown router in a life before any it can have (incarnation 0), so it is declared down after two misses like any other, and whatever it later says of itself replaces that.

Failed first: members_model, which now demands that a dead router is shown down and no longer lets it be unknown ('r1 on dead r0').

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -169,20 +169,31 @@
         }
     }
 
-    /// Records that a ping of `addr` failed; true when it is now declared down.
+    /// Records that a ping of `addr` failed; true when it is now declared
+    /// down. A router never heard of is declared down too, in a life before
+    /// any it can have, so that whatever it says of itself replaces that.
     pub fn missed(&mut self, addr: &str) -> bool {
-        match self.others.get_mut(addr) {
-            Some(entry) if entry.member.status != Status::Down => {
-                entry.misses += 1;
-                let down = entry.misses >= MISSES;
-                if down {
-                    entry.member.status = Status::Down;
-                    entry.retell = RETELL;
-                }
-                down
-            }
-            _ => false,
+        let unheard = || Entry {
+            member: Member {
+                addr: addr.into(),
+                incarnation: Incarnation(0),
+                beat: 0,
+                status: Status::Ready,
+            },
+            retell: 0,
+            misses: 0,
+        };
+        let entry = self.others.entry(addr.into()).or_insert_with(unheard);
+        if entry.member.status == Status::Down {
+            return false;
+        }
+        entry.misses += 1;
+        let down = entry.misses >= MISSES;
+        if down {
+            entry.member.status = Status::Down;
+            entry.retell = RETELL;
         }
+        down
     }
 
     /// Records that `addr` answered a ping (its answer has been merged).
--- a/crates/core/tests/members_model.rs
+++ b/crates/core/tests/members_model.rs
@@ -84,7 +84,7 @@
                 let told = table.status(&addr(b));
                 match truth {
                     Some(status) => assert_eq!(told, Some(status), "r{a} on r{b}"),
-                    None => assert!(matches!(told, None | Some(Status::Down)), "r{a} on dead r{b}"),
+                    None => assert_eq!(told, Some(Status::Down), "r{a} on dead r{b}"),
                 }
             }
         }
