Read-through: one decision for taking or renewing the lease, one way to enter news

Cause: reading the whole change once more: Contender::attempt built the same attempt in four arms, two of them the same rule (a tenure that has lapsed is none); Members::merge wrote the same entry in two arms.

Change: a lapsed tenure is filtered out first, and one match decides between renewing, taking and waiting; merge inserts in one arm. Behaviour unchanged.

Conclusion: fewer arms to read for one rule.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -132,25 +132,16 @@
     /// lease is gone, or a take-over when another's is surely over.
     pub fn attempt(&self, now: Duration) -> Option<Attempt> {
         let tail = self.tail.as_ref()?;
+        let tenure = self.tenure.filter(|t| now < t.until);
+        let released = tail.last.as_ref().is_some_and(|last| last.ttl_ms == 0);
+        let token = match tenure {
+            Some(tenure) if now + self.ttl * 2 / 3 >= tenure.until => Some(tenure.token),
+            None if released || self.expired(tail, now) => None,
+            _ => return None,
+        };
         let ttl_ms = self.ttl.as_millis() as u64;
-        let grant = |token| Grant { owner: self.owner.clone(), token, ttl_ms };
-        match (self.tenure, &tail.last) {
-            (Some(tenure), _) if now >= tenure.until => {
-                Some(Attempt { at: tail.next, grant: grant(None) })
-                    .filter(|_| self.expired(tail, now))
-            }
-            (Some(tenure), _) if now + self.ttl * 2 / 3 >= tenure.until => {
-                Some(Attempt { at: tail.next, grant: grant(Some(tenure.token)) })
-            }
-            (Some(_), _) => None,
-            (None, Some(last)) if last.ttl_ms == 0 => {
-                Some(Attempt { at: tail.next, grant: grant(None) })
-            }
-            (None, _) if self.expired(tail, now) => {
-                Some(Attempt { at: tail.next, grant: grant(None) })
-            }
-            (None, _) => None,
-        }
+        let grant = Grant { owner: self.owner.clone(), token, ttl_ms };
+        Some(Attempt { at: tail.next, grant })
     }
 
     /// Whether the grant at the stream's end is surely over, whoever's it is.
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -143,13 +143,10 @@
     /// Takes in `news` from another router.
     pub fn merge(&mut self, news: &[Member]) {
         for member in news {
-            match self.others.get_mut(&member.addr) {
+            match self.others.get(&member.addr) {
                 _ if member.addr == self.me.addr => self.refute(member),
                 Some(entry) if member.rank() <= entry.member.rank() => {}
-                Some(entry) => {
-                    *entry = Entry { member: member.clone(), retell: RETELL, misses: 0 };
-                }
-                None => {
+                _ => {
                     let entry = Entry { member: member.clone(), retell: RETELL, misses: 0 };
                     self.others.insert(member.addr.clone(), entry);
                 }
