--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,222 @@
+//! Operator configuration, as read from the log service's `config` stream.
+//!
+//! Operators publish [`Record`]s; each record's log offset is its version.
+//! A [`Config`] applies records strictly in offset order and never goes
+//! back: a record at or below the offset in force is ignored, so replaying
+//! the stream or hearing a record twice changes nothing, and every router
+//! that has read up to the same offset holds the same configuration. A
+//! record that does not fit (a workspace naming an unknown template) is
+//! rejected: the offset advances, the configuration stays as it was.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Error;
+use crate::ids::{Offset, WorkspaceId};
+use crate::policy::PolicyName;
+
+/// Routing parameters; a workspace's override its template's.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Params {
+    /// Prefix-aware: cost of one request in flight, in prompt tokens.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load_tokens: Option<u32>,
+    /// Prefix-aware: requests by which the chosen engine may exceed the idlest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub balance_cap: Option<u32>,
+    /// Maglev: depth in blocks of the prefix that is hashed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hash_blocks: Option<u32>,
+    /// Maglev: the most load an engine may carry, in percent of the mean.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load_bound: Option<u32>,
+}
+
+impl Params {
+    /// `self` with every value set in `over` replaced.
+    pub fn with_overrides(self, over: Params) -> Params {
+        Params {
+            load_tokens: over.load_tokens.or(self.load_tokens),
+            balance_cap: over.balance_cap.or(self.balance_cap),
+            hash_blocks: over.hash_blocks.or(self.hash_blocks),
+            load_bound: over.load_bound.or(self.load_bound),
+        }
+    }
+
+    /// Prompt tokens one request in flight costs; 256 unless set.
+    pub fn load_tokens(&self) -> u32 {
+        self.load_tokens.unwrap_or(256)
+    }
+
+    /// Allowed excess over the idlest engine, in requests; 4 unless set.
+    pub fn balance_cap(&self) -> u32 {
+        self.balance_cap.unwrap_or(4)
+    }
+
+    /// Blocks of prefix hashed by Maglev; 48 unless set.
+    pub fn hash_blocks(&self) -> u32 {
+        self.hash_blocks.unwrap_or(48)
+    }
+
+    /// Maglev load bound in percent of the mean; 150 unless set.
+    pub fn load_bound(&self) -> u32 {
+        self.load_bound.unwrap_or(150)
+    }
+}
+
+/// One operator record in the `config` stream.
+///
+/// ```
+/// use marjoram_core::config::Record;
+/// let text = r#"{"kind":"template","name":"checks","policy":"prefix-aware"}"#;
+/// let record: Record = serde_json::from_str(text).unwrap();
+/// assert!(matches!(record, Record::Template { .. }));
+/// ```
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "lowercase", deny_unknown_fields)]
+pub enum Record {
+    /// Defines or replaces a template; workspaces made from it follow.
+    Template {
+        /// The template's name.
+        name: String,
+        /// The routing policy it names.
+        policy: PolicyName,
+        /// Its routing parameters.
+        #[serde(default)]
+        params: Params,
+    },
+    /// Creates or replaces a workspace made from a template.
+    Workspace {
+        /// The workspace.
+        id: WorkspaceId,
+        /// Name of a template defined earlier in the stream.
+        template: String,
+        /// Overrides of the template's parameters.
+        #[serde(default)]
+        params: Params,
+    },
+    /// Removes a workspace; its requests are refused from then on.
+    Remove {
+        /// The workspace.
+        id: WorkspaceId,
+    },
+}
+
+/// A template as configured.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Template {
+    /// The routing policy it names.
+    pub policy: PolicyName,
+    /// Its routing parameters.
+    pub params: Params,
+}
+
+/// A workspace as configured, before its template is resolved.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Workspace {
+    /// Name of its template.
+    pub template: String,
+    /// Overrides of the template's parameters.
+    pub params: Params,
+}
+
+/// What the request path needs of a workspace: its policy and parameters.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Routing {
+    /// The policy in force.
+    pub policy: PolicyName,
+    /// The parameters, overrides applied.
+    pub params: Params,
+}
+
+/// What became of a record handed to [`Config::apply`].
+#[derive(Debug, Clone, PartialEq)]
+pub enum Applied {
+    /// The record changed the configuration.
+    Accepted,
+    /// The record was at or below the offset in force.
+    Stale,
+    /// The record did not fit; the configuration is unchanged.
+    Rejected(String),
+}
+
+/// The configuration in force: templates and workspaces up to an offset.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Config {
+    /// Offset of the last record applied, accepted or rejected.
+    pub offset: Option<Offset>,
+    /// Templates by name.
+    pub templates: BTreeMap<String, Template>,
+    /// Workspaces by id.
+    pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+    #[serde(skip)]
+    routing: Arc<BTreeMap<WorkspaceId, Routing>>,
+}
+
+impl Config {
+    /// An empty configuration, before any record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies `record` found at `offset`, only if `offset` is newer.
+    ///
+    /// ```
+    /// use marjoram_core::config::{Applied, Config, Record};
+    /// use marjoram_core::ids::Offset;
+    /// let mut config = Config::new();
+    /// let record = serde_json::from_str::<Record>(
+    ///     r#"{"kind":"template","name":"t","policy":"maglev"}"#).unwrap();
+    /// assert_eq!(config.apply(Offset(0), &record), Applied::Accepted);
+    /// assert_eq!(config.apply(Offset(0), &record), Applied::Stale);
+    /// ```
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Applied {
+        if self.offset.is_some_and(|now| offset <= now) {
+            return Applied::Stale;
+        }
+        self.offset = Some(offset);
+        let outcome = match record {
+            Record::Template { name, policy, params } => {
+                let template = Template { policy: *policy, params: *params };
+                self.templates.insert(name.clone(), template);
+                Applied::Accepted
+            }
+            Record::Workspace { template, .. } if !self.templates.contains_key(template) => {
+                Applied::Rejected(Error::Unknown("template", template.clone()).to_string())
+            }
+            Record::Workspace { id, template, params } => {
+                let workspace = Workspace { template: template.clone(), params: *params };
+                self.workspaces.insert(id.clone(), workspace);
+                Applied::Accepted
+            }
+            Record::Remove { id } if !self.workspaces.contains_key(id) => {
+                Applied::Rejected(Error::Unknown("workspace", id.to_string()).to_string())
+            }
+            Record::Remove { id } => {
+                self.workspaces.remove(id);
+                Applied::Accepted
+            }
+        };
+        if outcome == Applied::Accepted {
+            self.routing = Arc::new(self.resolve());
+        }
+        outcome
+    }
+
+    /// Policy and parameters of every workspace; cheap to clone.
+    pub fn routing(&self) -> Arc<BTreeMap<WorkspaceId, Routing>> {
+        self.routing.clone()
+    }
+
+    fn resolve(&self) -> BTreeMap<WorkspaceId, Routing> {
+        let resolve = |(id, ws): (&WorkspaceId, &Workspace)| {
+            let template = self.templates.get(&ws.template)?;
+            let params = template.params.with_overrides(ws.params);
+            Some((id.clone(), Routing { policy: template.policy, params }))
+        };
+        self.workspaces.iter().filter_map(resolve).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Core of marjoramspring: the routing decision and the state it rests on.
+//!
+//! This crate holds no I/O. The router binary (`marjoram`) and the stand-ins
+//! (`marjoram-standin`) both build on it:
+//!
+//! - [`ids`]: newtypes for ids, counts and offsets.
+//! - [`prefix`]: how a prompt is cut into cache blocks and hashed.
+//! - [`cache`]: the router's picture of which engine holds which block.
+//! - [`policy`]: the routing policies, behind one small trait.
+//! - [`config`]: operator configuration read from the log service.
+//! - [`wire`]: the JSON shapes spoken over HTTP.
+//! - [`workload`]: seeded workloads modelled on the two deployments.
+//! - [`measure`]: the measures of the brief.
+
+pub mod cache;
+pub mod config;
+pub mod error;
+pub mod ids;
+pub mod measure;
+pub mod policy;
+pub mod prefix;
+pub mod wire;
+pub mod workload;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/core/src/policy.rs
@@ -0,0 +1,138 @@
+//! Routing policies behind one small trait.
+//!
+//! A policy sees the request's prefix and, for each engine that may take it,
+//! a [`Candidate`]: its load and how many leading blocks of the prompt the
+//! router believes it holds. It returns the index of the chosen candidate.
+//! [`Router`] holds one of each policy and dispatches on [`PolicyName`] with
+//! a `match`, so the request path has no dynamic dispatch.
+
+mod least_load;
+mod maglev;
+mod prefix_aware;
+mod round_robin;
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+pub use least_load::LeastLoad;
+pub use maglev::{Maglev, MaglevTable};
+pub use prefix_aware::PrefixAware;
+pub use round_robin::RoundRobin;
+
+use crate::Error;
+use crate::cache::Slot;
+use crate::config::Params;
+use crate::prefix::Prefix;
+
+/// One engine that may take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// The engine's slot in the cache picture.
+    pub slot: Slot,
+    /// Stable key of the engine (a hash of its address), for hashing policies.
+    pub key: u64,
+    /// Requests in flight there, as this router counts them plus the
+    /// engine's last reported queue.
+    pub load: u32,
+    /// Leading prompt blocks the engine is believed to hold.
+    pub matched: u32,
+}
+
+/// What a policy is asked to decide on.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The prompt's blocks.
+    pub prefix: &'a Prefix,
+    /// The workspace's routing parameters.
+    pub params: &'a Params,
+}
+
+/// A way of choosing an engine for a request.
+pub trait Policy {
+    /// Index into `candidates` of the chosen engine; `None` when empty.
+    fn pick(&self, ask: Ask<'_>, candidates: &[Candidate]) -> Option<usize>;
+}
+
+/// The name of a routing policy, as written in configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyName {
+    /// Each engine in turn.
+    RoundRobin,
+    /// The engine with the fewest requests in flight.
+    LeastLoad,
+    /// Consistent hashing of the prompt's head, with bounded load.
+    Maglev,
+    /// The engine with the most of the prompt cached, weighed against load.
+    PrefixAware,
+}
+
+impl PolicyName {
+    /// Every policy, in the order reports list them.
+    pub const ALL: [PolicyName; 4] =
+        [Self::RoundRobin, Self::LeastLoad, Self::Maglev, Self::PrefixAware];
+}
+
+impl fmt::Display for PolicyName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::RoundRobin => "round-robin",
+            Self::LeastLoad => "least-load",
+            Self::Maglev => "maglev",
+            Self::PrefixAware => "prefix-aware",
+        })
+    }
+}
+
+impl FromStr for PolicyName {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        Self::ALL
+            .into_iter()
+            .find(|name| name.to_string() == text)
+            .ok_or_else(|| Error::Unknown("policy", text.into()))
+    }
+}
+
+/// One instance of every policy; picks by name without dynamic dispatch.
+#[derive(Debug, Default)]
+pub struct Router {
+    round_robin: RoundRobin,
+    least_load: LeastLoad,
+    maglev: Maglev,
+    prefix_aware: PrefixAware,
+}
+
+impl Router {
+    /// A router with fresh policy state.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Picks with the policy called `name`.
+    ///
+    /// ```
+    /// use marjoram_core::cache::Slot;
+    /// use marjoram_core::config::Params;
+    /// use marjoram_core::policy::{Ask, Candidate, PolicyName, Router};
+    /// use marjoram_core::prefix::Prefix;
+    /// let prefix = Prefix { blocks: vec![], tokens: marjoram_core::ids::Tokens(0) };
+    /// let params = Params::default();
+    /// let ask = Ask { prefix: &prefix, params: &params };
+    /// let idle = Candidate { slot: Slot(0), key: 1, load: 0, matched: 0 };
+    /// let busy = Candidate { slot: Slot(1), key: 2, load: 9, matched: 0 };
+    /// let router = Router::new();
+    /// assert_eq!(router.pick(PolicyName::LeastLoad, ask, &[busy, idle]), Some(1));
+    /// ```
+    pub fn pick(&self, name: PolicyName, ask: Ask<'_>, candidates: &[Candidate]) -> Option<usize> {
+        match name {
+            PolicyName::RoundRobin => self.round_robin.pick(ask, candidates),
+            PolicyName::LeastLoad => self.least_load.pick(ask, candidates),
+            PolicyName::Maglev => self.maglev.pick(ask, candidates),
+            PolicyName::PrefixAware => self.prefix_aware.pick(ask, candidates),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/maglev.rs
@@ -0,0 +1,140 @@
+//! Consistent hashing of the prompt's head, with bounded load.
+//!
+//! The table follows section 3.4 of Eisenbud et al., "Maglev: A Fast and
+//! Reliable Software Network Load Balancer" (NSDI '16), as described in the
+//! maglev_ex release notes (`PAPER-maglev-ex-releases-v0-5683.md`). Two of
+//! its points are taken, each backed by a test or measurement here:
+//!
+//! - Engines are sorted by key before the table is filled, so routers that
+//!   learn the same engines in different orders build the same table
+//!   (`maglev_table_ignores_order` in the tests).
+//! - All engines weigh the same, so only the scanning fill is kept; the
+//!   paper measures it fastest for equal weights. The build of 12 engines
+//!   is in `benches/routing.rs`.
+//!
+//! The key is the hash of the block at depth `hash_blocks` (or the last full
+//! block of a shorter prompt), so requests that share that much of a prefix
+//! meet on one engine. A hot prefix would overload its engine, so a pick
+//! over `load_bound` percent of the mean load walks on through the table to
+//! the next engine under the bound.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Ask, Candidate, Policy};
+
+/// Slots in a table: a prime well above the engines of one pool.
+pub const TABLE_SIZE: usize = 4093;
+
+/// A Maglev lookup table over a set of engine keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MaglevTable {
+    keys: Vec<u64>,
+    entries: Vec<u16>,
+}
+
+impl MaglevTable {
+    /// Builds the table for `keys`, in any order; `keys` must not be empty.
+    ///
+    /// ```
+    /// use marjoram_core::policy::MaglevTable;
+    /// let a = MaglevTable::new(&[3, 1, 2]);
+    /// let b = MaglevTable::new(&[1, 2, 3]);
+    /// assert_eq!(a, b);
+    /// ```
+    pub fn new(keys: &[u64]) -> Self {
+        let mut keys = keys.to_vec();
+        keys.sort_unstable();
+        keys.dedup();
+        let size = TABLE_SIZE as u64;
+        let walks: Vec<(u64, u64)> = keys
+            .iter()
+            .map(|key| {
+                let bytes = key.to_le_bytes();
+                let offset = xxh3_64_with_seed(&bytes, 1) % size;
+                let skip = xxh3_64_with_seed(&bytes, 2) % (size - 1) + 1;
+                (offset, skip)
+            })
+            .collect();
+        let mut next = vec![0u64; keys.len()];
+        let mut entries = vec![u16::MAX; TABLE_SIZE];
+        let mut filled = 0;
+        while filled < TABLE_SIZE {
+            for (index, (offset, skip)) in walks.iter().enumerate() {
+                let mut slot = ((offset + next[index] * skip) % size) as usize;
+                while entries[slot] != u16::MAX {
+                    next[index] += 1;
+                    slot = ((offset + next[index] * skip) % size) as usize;
+                }
+                entries[slot] = index as u16;
+                next[index] += 1;
+                filled += 1;
+                if filled == TABLE_SIZE {
+                    break;
+                }
+            }
+        }
+        Self { keys, entries }
+    }
+
+    /// The sorted keys the table was built over.
+    pub fn keys(&self) -> &[u64] {
+        &self.keys
+    }
+
+    /// The key owning `hash`, and the keys after it in table order.
+    pub fn walk(&self, hash: u64) -> impl Iterator<Item = u64> + '_ {
+        let start = (hash % TABLE_SIZE as u64) as usize;
+        (0..TABLE_SIZE).map(move |step| {
+            self.keys[usize::from(self.entries[(start + step) % TABLE_SIZE])]
+        })
+    }
+}
+
+/// Maglev policy: keeps the table of the last candidate set it saw.
+#[derive(Debug, Default)]
+pub struct Maglev {
+    table: ArcSwapOption<MaglevTable>,
+}
+
+impl Maglev {
+    fn table(&self, candidates: &[Candidate]) -> Arc<MaglevTable> {
+        let mut keys: Vec<u64> = candidates.iter().map(|c| c.key).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        match self.table.load_full() {
+            Some(table) if table.keys == keys => table,
+            _ => {
+                let table = Arc::new(MaglevTable::new(&keys));
+                self.table.store(Some(table.clone()));
+                table
+            }
+        }
+    }
+}
+
+impl Policy for Maglev {
+    fn pick(&self, ask: Ask<'_>, candidates: &[Candidate]) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let table = self.table(candidates);
+        let depth = (ask.params.hash_blocks() as usize).min(ask.prefix.blocks.len());
+        let hash = match depth {
+            0 => 0,
+            n => ask.prefix.blocks[n - 1].0,
+        };
+        let total: u64 = candidates.iter().map(|c| u64::from(c.load)).sum();
+        let mean = total as f64 / candidates.len() as f64;
+        let bound = (mean * f64::from(ask.params.load_bound()) / 100.0).ceil() as u32 + 1;
+        let index_of = |key: u64| candidates.iter().position(|c| c.key == key);
+        let first = table.walk(hash).next().and_then(index_of);
+        table
+            .walk(hash)
+            .filter_map(index_of)
+            .find(|&index| candidates[index].load <= bound)
+            .or(first)
+    }
+}
