--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,93 @@
+//! How often requests may be sent again, over all hosts, without asking
+//! anyone on the way.
+//!
+//! Load pattern: an upstream that fails many requests at once, or callers
+//! that repeat at once. Every second send then adds work where there is too
+//! much already. The operators allow repeats up to a share of the requests
+//! of a window plus a fixed number, over all hosts together. A share of the
+//! requests adds up by itself: each host takes that share of its own. The
+//! fixed number is divided by the hosts that are up. A margin is kept since
+//! hosts see windows that are not quite the operators'.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Part of the allowance that is used; the rest covers windows that lie
+/// across a change of load. At 0.8 a rise or fall by a quarter is covered.
+const MARGIN: f64 = 0.8;
+
+/// Slots a window is divided into: the error of the window's edge is one.
+const SLOTS: u32 = 20;
+
+/// The allowance of one host for one service.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::budget::{Allowance, Budget};
+/// let allowance = Allowance { ratio: 0.2, slack: 0.0, window: Duration::from_secs(10) };
+/// let mut budget = Budget::new(allowance);
+/// let now = Duration::from_secs(100);
+/// (0..100).for_each(|_| budget.request(now));
+/// assert_eq!((0..100).filter(|_| budget.repeat(now, 1)).count(), 16);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Budget {
+    allowance: Allowance,
+    slots: VecDeque<Slot>,
+}
+
+/// What all hosts together may repeat.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Share of the requests of a window.
+    pub ratio: f64,
+    /// Repeats of a window beyond that share.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Slot {
+    start: Duration,
+    requests: u32,
+    repeats: u32,
+}
+
+impl Budget {
+    /// An unused budget.
+    pub fn new(allowance: Allowance) -> Self {
+        Self { allowance, slots: VecDeque::new() }
+    }
+
+    /// Counts a caller's request at `now`.
+    pub fn request(&mut self, now: Duration) {
+        self.slot(now).requests += 1;
+    }
+
+    /// Whether a request may be sent once more at `now`, with `hosts` up;
+    /// if so it is counted.
+    pub fn repeat(&mut self, now: Duration, hosts: usize) -> bool {
+        self.slot(now);
+        let requests: u32 = self.slots.iter().map(|s| s.requests).sum();
+        let repeats: u32 = self.slots.iter().map(|s| s.repeats).sum();
+        let share = self.allowance.slack / hosts.max(1) as f64;
+        let allowed = MARGIN * (self.allowance.ratio * f64::from(requests) + share);
+        let may = f64::from(repeats + 1) <= allowed + 1e-9;
+        if may {
+            self.slot(now).repeats += 1;
+        }
+        may
+    }
+
+    fn slot(&mut self, now: Duration) -> &mut Slot {
+        let width = self.allowance.window / SLOTS;
+        while self.slots.front().is_some_and(|s| s.start + self.allowance.window <= now) {
+            self.slots.pop_front();
+        }
+        if self.slots.back().is_none_or(|s| s.start + width <= now) {
+            self.slots.push_back(Slot { start: now, ..Slot::default() });
+        }
+        self.slots.back_mut().expect("a slot was pushed")
+    }
+}
--- /dev/null
+++ b/crates/core/src/events.rs
@@ -0,0 +1,97 @@
+//! Cuts a stream of server-sent events into whole events.
+//!
+//! Only whole events are passed on, so a stream that breaks in the middle of
+//! an event can be continued by another upstream at the next one, and what
+//! the caller has is always a number of whole events.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// One event with the blank line that ends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its id, if it has one.
+    pub id: Option<u64>,
+    /// Its bytes as they came.
+    pub bytes: Bytes,
+}
+
+/// Collects bytes and gives out whole events.
+///
+/// ```
+/// use marjoram_core::events::Splitter;
+/// let mut splitter = Splitter::new();
+/// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+/// assert_eq!(splitter.next_event().unwrap().id, Some(1));
+/// assert!(splitter.next_event().is_none());
+/// assert!(!splitter.is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buf: BytesMut,
+    /// Bytes from the start known to hold no end of an event.
+    scanned: usize,
+}
+
+impl Splitter {
+    /// An empty splitter.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Whether no part of an event is left over.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
+    /// Bytes held back until their event is whole.
+    pub fn held(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Forgets what is left over: the rest of it will not come.
+    pub fn clear(&mut self) {
+        self.buf.clear();
+        self.scanned = 0;
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = self.end()?;
+        self.scanned = 0;
+        let bytes = self.buf.split_to(end).freeze();
+        let id = event_id(&bytes);
+        Some(Event { id, bytes })
+    }
+
+    /// Where the first whole event ends.
+    fn end(&mut self) -> Option<usize> {
+        let from = self.scanned.saturating_sub(2);
+        for at in from..self.buf.len() {
+            let rest = &self.buf[at..];
+            match rest {
+                [b'\n', b'\n', ..] => return Some(at + 2),
+                [b'\n', b'\r', b'\n', ..] => return Some(at + 3),
+                _ => {}
+            }
+        }
+        self.scanned = self.buf.len();
+        None
+    }
+}
+
+fn event_id(mut bytes: &[u8]) -> Option<u64> {
+    while !bytes.is_empty() {
+        let end = bytes.iter().position(|b| *b == b'\n').unwrap_or(bytes.len());
+        let line = &bytes[..end];
+        if let Some(value) = line.strip_prefix(b"id:") {
+            return std::str::from_utf8(value).ok()?.trim().parse().ok();
+        }
+        bytes.advance((end + 1).min(bytes.len()));
+    }
+    None
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,19 +16,42 @@
 //! - [`lease`]: a lease with a fencing token, kept in the log service.
 //! - [`members`]: which routers are up, as they tell each other.
 //! - [`measure`]: the measures of the brief.
+//!
+//! For the proxy, which routes by published configuration:
+//!
+//! - [`host`]: settings of one host's process.
+//! - [`catalog`]: routes, services, workspaces and limits.
+//! - [`exchange`]: what passes beside the bodies.
+//! - [`upstream`]: upstreams as the registry lists them.
+//! - [`health`]: what has been seen of an upstream.
+//! - [`place`]: which engine a prompt goes to.
+//! - [`plain`]: which upstream of a plain service a request goes to.
+//! - [`budget`]: how often requests may be sent again.
+//! - [`rollout`]: which engines change their weights next.
+//! - [`events`]: cutting a stream into whole events.
 
 pub mod admission;
+pub mod budget;
 pub mod cache;
+pub mod catalog;
 pub mod claims;
 pub mod config;
 pub mod error;
+pub mod events;
+pub mod exchange;
 pub mod feed;
+pub mod health;
+pub mod host;
 pub mod ids;
 pub mod lease;
 pub mod measure;
 pub mod members;
+pub mod place;
+pub mod plain;
 pub mod policy;
 pub mod prefix;
+pub mod rollout;
+pub mod upstream;
 pub mod wire;
 pub mod workload;
 
--- /dev/null
+++ b/crates/core/src/rollout.rs
@@ -0,0 +1,65 @@
+//! In which order engines are brought to newly named weights.
+//!
+//! Load pattern: weights named every few seconds, under full load. An engine
+//! finishes what it runs, loads for half a second, longer while many load,
+//! and has lost its cache. Too few at a time and requests run on replaced
+//! weights; too many and the rest drown. Only the newest version is ever
+//! ordered: one that was replaced before an engine got to it is skipped.
+//!
+//! Limits: a fifth of the engines at a time, two at least, as the operators
+//! publish for their sites. Those with the least to finish go first, since
+//! an engine cannot load while it still runs requests.
+
+use std::time::Duration;
+
+use crate::upstream::UpstreamId;
+
+/// Engines that change at once, as a share of all.
+const SHARE: usize = 5;
+/// Fewest that may change at once.
+const FEWEST: usize = 2;
+
+/// One engine, as far as its weights are concerned.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Its life.
+    pub id: UpstreamId,
+    /// The version it serves.
+    pub version: u64,
+    /// The version it has been ordered to, with no outcome yet.
+    pub changing: Option<u64>,
+    /// Nothing is ordered of it before then: an order failed.
+    pub pause: Option<Duration>,
+    /// Work it has to finish first.
+    pub work: u64,
+}
+
+/// The engines to be ordered to `version` at `now`, in that order.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::rollout::{Engine, next};
+/// use marjoram_core::upstream::UpstreamId;
+/// let engine = |id: &str, version, work| Engine {
+///     id: UpstreamId(id.into()),
+///     version,
+///     changing: None,
+///     pause: None,
+///     work,
+/// };
+/// let engines = [engine("a", 1, 9), engine("b", 1, 0), engine("c", 1, 3), engine("d", 2, 0)];
+/// let ids: Vec<String> =
+///     next(&engines, 2, Duration::ZERO).into_iter().map(|id| id.to_string()).collect();
+/// assert_eq!(ids, ["b", "c"]);
+/// ```
+pub fn next(engines: &[Engine], version: u64, now: Duration) -> Vec<UpstreamId> {
+    let limit = (engines.len() / SHARE).max(FEWEST);
+    let changing = engines.iter().filter(|e| e.changing.is_some()).count();
+    let mut due: Vec<&Engine> = engines
+        .iter()
+        .filter(|e| e.version < version && e.changing.is_none())
+        .filter(|e| e.pause.is_none_or(|until| now >= until))
+        .collect();
+    due.sort_by(|a, b| (a.work, &a.id).cmp(&(b.work, &b.id)));
+    due.into_iter().take(limit.saturating_sub(changing)).map(|e| e.id.clone()).collect()
+}
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -18,6 +18,10 @@
         Setting(name: &'static str, message: String) {
             display("setting --{name}: {message}")
         }
+        /// The settings file cannot be used.
+        Settings(path: String, why: String) {
+            display("{path}: {why}")
+        }
         /// A socket could not be bound.
         Bind(addr: String, source: std::io::Error) {
             display("bind {addr}: {source}")
@@ -117,6 +121,7 @@
             Self::Usage(..)
             | Self::Setting(..)
             | Self::Bind(..)
+            | Self::Settings(..)
             | Self::Peer(..)
             | Self::Order(..) => StatusCode::INTERNAL_SERVER_ERROR,
         }
@@ -142,6 +147,7 @@
             Self::Usage(_) => ("settings", "command line".to_string()),
             Self::Setting(name, _) => ("settings", name.to_string()),
             Self::Bind(addr, _) => ("bind", addr.clone()),
+            Self::Settings(path, _) => ("settings", path.clone()),
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
             Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
             Self::NoEngine(_)
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -17,6 +17,7 @@
 mod once;
 mod options;
 mod peer;
+mod proxy;
 mod serve;
 mod warm;
 
@@ -24,6 +25,9 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == options::PROXY) {
+        return end(ntex::rt::System::new("marjoram").block_on(proxy::run()));
+    }
     let settings = match options::parse(&args) {
         Ok(options::Parsed::Help(text)) => {
             print!("{text}");
@@ -36,7 +40,11 @@
         }
     };
     options::init_logs(&settings);
-    match ntex::rt::System::new("marjoram").block_on(serve::run(*settings)) {
+    end(ntex::rt::System::new("marjoram").block_on(serve::run(*settings)))
+}
+
+fn end(result: Result<(), error::Error>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("marjoram: {error}");
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -12,6 +12,9 @@
 
 use crate::error::Error;
 
+/// The command that runs the proxy, whose settings are a file.
+pub const PROXY: &str = "proxy";
+
 /// Checked settings of one router node.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -96,7 +99,7 @@
     opts.optopt("", "log-format", "text or json [text]", "FORMAT");
     let m = opts.parse(args).map_err(|e| Error::Usage(e.to_string()))?;
     if m.opt_present("help") {
-        return Ok(Parsed::Help(opts.usage("Usage: marjoram [OPTIONS]")));
+        return Ok(Parsed::Help(opts.usage("Usage: marjoram [OPTIONS]\n       marjoram proxy")));
     }
     let listen: SocketAddr = setting(&m, "listen", "127.0.0.1:8000".parse().unwrap())?;
     let format: String = setting(&m, "log-format", "text".to_string())?;
--- /dev/null
+++ b/crates/router/src/proxy.rs
@@ -0,0 +1,26 @@
+//! The proxy: routes callers' requests to upstreams by the published
+//! configuration, and passes their answers on.
+//!
+//! One thread runs everything: an entry host has a fraction of one core.
+//! State that requests read is swapped whole ([`arc_swap`]) or counted in
+//! cells of its owner; no lock is held across an await.
+
+mod attempt;
+mod callers;
+mod conn;
+mod counters;
+mod duty;
+mod entry;
+mod fleet;
+mod follow;
+mod http1;
+mod logs;
+mod peers;
+mod pool;
+mod relay;
+mod request;
+mod run;
+mod site;
+mod storeclient;
+
+pub use run::run;
--- /dev/null
+++ b/crates/router/src/proxy/callers.rs
@@ -0,0 +1,239 @@
+//! Callers' connections: requests read, answers written, one after another.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use marjoram_core::catalog::Limits;
+use marjoram_platform::headers;
+use tokio::net::TcpListener;
+
+use super::conn::Conn;
+use super::counters;
+use super::http1::{self, BadMessage, Body, Framing, Piece, RequestHead, ResponseWriter};
+use super::relay::{self, Outcome};
+use super::request::{Exchange, Refusal, Request};
+use super::site::Site;
+
+/// How long a connection with unread bytes is kept after its last answer.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Time for the body of a request to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Pause after an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the process stops.
+pub async fn serve(site: Rc<Site>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = site.stop.notified() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                ntex::rt::spawn(connection(site.clone(), Conn::new(stream)));
+            }
+            Err(error) => {
+                tracing::warn!(target: "callers", %error, "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// How a connection goes on after a request.
+enum Next {
+    Keep,
+    Close,
+    Linger,
+    Reset,
+}
+
+async fn connection(site: Rc<Site>, mut conn: Conn) {
+    loop {
+        let limits = site.catalog.load().as_ref().map_or_else(Limits::default, |c| c.limits);
+        if !wait_for_bytes(&mut conn, limits.idle).await {
+            return;
+        }
+        site.handled.set(site.handled.get() + 1);
+        let next = one(&site, &mut conn, limits).await;
+        site.handled.set(site.handled.get() - 1);
+        match next {
+            Next::Keep => {}
+            Next::Close => return,
+            Next::Linger => return conn.linger(LINGER).await,
+            Next::Reset => return conn.reset(),
+        }
+    }
+}
+
+async fn wait_for_bytes(conn: &mut Conn, limit: Duration) -> bool {
+    match conn.buf.is_empty() {
+        true => matches!(tokio::time::timeout(limit, conn.fill()).await, Ok(Ok(n)) if n > 0),
+        false => true,
+    }
+}
+
+/// Reads one request and answers it.
+async fn one(site: &Rc<Site>, conn: &mut Conn, limits: Limits) -> Next {
+    let started = site.now();
+    let read = tokio::time::timeout(limits.head_time, read_head(conn, limits.head));
+    let head = match read.await {
+        Ok(Ok(Some(head))) => head,
+        Ok(Ok(None)) => return Next::Close,
+        Ok(Err(BadMessage::TooLong(_))) => return refuse_bytes(site, conn, 431, "head too long").await,
+        Ok(Err(_)) => return refuse_bytes(site, conn, 400, "malformed request").await,
+        Err(_) => return refuse_bytes(site, conn, 408, "head not in time").await,
+    };
+    let framing = match check(&head) {
+        Ok(framing) => framing,
+        Err(why) => return refuse_bytes(site, conn, 400, why).await,
+    };
+    if matches!(framing, Framing::Length(length) if length > limits.body as u64) {
+        return refuse_bytes(site, conn, 413, "body too long").await;
+    }
+    let expects = head.headers.get("expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
+    if expects && conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+        return Next::Close;
+    }
+    let body = match tokio::time::timeout(BODY_TIME, read_body(conn, framing, limits.body)).await {
+        Ok(Ok(Some(body))) => body,
+        Ok(Ok(None)) => return refuse_bytes(site, conn, 413, "body too long").await,
+        Ok(Err(BadMessage::CutOff)) => return Next::Close,
+        Ok(Err(_)) => return refuse_bytes(site, conn, 400, "malformed body").await,
+        Err(_) => return refuse_bytes(site, conn, 408, "body not in time").await,
+    };
+    let asked = headers::asked(|name| head.headers.get(name));
+    let last = head.headers.closes(head.minor) || site.draining.get();
+    let request = Request { head, body, started, asked };
+    answer(site, conn, request, last).await
+}
+
+async fn answer(site: &Rc<Site>, conn: &mut Conn, request: Request, last: bool) -> Next {
+    let started = request.started;
+    let id = request.asked.attempt.clone().unwrap_or_default();
+    let (outcome, exchange) = match Exchange::new(site, request) {
+        Ok(mut exchange) => {
+            let outcome = relay::run(site, conn, &mut exchange, last).await;
+            (outcome, Some(exchange))
+        }
+        Err(refusal) => (Outcome::Refused(refusal), None),
+    };
+    report(site, &id, exchange.as_ref(), &outcome, site.now() - started);
+    match outcome {
+        Outcome::Answered(_) if last => Next::Linger,
+        Outcome::Answered(_) => Next::Keep,
+        Outcome::Left => Next::Close,
+        Outcome::Cut(_) => Next::Reset,
+        Outcome::Refused(refusal) => match (conn.write(&encode(&refusal, last)).await, last) {
+            (Ok(()), true) => Next::Linger,
+            (Ok(()), false) => Next::Keep,
+            (Err(_), _) => Next::Close,
+        },
+    }
+}
+
+/// Writes down how a request ended.
+fn report(site: &Site, id: &str, exchange: Option<&Exchange>, outcome: &Outcome, took: Duration) {
+    let route = exchange.map(|e| e.route.name.as_str());
+    let upstream = exchange.and_then(|e| e.last.as_ref()).map(|id| id.0.as_str());
+    let sends = exchange.map_or(0, |e| e.sends);
+    let config = site.catalog.load().as_ref().map(|c| c.version);
+    let ms = took.as_millis() as u64;
+    site.counters.time(counters::REQUEST, took);
+    match outcome {
+        Outcome::Answered(status) => {
+            site.counters.count("request.answered");
+            tracing::info!(target: "request", id, route, upstream, sends, config, status, ms, "answered");
+        }
+        Outcome::Refused(Refusal { status, retry, why }) => {
+            site.counters.count("request.refused");
+            let retry_ms = retry.map(|r| r.as_millis() as u64);
+            tracing::info!(target: "request", id, route, upstream, sends, config, status, ms,
+                retry_ms, why, "refused");
+        }
+        Outcome::Left => {
+            site.counters.count("request.left");
+            tracing::info!(target: "request", id, route, upstream, sends, config, ms, "caller left");
+        }
+        Outcome::Cut(why) => {
+            site.counters.count("request.cut");
+            tracing::warn!(target: "request", id, route, upstream, sends, config, ms, why, "answer cut");
+        }
+    }
+}
+
+/// Encodes an answer of the router's own.
+pub fn encode(refusal: &Refusal, last: bool) -> BytesMut {
+    let mut writer = ResponseWriter::new(refusal.status);
+    writer.header("content-type", b"application/json");
+    if let Some(retry) = refusal.retry {
+        let seconds = format!("{:.3}", retry.as_secs_f64());
+        writer.header("retry-after", seconds.as_bytes());
+    }
+    if last {
+        writer.header("connection", b"close");
+    }
+    let body = serde_json::json!({ "error": refusal.why });
+    writer.finish(body.to_string().as_bytes())
+}
+
+/// Answers bytes that are no request, and ends the connection.
+async fn refuse_bytes(site: &Site, conn: &mut Conn, status: u16, why: &'static str) -> Next {
+    site.counters.count("request.malformed");
+    tracing::info!(target: "request", status, why, "refused unread");
+    let refusal = Refusal::with_status(status, why);
+    match conn.write(&encode(&refusal, true)).await {
+        Ok(()) => Next::Linger,
+        Err(_) => Next::Close,
+    }
+}
+
+async fn read_head(conn: &mut Conn, limit: usize) -> Result<Option<RequestHead>, BadMessage> {
+    loop {
+        if let Some(head) = http1::request_head(&mut conn.buf, limit)? {
+            return Ok(Some(head));
+        }
+        match conn.fill().await {
+            Ok(0) | Err(_) => return Ok(None),
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Checks what a request must have, and says how its body ends.
+fn check(head: &RequestHead) -> Result<Framing, &'static str> {
+    let hosts = head.headers.all("host").count();
+    match http1::request_framing(head) {
+        Err(_) => Err("malformed length"),
+        Ok(_) if !head.target.starts_with('/') => Err("target is no path"),
+        Ok(_) if hosts != 1 => Err("not one host"),
+        Ok(framing) => Ok(framing),
+    }
+}
+
+/// Reads a body; `None` when it is longer than `limit`.
+async fn read_body(
+    conn: &mut Conn,
+    framing: Framing,
+    limit: usize,
+) -> Result<Option<Bytes>, BadMessage> {
+    let mut body = Body::from(framing);
+    let mut whole = BytesMut::new();
+    loop {
+        match body.next(&mut conn.buf, conn.ended)? {
+            Piece::End => return Ok(Some(whole.freeze())),
+            Piece::Data(data) => whole.extend_from_slice(&data),
+            Piece::More => {
+                if conn.fill().await.is_err() {
+                    return Err(BadMessage::CutOff);
+                }
+            }
+        }
+        if whole.len() > limit {
+            return Ok(None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/conn.rs
@@ -0,0 +1,159 @@
+//! One TCP connection with what has been read from it and not yet used.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Bytes read at once.
+const READ_SIZE: usize = 16 << 10;
+
+/// Silence after which a connection is probed, and the time between probes.
+/// Connections can go silent for good; two unanswered probes end one after
+/// three seconds.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Unanswered probes that end a connection.
+const PROBES: u32 = 2;
+
+/// How long sent bytes may stay unacknowledged.
+const UNACKED: Duration = Duration::from_millis(1_500);
+
+/// A connection and the bytes read ahead of it.
+#[derive(Debug)]
+pub struct Conn {
+    stream: TcpStream,
+    /// Bytes read and not yet used.
+    pub buf: BytesMut,
+    /// The peer has closed its side in order.
+    pub ended: bool,
+}
+
+impl Conn {
+    /// Wraps an accepted connection.
+    pub fn new(stream: TcpStream) -> Self {
+        tune(&stream);
+        Self { stream, buf: BytesMut::new(), ended: false }
+    }
+
+    /// Connects to `addr`, within `limit`.
+    pub async fn connect(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        match tokio::time::timeout(limit, socket.connect(addr)).await {
+            Ok(stream) => Ok(Self::new(stream?)),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// Reads more bytes; 0 when the peer has closed its side.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        self.buf.reserve(READ_SIZE);
+        let read = self.stream.read_buf(&mut self.buf).await?;
+        self.ended |= read == 0;
+        Ok(read)
+    }
+
+    /// Writes all of `bytes`.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Writes `bytes` until all are written or the peer answers or closes
+    /// before; whether all were written. An upstream may answer a long
+    /// request early, and then reads no further.
+    pub async fn send(&mut self, mut bytes: &[u8]) -> io::Result<bool> {
+        while !bytes.is_empty() {
+            match self.stream.try_write(bytes) {
+                Ok(written) => {
+                    bytes = &bytes[written..];
+                    continue;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+            tokio::select! {
+                biased;
+                ready = self.stream.readable() => {
+                    ready?;
+                    self.buf.reserve(READ_SIZE);
+                    match self.stream.try_read_buf(&mut self.buf) {
+                        Ok(0) => {
+                            self.ended = true;
+                            return Ok(false);
+                        }
+                        Ok(_) => return Ok(false),
+                        Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                        Err(e) => return Err(e),
+                    }
+                }
+                ready = self.stream.writable() => ready?,
+            }
+        }
+        Ok(true)
+    }
+
+    /// Waits until the peer has gone. Bytes it sends ahead meanwhile are
+    /// kept, up to `limit`; beyond that they stay unread.
+    pub async fn gone(&mut self, limit: usize) {
+        loop {
+            if self.buf.len() >= limit {
+                return std::future::pending().await;
+            }
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Whether the idle connection is still open with nothing to read.
+    pub fn is_quiet(&mut self) -> bool {
+        let mut probe = [0u8; 1];
+        self.buf.is_empty()
+            && !self.ended
+            && matches!(self.stream.try_read(&mut probe), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Closes the write side, then reads what the peer still sends for up to
+    /// `limit`, so that unread bytes do not reset what was written last.
+    pub async fn linger(mut self, limit: Duration) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let drain = async {
+            loop {
+                self.buf.clear();
+                if !matches!(self.fill().await, Ok(n) if n > 0) {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(limit, drain).await;
+    }
+
+    /// Ends the connection so that the peer sees a reset rather than an end.
+    pub fn reset(self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+fn tune(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    let set = [
+        ("nodelay", stream.set_nodelay(true)),
+        ("keep-alive probes", socket.set_tcp_keepalive(&keepalive)),
+        ("user timeout", socket.set_tcp_user_timeout(Some(UNACKED))),
+    ];
+    for (option, result) in set {
+        if let Err(error) = result {
+            tracing::debug!(target: "conn", option, %error, "socket option not set");
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/counters.rs
@@ -0,0 +1,93 @@
+//! Counters and histograms, given out as text.
+//!
+//! `cadence` names and types them; its sink here keeps sums in memory, which
+//! the metrics address gives out, instead of sending lines to a collector.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cadence::{CountedExt, MetricSink, StatsdClient};
+use hdrhistogram::Histogram;
+
+/// Longest time that histograms tell apart, in milliseconds.
+const LONGEST_MS: u64 = 60_000;
+
+/// The histogram of requests, from the first byte to the end of the answer.
+pub const REQUEST: &str = "request";
+
+/// Sums the counters that pass through a statsd client.
+#[derive(Debug, Clone, Default)]
+struct Sums(Arc<Mutex<BTreeMap<String, i64>>>);
+
+impl MetricSink for Sums {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let parsed = metric.split_once(':').and_then(|(name, rest)| {
+            let (value, _) = rest.split_once('|')?;
+            Some((name, value.parse::<i64>().ok()?))
+        });
+        if let (Some((name, value)), Ok(mut sums)) = (parsed, self.0.lock()) {
+            match sums.get_mut(name) {
+                Some(sum) => *sum += value,
+                None => drop(sums.insert(name.to_string(), value)),
+            }
+        }
+        Ok(metric.len())
+    }
+}
+
+/// Counters and histograms of one process.
+pub struct Counters {
+    client: StatsdClient,
+    sums: Sums,
+    times: Mutex<BTreeMap<&'static str, Histogram<u32>>>,
+}
+
+impl Counters {
+    /// Nothing counted yet.
+    pub fn new() -> Self {
+        let sums = Sums::default();
+        let client = StatsdClient::from_sink("marjoram", sums.clone());
+        Self { client, sums, times: Mutex::default() }
+    }
+
+    /// Counts one `name`.
+    pub fn count(&self, name: &str) {
+        let _ = self.client.incr(name);
+    }
+
+    /// Requests that have ended.
+    pub fn requests(&self) -> u64 {
+        self.times.lock().ok().and_then(|t| Some(t.get(REQUEST)?.len())).unwrap_or_default()
+    }
+
+    /// Adds `took` to the histogram `name`.
+    pub fn time(&self, name: &'static str, took: Duration) {
+        let Ok(mut times) = self.times.lock() else { return };
+        let new = || Histogram::new_with_bounds(1, LONGEST_MS, 2).expect("valid bounds");
+        let ms = (took.as_millis() as u64).clamp(1, LONGEST_MS);
+        times.entry(name).or_insert_with(new).saturating_record(ms);
+    }
+
+    /// All of them as text: a name and a value a line.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Ok(sums) = self.sums.0.lock() {
+            for (name, sum) in sums.iter() {
+                let _ = writeln!(text, "{} {sum}", name.replace('.', "_"));
+            }
+        }
+        if let Ok(times) = self.times.lock() {
+            for (name, histogram) in times.iter() {
+                let _ = writeln!(text, "marjoram_{name}_ms_count {}", histogram.len());
+                for (label, quantile) in [("0.5", 0.5), ("0.95", 0.95), ("0.99", 0.99)] {
+                    let value = histogram.value_at_quantile(quantile);
+                    let _ = writeln!(text, "marjoram_{name}_ms{{quantile=\"{label}\"}} {value}");
+                }
+            }
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/duty.rs
@@ -0,0 +1,377 @@
+//! The one host that orders new weights.
+//!
+//! The holder is the member of a group in the platform's store to which the
+//! store deals one partition: the store decides, keeps the lease and numbers
+//! each change, and that number is the fencing token. A host orders only
+//! while its own lease surely lasts, counted from before it asked for it on
+//! a clock that counts suspension too, and only once the operators' bound on
+//! turns between holders has passed since it was dealt the duty, so that no
+//! two hosts order within it. Each order names the life of the engine and
+//! how many orders that has accepted, so one that arrives late does nothing.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_core::rollout;
+use marjoram_core::upstream::{UpstreamId, Weights};
+use marjoram_platform::engine::{self, Ordered, UPSTREAM_HEADER, WeightsOrder};
+use marjoram_platform::store::{self, Call};
+
+use super::fleet::Upstream;
+use super::peers::{self, Notice};
+use super::site::Site;
+use super::storeclient::Caller;
+use crate::clock;
+
+/// The group of hosts that may hold the duty, and its topic.
+const GROUP: &str = "marjoram";
+const TOPIC: &str = "marjoram-duty";
+
+/// The partition that is the duty.
+const DUTY: u32 = 0;
+
+/// The lease asked for, unless the store grants only longer ones. A holder
+/// that is gone is replaced after it.
+const LEASE: Duration = Duration::from_millis(2_400);
+
+/// Part of the lease at its end that is not used.
+const LEASE_MARGIN: Duration = Duration::from_millis(400);
+
+/// Renewals in one lease: two may be lost.
+const RENEWALS: u32 = 3;
+
+/// Time for the store's answer to a renewal.
+const JOIN_ANSWER: Duration = Duration::from_millis(700);
+
+/// Time for an engine's answer.
+const ENGINE_ANSWER: Duration = Duration::from_millis(600);
+
+/// How long an engine is announced as closed at a time.
+const CLOSED: Duration = Duration::from_millis(2_500);
+
+/// When an engine is first asked whether it has changed, and then how often.
+/// Its report is some hundred milliseconds old.
+const FIRST_REPORT: Duration = Duration::from_millis(650);
+const NEXT_REPORT: Duration = Duration::from_millis(150);
+
+/// How long an engine may take to change before it is left for later.
+const CHANGE_TIME: Duration = Duration::from_secs(6);
+
+/// Pause before an engine whose order failed gets another.
+const ORDER_PAUSE: Duration = Duration::from_millis(400);
+
+/// Longest time between two looks at what is due.
+const IDLE_LOOK: Duration = Duration::from_millis(500);
+
+/// What the holder knows of the engines it orders.
+#[derive(Debug, Clone, Default)]
+struct Known {
+    /// Orders the engine has accepted.
+    orders: Option<u64>,
+    /// The version it changes to.
+    changing: Option<u64>,
+    /// Nothing is ordered of it before then.
+    pause: Option<Duration>,
+}
+
+/// This host's side of the duty.
+pub struct Duty {
+    site: Rc<Site>,
+    /// Until when the lease surely lasts, on the clock of [`clock::now`].
+    until: Cell<Duration>,
+    /// The token of this tenure and when it began, while the duty is held.
+    tenure: Cell<Option<(u64, Duration)>>,
+    known: RefCell<HashMap<UpstreamId, Known>>,
+}
+
+/// Starts to stand for the duty and to carry it out while it is held.
+pub fn start(site: &Rc<Site>) -> Rc<Duty> {
+    let duty = Rc::new(Duty {
+        site: site.clone(),
+        until: Cell::default(),
+        tenure: Cell::default(),
+        known: RefCell::default(),
+    });
+    ntex::rt::spawn(stand(duty.clone()));
+    ntex::rt::spawn(carry_out(duty.clone()));
+    duty
+}
+
+/// Gives the duty up; nothing is ordered from here on.
+pub async fn release(duty: &Duty) {
+    duty.tenure.set(None);
+    duty.until.set(Duration::ZERO);
+    let settings = duty.site.settings.load_full();
+    let leave = store::leave(GROUP, &settings.name);
+    let left = Caller::new(settings.store.addr).call(&leave, &[], JOIN_ANSWER).await;
+    tracing::info!(target: "duty", outcome = ?left.map(|r| r.status), "left the group");
+}
+
+/// Joins the group and stays in it.
+async fn stand(duty: Rc<Duty>) {
+    let site = &duty.site;
+    let mut generation = 0;
+    let mut caller = Caller::new(site.settings.load().store.addr);
+    let mut was_down = false;
+    while !site.draining.get() {
+        let settings = site.settings.load_full();
+        let lease = LEASE.max(settings.store.lease_min);
+        let join = store::join(GROUP, &settings.name, TOPIC, lease, generation);
+        let asked = clock::now();
+        let reply = caller.call(&join, &[], JOIN_ANSWER).await;
+        let membership = match reply {
+            Ok(reply) if reply.status == 200 => {
+                store::parse_join(&reply.body).map_err(|e| e.to_string())
+            }
+            Ok(reply) => Err(format!("status {}", reply.status)),
+            Err(error) => Err(error.to_string()),
+        };
+        if site.draining.get() {
+            return;
+        }
+        match membership {
+            Ok(membership) => {
+                if std::mem::take(&mut was_down) {
+                    tracing::info!(target: "duty", "group regained");
+                }
+                generation = membership.generation;
+                duty.dealt(membership.parts.contains(&DUTY), generation, asked + lease);
+            }
+            Err(why) => {
+                if !std::mem::replace(&mut was_down, true) {
+                    tracing::warn!(target: "duty", why, "group lost");
+                }
+                caller = Caller::new(settings.store.addr);
+            }
+        }
+        tokio::time::sleep(lease / RENEWALS).await;
+    }
+}
+
+impl Duty {
+    /// The store dealt the duty to this host, or not.
+    fn dealt(&self, held: bool, generation: u64, until: Duration) {
+        let lapsed = clock::now() >= self.until.get();
+        match (held, self.tenure.get()) {
+            (true, Some(_)) if !lapsed => self.until.set(until),
+            (true, _) => {
+                tracing::info!(target: "duty", token = generation, "duty taken");
+                self.tenure.set(Some((generation, clock::now())));
+                self.known.borrow_mut().clear();
+                self.until.set(until);
+            }
+            (false, Some((token, _))) => {
+                tracing::info!(target: "duty", token, "duty lost");
+                self.tenure.set(None);
+            }
+            (false, None) => {}
+        }
+    }
+
+    /// The fencing token, while orders may be given.
+    fn token(&self) -> Option<u64> {
+        let (token, since) = self.tenure.get()?;
+        let now = clock::now();
+        let settled = since + self.site.settings.load().bounds.lease;
+        let lasts = now + LEASE_MARGIN < self.until.get();
+        (lasts && now >= settled && !self.site.draining.get()).then_some(token)
+    }
+}
+
+/// Looks for engines on replaced weights and orders them to change.
+async fn carry_out(duty: Rc<Duty>) {
+    loop {
+        let _ = tokio::time::timeout(IDLE_LOOK, duty.site.duty.notified()).await;
+        if duty.token().is_some() {
+            look(&duty);
+        }
+    }
+}
+
+fn look(duty: &Rc<Duty>) {
+    let site = &duty.site;
+    let named: Vec<(String, u64)> =
+        site.named.borrow().iter().map(|(m, n)| (m.clone(), n.version)).collect();
+    for (model, version) in named {
+        let listed: Vec<Rc<Upstream>> = site
+            .fleet
+            .all()
+            .into_iter()
+            .filter(|u| !u.entry.borrow().leaving && u.weights(&model).is_some())
+            .collect();
+        let known = duty.known.borrow();
+        let engines: Vec<rollout::Engine> = listed
+            .iter()
+            .map(|u| {
+                let state = known.get(&u.id).cloned().unwrap_or_default();
+                rollout::Engine {
+                    id: u.id.clone(),
+                    version: u.weights(&model).unwrap_or_default(),
+                    changing: state.changing,
+                    pause: state.pause,
+                    work: u.load().memory,
+                }
+            })
+            .collect();
+        drop(known);
+        for id in rollout::next(&engines, version, site.now()) {
+            let Some(upstream) = listed.iter().find(|u| u.id == id) else { continue };
+            duty.known.borrow_mut().entry(id).or_default().changing = Some(version);
+            let weights = Weights { model: model.clone(), version };
+            ntex::rt::spawn(change(duty.clone(), upstream.clone(), weights));
+        }
+    }
+}
+
+/// How an engine's change ended.
+enum End {
+    Changed,
+    Failed(String),
+}
+
+/// Brings one engine to `weights`.
+async fn change(duty: Rc<Duty>, upstream: Rc<Upstream>, weights: Weights) {
+    let begun = duty.site.now();
+    announce(&duty, &upstream, &weights, Some(CLOSED));
+    let end = order(&duty, &upstream, &weights).await;
+    let now = duty.site.now();
+    let ms = (now - begun).as_millis() as u64;
+    {
+        let mut known = duty.known.borrow_mut();
+        let state = known.entry(upstream.id.clone()).or_default();
+        state.changing = None;
+        match &end {
+            End::Changed => {
+                upstream.serves(&weights.model, weights.version);
+                tracing::info!(target: "weights", upstream = %upstream.id, version = weights.version,
+                    ms, "engine changed");
+            }
+            End::Failed(why) => {
+                state.pause = Some(now + ORDER_PAUSE);
+                state.orders = None;
+                tracing::warn!(target: "weights", upstream = %upstream.id, version = weights.version,
+                    ms, why, "engine not changed");
+            }
+        }
+    }
+    let served = upstream.weights(&weights.model).unwrap_or_default();
+    let weights = Weights { version: served, ..weights };
+    announce(&duty, &upstream, &weights, None);
+    duty.site.duty.notify_one();
+}
+
+/// Tells all hosts, this one included, that `upstream` closes or opens.
+fn announce(duty: &Duty, upstream: &Upstream, weights: &Weights, closed: Option<Duration>) {
+    let notice = Notice {
+        upstream: upstream.id.clone(),
+        model: weights.model.clone(),
+        version: weights.version,
+        closed: closed.map(|c| c.as_millis() as u64),
+    };
+    peers::take_notice(&duty.site, &notice);
+    duty.site.peers.notify(&notice);
+}
+
+async fn order(duty: &Duty, upstream: &Rc<Upstream>, weights: &Weights) -> End {
+    let addr: SocketAddr = upstream.entry.borrow().addr;
+    let mut caller = Caller::new(addr);
+    let count = duty.known.borrow().get(&upstream.id).and_then(|k| k.orders);
+    let orders = match count {
+        Some(orders) => orders,
+        None => match report(&mut caller, upstream).await {
+            Ok(report) if serves(&report, weights) => return End::Changed,
+            Ok(report) => report.orders,
+            Err(why) => return End::Failed(why),
+        },
+    };
+    let Some(token) = duty.token() else { return End::Failed("duty no longer held".into()) };
+    let order = WeightsOrder {
+        upstream: upstream.id.clone(),
+        weights: weights.clone(),
+        holder: duty.site.settings.load().name.clone(),
+        token,
+        orders,
+    };
+    let headers = [(UPSTREAM_HEADER, upstream.id.0.as_str())];
+    let reply = caller.call(&Call::from(&order), &headers, ENGINE_ANSWER).await;
+    tracing::info!(target: "weights", upstream = %upstream.id, version = weights.version, token, orders,
+        outcome = ?reply.as_ref().map(|r| r.status).map_err(|e| e.to_string()), "order sent");
+    match reply.as_ref().map(|r| Ordered::from(r.status)) {
+        Ok(Ordered::Holds) => return End::Changed,
+        Ok(Ordered::Accepted) => {
+            duty.known.borrow_mut().entry(upstream.id.clone()).or_default().orders = Some(orders + 1);
+        }
+        Ok(Ordered::Misdirected) => {
+            duty.site.fleet.remove(&upstream.id);
+            return End::Failed("another upstream has its address".into());
+        }
+        Ok(Ordered::Conflict) => {
+            // Another order is under way or was accepted unseen; what the
+            // engine reports next is the truth.
+            duty.known.borrow_mut().entry(upstream.id.clone()).or_default().orders = None;
+        }
+        Ok(outcome) => return End::Failed(format!("{outcome:?}")),
+        // It may have been accepted.
+        Err(_) => {
+            duty.known.borrow_mut().entry(upstream.id.clone()).or_default().orders = None;
+            caller = Caller::new(addr);
+        }
+    }
+    let accepted = matches!(reply.map(|r| Ordered::from(r.status)), Ok(Ordered::Accepted));
+    wait_changed(duty, upstream, weights, &mut caller, accepted).await
+}
+
+/// Waits until the engine reports `weights`.
+async fn wait_changed(
+    duty: &Duty,
+    upstream: &Rc<Upstream>,
+    weights: &Weights,
+    caller: &mut Caller,
+    accepted: bool,
+) -> End {
+    let begun = duty.site.now();
+    let mut announced = begun;
+    let mut pause = FIRST_REPORT;
+    let mut idle = 0;
+    loop {
+        tokio::time::sleep(pause).await;
+        pause = NEXT_REPORT;
+        let now = duty.site.now();
+        if upstream.weights(&weights.model) >= Some(weights.version) {
+            return End::Changed;
+        }
+        if now - announced > CLOSED / 2 {
+            announced = now;
+            announce(duty, upstream, weights, Some(CLOSED));
+        }
+        match report(caller, upstream).await {
+            Ok(report) if serves(&report, weights) => return End::Changed,
+            Ok(report) if report.busy => idle = 0,
+            Ok(_) if !accepted && idle >= 1 => return End::Failed("not accepted".into()),
+            Ok(_) => idle += 1,
+            Err(why) if now - begun > CHANGE_TIME / 2 => return End::Failed(why),
+            Err(_) => {}
+        }
+        if now - begun > CHANGE_TIME {
+            return End::Failed("takes too long".into());
+        }
+    }
+}
+
+fn serves(report: &engine::Report, weights: &Weights) -> bool {
+    report.weights.iter().any(|w| w.model == weights.model && w.version >= weights.version)
+}
+
+async fn report(caller: &mut Caller, upstream: &Upstream) -> Result<engine::Report, String> {
+    let headers = [(UPSTREAM_HEADER, upstream.id.0.as_str())];
+    match caller.call(&engine::report(), &headers, ENGINE_ANSWER).await {
+        Ok(reply) if reply.status == 200 => {
+            engine::parse_report(&reply.body).map_err(|e| e.to_string())
+        }
+        Ok(reply) => Err(format!("report: status {}", reply.status)),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/entry.rs
@@ -0,0 +1,128 @@
+//! Questions that callers and the platform put to a host: which hosts to
+//! connect to, and whether this one is ready; and those of operators:
+//! metrics and the state of the process.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_platform::entry::{self, Question};
+use tokio::net::TcpListener;
+
+use super::conn::Conn;
+use super::http1::{self, ResponseWriter};
+use super::site::Site;
+
+/// Longest head of a question.
+const HEAD_LIMIT: usize = 8 << 10;
+
+/// How long a connection may stay idle.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// How long callers may keep an answer: short, since hosts come and go, and
+/// some keep it three times as long.
+const ANSWER_TTL: Duration = Duration::from_secs(2);
+
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+
+/// Path of the state dump.
+const STATE: &str = "/debug/state";
+
+/// Answers questions on `listener` until the process stops.
+pub async fn serve(site: Rc<Site>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = site.stop.notified() => return,
+        };
+        if let Ok((stream, _)) = accepted {
+            ntex::rt::spawn(connection(site.clone(), Conn::new(stream)));
+        }
+    }
+}
+
+async fn connection(site: Rc<Site>, mut conn: Conn) {
+    loop {
+        let head = match http1::request_head(&mut conn.buf, HEAD_LIMIT) {
+            Ok(Some(head)) => head,
+            Ok(None) => match tokio::time::timeout(IDLE, conn.fill()).await {
+                Ok(Ok(read)) if read > 0 => continue,
+                _ => return,
+            },
+            Err(_) => return,
+        };
+        let bytes = match (entry::question(&head.target), head.target.as_str()) {
+            (Question::Ready, _) => {
+                let status = if site.is_ready() { 200 } else { 503 };
+                ResponseWriter::new(status).finish(b"")
+            }
+            (Question::Addresses(_), _) => addresses(&site),
+            (Question::Unknown, METRICS) => {
+                let mut writer = ResponseWriter::new(200);
+                writer.header("content-type", b"text/plain");
+                writer.finish(site.counters.text().as_bytes())
+            }
+            (Question::Unknown, STATE) => {
+                let mut writer = ResponseWriter::new(200);
+                writer.header("content-type", b"application/json");
+                writer.finish(state(&site).to_string().as_bytes())
+            }
+            _ => ResponseWriter::new(404).finish(b""),
+        };
+        if conn.write(&bytes).await.is_err() {
+            return;
+        }
+        if head.headers.closes(head.minor) {
+            return conn.linger(Duration::from_millis(200)).await;
+        }
+    }
+}
+
+fn addresses(site: &Site) -> bytes::BytesMut {
+    let mut known: Vec<SocketAddr> = site.peers.open();
+    let settings = site.settings.load();
+    if site.is_ready() {
+        known.push(settings.callers);
+    }
+    known.truncate(entry::MOST_ADDRESSES);
+    if known.is_empty() {
+        return ResponseWriter::new(503).finish(b"");
+    }
+    let ttl = ANSWER_TTL.min(settings.bounds.answer_ttl);
+    let mut writer = ResponseWriter::new(200);
+    writer.header("content-type", b"application/json");
+    writer.finish(&entry::addresses(&known, ttl))
+}
+
+/// The state of the process, for operators.
+fn state(site: &Site) -> serde_json::Value {
+    let now = site.now();
+    let upstreams: Vec<_> = site
+        .fleet
+        .all()
+        .iter()
+        .map(|u| {
+            let entry = u.entry.borrow();
+            let health = u.health.borrow();
+            serde_json::json!({
+                "id": u.id, "service": entry.service, "addr": entry.addr, "dc": entry.dc,
+                "leaving": entry.leaving, "weights": entry.weights,
+                "closed": u.is_closed(now), "paused": health.is_paused(now),
+                "silent_ms": health.silent(now).as_millis() as u64,
+                "failures": health.failures(), "pace": health.pace(),
+                "own": u.own.get(), "others": u.others.get(), "idle": u.pool.idle(),
+            })
+        })
+        .collect();
+    serde_json::json!({
+        "host": site.settings.load().name,
+        "up_ms": now.as_millis() as u64,
+        "ready": site.is_ready(),
+        "draining": site.draining.get(),
+        "configuration": site.catalog.load().as_ref().map(|c| c.version),
+        "handled": site.handled.get(),
+        "hosts": site.peers.state(now),
+        "upstreams": upstreams,
+    })
+}
--- /dev/null
+++ b/crates/router/src/proxy/fleet.rs
@@ -0,0 +1,226 @@
+//! The upstreams as this host sees them: listed, reachable, loaded.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_core::health::Health;
+use marjoram_core::host::DataCentre;
+use marjoram_core::upstream::{Entry, UpstreamId};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::pool::Pool;
+
+/// Prompts sent to an engine whose shared parts are taken to be there still.
+const HELD: Duration = Duration::from_secs(4);
+
+/// Shared parts remembered for each engine.
+const HELD_PARTS: usize = 64;
+
+/// Requests at an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests sent and not yet answered in full.
+    pub running: u32,
+    /// Prompt tokens sent and not yet read.
+    pub unread: u64,
+    /// Tokens those requests take in memory.
+    pub memory: u64,
+}
+
+impl Load {
+    /// Both loads together.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            unread: self.unread + other.unread,
+            memory: self.memory + other.memory,
+        }
+    }
+}
+
+/// One upstream.
+pub struct Upstream {
+    /// Its life.
+    pub id: UpstreamId,
+    /// Short name of its life between hosts.
+    pub key: u64,
+    /// Hash of its address: its place in the ranks.
+    pub place: u64,
+    /// The rest of what it says of itself.
+    pub entry: RefCell<Entry>,
+    /// Until when it is closed for a change of weights.
+    pub closed: Cell<Option<Duration>>,
+    /// What this host has seen of it.
+    pub health: RefCell<Health>,
+    /// Connections to it.
+    pub pool: Pool,
+    /// This host's requests there.
+    pub own: Cell<Load>,
+    /// Other hosts' requests there, as they last said.
+    pub others: Cell<Load>,
+    held: RefCell<HashMap<u64, Duration>>,
+}
+
+impl Upstream {
+    fn new(entry: Entry) -> Self {
+        Self {
+            id: entry.id.clone(),
+            key: xxh3_64(entry.id.0.as_bytes()),
+            place: xxh3_64(entry.addr.to_string().as_bytes()),
+            entry: RefCell::new(entry),
+            closed: Cell::default(),
+            health: RefCell::default(),
+            pool: Pool::default(),
+            own: Cell::default(),
+            others: Cell::default(),
+            held: RefCell::default(),
+        }
+    }
+
+    /// All hosts' requests there.
+    pub fn load(&self) -> Load {
+        self.own.get().plus(self.others.get())
+    }
+
+    /// The version of the weights of `model` that it serves.
+    pub fn weights(&self, model: &str) -> Option<u64> {
+        self.entry.borrow().weights.iter().find(|w| w.model == model).map(|w| w.version)
+    }
+
+    /// Takes in that it serves `version` of `model`. Versions only rise.
+    pub fn serves(&self, model: &str, version: u64) {
+        let mut entry = self.entry.borrow_mut();
+        match entry.weights.iter_mut().find(|w| w.model == model) {
+            Some(weights) if version > weights.version => {
+                weights.version = version;
+                self.held.borrow_mut().clear();
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether it is closed for a change of weights at `now`.
+    pub fn is_closed(&self, now: Duration) -> bool {
+        self.closed.get().is_some_and(|until| now < until)
+    }
+
+    /// Whether its data centre is `dc`.
+    pub fn is_in(&self, dc: &DataCentre) -> bool {
+        self.entry.borrow().dc == *dc
+    }
+
+    /// Whether this host sent a prompt with the shared part `part` there lately.
+    pub fn holds(&self, part: u64, now: Duration) -> bool {
+        self.held.borrow().get(&part).is_some_and(|at| now < *at + HELD)
+    }
+
+    /// A prompt with the shared part `part` was read there at `now`.
+    pub fn hold(&self, part: u64, now: Duration) {
+        let mut held = self.held.borrow_mut();
+        if held.len() >= HELD_PARTS {
+            held.retain(|_, at| now < *at + HELD);
+        }
+        held.insert(part, now);
+    }
+}
+
+/// A request at an upstream, counted until dropped.
+pub struct Flight {
+    upstream: Rc<Upstream>,
+    load: Load,
+    waits: bool,
+}
+
+impl Flight {
+    /// Counts a request that is about to be sent at `now`.
+    pub fn new(upstream: Rc<Upstream>, unread: u64, memory: u64, now: Duration) -> Self {
+        let load = Load { running: 1, unread, memory };
+        upstream.own.set(upstream.own.get().plus(load));
+        upstream.health.borrow_mut().wait(now);
+        Self { upstream, load, waits: true }
+    }
+
+    /// The prompt has been read, or the answer has begun.
+    pub fn read(&mut self) {
+        let unread = std::mem::take(&mut self.load.unread);
+        let own = self.upstream.own.get();
+        self.upstream.own.set(Load { unread: own.unread.saturating_sub(unread), ..own });
+        if std::mem::take(&mut self.waits) {
+            self.upstream.health.borrow_mut().unwait();
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.read();
+        let own = self.upstream.own.get();
+        self.upstream.own.set(Load {
+            running: own.running.saturating_sub(self.load.running),
+            unread: own.unread,
+            memory: own.memory.saturating_sub(self.load.memory),
+        });
+    }
+}
+
+/// All upstreams, by life and by service.
+#[derive(Default)]
+pub struct Fleet {
+    all: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
+    services: RefCell<HashMap<String, Vec<Rc<Upstream>>>>,
+}
+
+impl Fleet {
+    /// Enters or renews an upstream.
+    pub fn enter(&self, entry: &Entry) {
+        let known = self.all.borrow().get(&entry.id).cloned();
+        match known {
+            Some(upstream) => {
+                let newer: Vec<_> = entry.weights.clone();
+                {
+                    let mut own = upstream.entry.borrow_mut();
+                    own.leaving = entry.leaving;
+                    own.addr = entry.addr;
+                    own.slots = entry.slots;
+                }
+                for weights in newer {
+                    upstream.serves(&weights.model, weights.version);
+                }
+            }
+            None => {
+                let upstream = Rc::new(Upstream::new(entry.clone()));
+                self.all.borrow_mut().insert(entry.id.clone(), upstream.clone());
+                let mut services = self.services.borrow_mut();
+                services.entry(entry.service.clone()).or_default().push(upstream);
+            }
+        }
+    }
+
+    /// Removes an upstream and closes its idle connections.
+    pub fn remove(&self, id: &UpstreamId) {
+        if let Some(upstream) = self.all.borrow_mut().remove(id) {
+            upstream.pool.clear();
+            for list in self.services.borrow_mut().values_mut() {
+                list.retain(|u| u.id != *id);
+            }
+        }
+    }
+
+    /// The upstreams of `service`.
+    pub fn service(&self, service: &str) -> Vec<Rc<Upstream>> {
+        self.services.borrow().get(service).cloned().unwrap_or_default()
+    }
+
+    /// The upstream `id`.
+    pub fn get(&self, id: &UpstreamId) -> Option<Rc<Upstream>> {
+        self.all.borrow().get(id).cloned()
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> Vec<Rc<Upstream>> {
+        self.all.borrow().values().cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/follow.rs
@@ -0,0 +1,336 @@
+//! Following the platform's store: the operators' records, the upstreams'
+//! entries and the hosts' records.
+//!
+//! Configuration and weights change seldom and are waited for; upstreams
+//! write all the time and are read once a second, which is half of the time
+//! within which a leaving upstream must get no more work.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use marjoram_core::upstream::{Change, Registry, UpstreamId};
+use marjoram_platform::store::{self, Call, Record};
+use marjoram_platform::{catalog, registry};
+
+use super::peers::HostRecord;
+use super::site::{Named, Site};
+use super::storeclient::{CallError, Caller, Reply};
+
+/// How long the store is asked to wait for a record.
+const WAIT: Duration = Duration::from_secs(25);
+
+/// Time between reads of the upstreams' entries.
+const POLL: Duration = Duration::from_millis(900);
+
+/// Time for an answer beyond what the store was asked to wait.
+const ANSWER: Duration = Duration::from_millis(1_500);
+
+/// First and longest pause after a call that failed.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+
+/// What a topic's records are taken into.
+trait Sink {
+    /// The topic.
+    const TOPIC: &'static str;
+    /// Whether the store is asked to wait for records.
+    const WAITS: bool;
+
+    /// Takes in one record.
+    fn record(&mut self, site: &Site, record: &Record);
+
+    /// The records just taken in are all there are.
+    fn complete(&mut self, _site: &Site, _keys: &[String]) {}
+
+    /// A read has been taken in.
+    fn read(&mut self, _site: &Site) {}
+
+    /// The store answers again after it did not.
+    fn returned(&mut self, _site: &Site) {}
+}
+
+/// Follows a topic for as long as the process runs.
+async fn follow<S: Sink>(site: Rc<Site>, mut sink: S) {
+    let mut caller = Caller::new(site.settings.load().store.addr);
+    let mut link = Link { topic: S::TOPIC, down: false, pause: FIRST_PAUSE };
+    let mut from: Option<u64> = None;
+    loop {
+        let result = match from {
+            None => list(&site, &mut caller, &mut sink).await.map(Some),
+            Some(at) => read(&site, &mut caller, &mut sink, at).await,
+        };
+        match result {
+            Ok(next) => {
+                if link.up() {
+                    sink.returned(&site);
+                }
+                from = next;
+                sink.read(&site);
+                if !S::WAITS && from.is_some() {
+                    tokio::time::sleep(POLL).await;
+                }
+            }
+            Err(why) => {
+                let pause = link.failed(&why);
+                sink.read(&site);
+                tokio::time::sleep(pause).await;
+                caller = Caller::new(site.settings.load().store.addr);
+            }
+        }
+    }
+}
+
+/// The state of one way to the store.
+struct Link {
+    topic: &'static str,
+    down: bool,
+    pause: Duration,
+}
+
+impl Link {
+    /// A call worked; true if the one before did not.
+    fn up(&mut self) -> bool {
+        self.pause = FIRST_PAUSE;
+        let was_down = std::mem::replace(&mut self.down, false);
+        if was_down {
+            tracing::info!(target: "store", topic = self.topic, "store regained");
+        }
+        was_down
+    }
+
+    /// A call failed; how long to pause.
+    fn failed(&mut self, why: &str) -> Duration {
+        if !std::mem::replace(&mut self.down, true) {
+            tracing::warn!(target: "store", topic = self.topic, why, "store lost");
+        }
+        let pause = self.pause;
+        self.pause = (pause * 2).min(LONGEST_PAUSE);
+        pause
+    }
+}
+
+async fn call(caller: &mut Caller, call: &Call, limit: Duration) -> Result<Reply, String> {
+    caller.call(call, &[], limit).await.map_err(|e: CallError| e.to_string())
+}
+
+/// Reads the newest record of each key; where to read on.
+async fn list<S: Sink>(site: &Site, caller: &mut Caller, sink: &mut S) -> Result<u64, String> {
+    let mut after: Option<String> = None;
+    let mut end: Option<u64> = None;
+    let mut keys = Vec::new();
+    loop {
+        let ask = store::newest(S::TOPIC, after.as_deref());
+        let reply = call(caller, &ask, ANSWER).await?;
+        if reply.status != 200 {
+            return Err(format!("list of {}: status {}", S::TOPIC, reply.status));
+        }
+        let page = store::parse_newest(&reply.body).map_err(|e| e.to_string())?;
+        for record in &page.records {
+            keys.push(record.key.clone());
+            sink.record(site, record);
+        }
+        // Pages are no snapshot: what changed since the first is read again.
+        let from = *end.get_or_insert(page.end);
+        match page.after {
+            Some(key) => after = Some(key),
+            None => {
+                sink.complete(site, &keys);
+                return Ok(from);
+            }
+        }
+    }
+}
+
+/// Reads records from `from` on; where to read on, `None` to list again.
+async fn read<S: Sink>(
+    site: &Site,
+    caller: &mut Caller,
+    sink: &mut S,
+    from: u64,
+) -> Result<Option<u64>, String> {
+    let wait = if S::WAITS { WAIT } else { Duration::ZERO };
+    let reply = call(caller, &store::read(S::TOPIC, from, wait), wait + ANSWER).await?;
+    match reply.status {
+        200 => {
+            let page = store::page(from, &reply.body).map_err(|e| e.to_string())?;
+            page.records.iter().for_each(|record| sink.record(site, record));
+            Ok(Some(page.next))
+        }
+        410 => {
+            tracing::info!(target: "store", topic = S::TOPIC, from, "records gone, listing anew");
+            Ok(None)
+        }
+        status => Err(format!("read of {} from {from}: status {status}", S::TOPIC)),
+    }
+}
+
+/// The operators' records.
+struct Operators;
+
+impl Sink for Operators {
+    const TOPIC: &'static str = store::OPERATORS;
+    const WAITS: bool = true;
+
+    fn record(&mut self, site: &Site, record: &Record) {
+        let Some(value) = &record.value else { return };
+        if record.key == catalog::CONFIG_KEY {
+            return configure(site, value);
+        }
+        match catalog::parse_weights(&record.key, value) {
+            Some(Ok(named)) => name_weights(site, &named),
+            Some(Err(error)) => {
+                tracing::error!(target: "config", key = record.key, %error, "record not understood");
+            }
+            None => {}
+        }
+    }
+}
+
+fn configure(site: &Site, record: &[u8]) {
+    let known = site.catalog.load().as_ref().map(|c| c.version);
+    match catalog::parse(record) {
+        Ok(new) if known.is_none_or(|known| new.version > known) => {
+            tracing::info!(target: "config", version = new.version, before = known,
+                routes = new.routes().count(), "configuration in force");
+            site.catalog.store(Some(Arc::new(new)));
+        }
+        Ok(old) => {
+            tracing::debug!(target: "config", version = old.version, known, "older configuration left");
+        }
+        Err(error) => {
+            tracing::error!(target: "config", %error, kept = known, "configuration not understood");
+        }
+    }
+}
+
+fn name_weights(site: &Site, named: &catalog::Named) {
+    let mut all = site.named.borrow_mut();
+    let newer = all.get(&named.model).is_none_or(|known| named.version > known.version);
+    if newer {
+        tracing::info!(target: "weights", model = named.model, version = named.version, "weights named");
+        let entry = Named { version: named.version, since: site.now() };
+        all.insert(named.model.clone(), entry);
+        site.duty.notify_one();
+    }
+}
+
+/// The upstreams' entries.
+struct Upstreams {
+    registry: Registry,
+}
+
+impl Upstreams {
+    fn changed(&self, site: &Site, id: &UpstreamId, change: &Change) {
+        match change {
+            Change::None => return,
+            Change::Joined | Change::Changed => {
+                if let Some(entry) = self.registry.get(id) {
+                    site.fleet.enter(entry);
+                    tracing::info!(target: "registry", upstream = %id, ?change, beat = entry.beat,
+                        leaving = entry.leaving, service = entry.service, "upstream stated");
+                }
+            }
+            Change::Left => {
+                site.fleet.remove(id);
+                tracing::info!(target: "registry", upstream = %id, "upstream left");
+            }
+            Change::Missing => {
+                tracing::info!(target: "registry", upstream = %id, "upstream missing, kept for now");
+            }
+        }
+        site.duty.notify_one();
+    }
+
+    fn state(&mut self, site: &Site, record: &Record) {
+        let id = UpstreamId(record.key.clone());
+        let change = match &record.value {
+            None => self.registry.unlist(&id, site.now()),
+            Some(value) => match registry::parse(&record.key, value) {
+                Ok(entry) => self.registry.state(entry, site.now()),
+                Err(error) => {
+                    tracing::error!(target: "registry", upstream = %id, %error, "entry not understood");
+                    return;
+                }
+            },
+        };
+        self.changed(site, &id, &change);
+    }
+}
+
+impl Sink for Upstreams {
+    const TOPIC: &'static str = store::UPSTREAMS;
+    const WAITS: bool = false;
+
+    fn record(&mut self, site: &Site, record: &Record) {
+        self.state(site, record);
+    }
+
+    fn complete(&mut self, site: &Site, keys: &[String]) {
+        let ids: Vec<UpstreamId> = keys.iter().cloned().map(UpstreamId).collect();
+        for (id, change) in self.registry.retain(&ids, site.now()) {
+            self.changed(site, &id, &change);
+        }
+        site.listed.set(true);
+    }
+
+    fn read(&mut self, site: &Site) {
+        for id in self.registry.expire(site.now()) {
+            self.changed(site, &id, &Change::Left);
+        }
+        for upstream in site.fleet.all() {
+            upstream.pool.sweep(site.now());
+        }
+    }
+
+    fn returned(&mut self, site: &Site) {
+        self.registry.returned(site.now());
+    }
+}
+
+/// The hosts' records.
+struct Hosts;
+
+impl Sink for Hosts {
+    const TOPIC: &'static str = store::HOSTS;
+    const WAITS: bool = true;
+
+    fn record(&mut self, site: &Site, record: &Record) {
+        let parsed = record.value.as_deref().map(serde_json::from_slice::<HostRecord>);
+        match parsed {
+            None => site.peers.list(&record.key, None),
+            Some(Ok(host)) => site.peers.list(&record.key, Some(host)),
+            Some(Err(error)) => {
+                tracing::debug!(target: "peers", key = record.key, %error, "record of no host");
+            }
+        }
+    }
+}
+
+/// Writes this host's record until the store has it.
+async fn register(site: Rc<Site>) {
+    let value = serde_json::to_vec(&site.peers.record).expect("a plain structure");
+    let key = site.settings.load().name.clone();
+    let write = store::write(store::HOSTS, &Record { key, value: Some(value) });
+    let mut link = Link { topic: store::HOSTS, down: false, pause: FIRST_PAUSE };
+    loop {
+        let mut caller = Caller::new(site.settings.load().store.addr);
+        let why = match call(&mut caller, &write, ANSWER).await {
+            Ok(reply) if reply.status == 200 => {
+                link.up();
+                return;
+            }
+            Ok(reply) => format!("write: status {}", reply.status),
+            Err(why) => why,
+        };
+        tokio::time::sleep(link.failed(&why)).await;
+    }
+}
+
+/// Starts following the store.
+pub fn start(site: &Rc<Site>) {
+    ntex::rt::spawn(follow(site.clone(), Operators));
+    ntex::rt::spawn(follow(site.clone(), Upstreams { registry: Registry::new() }));
+    ntex::rt::spawn(follow(site.clone(), Hosts));
+    ntex::rt::spawn(register(site.clone()));
+}
--- /dev/null
+++ b/crates/router/src/proxy/http1.rs
@@ -0,0 +1,432 @@
+//! Heads and bodies of HTTP/1.1 messages, on bytes that are already there.
+//!
+//! Parsed by `httparse`, which ntex uses as well. ntex's own client codec
+//! reads an answer without a length as an empty one and its `Io` does not
+//! tell a reset from an end, so that an answer cut on the way would look
+//! complete; here each way a body can end is told apart.
+
+use bytes::{Buf, Bytes, BytesMut};
+use quick_error::quick_error;
+
+/// Headers a message may carry.
+const MAX_HEADERS: usize = 96;
+
+/// Longest line that tells the size of a chunk, extensions included.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// Most bytes of trailers after a chunked body.
+const MAX_TRAILERS: usize = 8 << 10;
+
+quick_error! {
+    /// Why bytes are no message.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum BadMessage {
+        /// The head is longer than allowed.
+        TooLong(limit: usize) {
+            display("the head is longer than {limit} bytes")
+        }
+        /// The bytes break the protocol.
+        Malformed(why: &'static str) {
+            display("malformed: {why}")
+        }
+        /// The connection ended before the message did.
+        CutOff {
+            display("cut off before its end")
+        }
+    }
+}
+
+/// Headers in the order they came.
+#[derive(Debug, Clone, Default)]
+pub struct Headers(Vec<(Bytes, Bytes)>);
+
+impl Headers {
+    /// The value of the first header called `name`.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+    }
+
+    /// The values of all headers called `name`.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    }
+
+    /// All headers whose values are text.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.0.iter().filter_map(|(name, value)| {
+            Some((std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?))
+        })
+    }
+
+    /// Headers that concern more than one connection, as they came.
+    pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        let listed: Vec<&str> =
+            self.all("connection").flat_map(|v| v.split(',')).map(str::trim).collect();
+        self.0.iter().filter_map(move |(name, value)| {
+            let name = std::str::from_utf8(name).ok()?;
+            let hop = HOP_BY_HOP.iter().chain(&listed).any(|h| h.eq_ignore_ascii_case(name));
+            (!hop).then_some((name, value.as_ref()))
+        })
+    }
+
+    /// Whether the connection ends with this message.
+    pub fn closes(&self, minor: u8) -> bool {
+        let mut options = self.all("connection").flat_map(|v| v.split(',')).map(str::trim);
+        match minor {
+            0 => !options.any(|o| o.eq_ignore_ascii_case("keep-alive")),
+            _ => options.any(|o| o.eq_ignore_ascii_case("close")),
+        }
+    }
+}
+
+/// Headers that concern one connection only. The length is among them since
+/// it is written anew.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// The head of a request.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    /// Its method.
+    pub method: String,
+    /// Path and query as they came.
+    pub target: String,
+    /// 1 for HTTP/1.1, 0 for HTTP/1.0.
+    pub minor: u8,
+    /// Its headers.
+    pub headers: Headers,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct ResponseHead {
+    /// Its status.
+    pub status: u16,
+    /// 1 for HTTP/1.1, 0 for HTTP/1.0.
+    pub minor: u8,
+    /// Its headers.
+    pub headers: Headers,
+}
+
+/// Takes the head of a request from `buf`; `None` until it is whole.
+pub fn request_head(buf: &mut BytesMut, limit: usize) -> Result<Option<RequestHead>, BadMessage> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request.parse(buf).map_err(|_| BadMessage::Malformed("request head"))?;
+    match status {
+        httparse::Status::Complete(len) if len > limit => Err(BadMessage::TooLong(limit)),
+        httparse::Status::Partial if buf.len() > limit => Err(BadMessage::TooLong(limit)),
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(len) => {
+            let method = request.method.unwrap_or_default().to_string();
+            let target = request.path.unwrap_or_default().to_string();
+            let minor = request.version.unwrap_or_default();
+            let headers = copy_headers(request.headers);
+            buf.advance(len);
+            Ok(Some(RequestHead { method, target, minor, headers }))
+        }
+    }
+}
+
+/// Takes the head of an answer from `buf`; `None` until it is whole.
+pub fn response_head(buf: &mut BytesMut, limit: usize) -> Result<Option<ResponseHead>, BadMessage> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let status = response.parse(buf).map_err(|_| BadMessage::Malformed("answer head"))?;
+    match status {
+        httparse::Status::Partial if buf.len() > limit => Err(BadMessage::TooLong(limit)),
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(len) => {
+            let status = response.code.unwrap_or_default();
+            let minor = response.version.unwrap_or_default();
+            let headers = copy_headers(response.headers);
+            buf.advance(len);
+            Ok(Some(ResponseHead { status, minor, headers }))
+        }
+    }
+}
+
+fn copy_headers(headers: &[httparse::Header<'_>]) -> Headers {
+    let copy = |h: &httparse::Header<'_>| {
+        (Bytes::copy_from_slice(h.name.as_bytes()), Bytes::copy_from_slice(h.value))
+    };
+    Headers(headers.iter().map(copy).collect())
+}
+
+/// How a body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// After so many bytes.
+    Length(u64),
+    /// With an empty chunk.
+    Chunked,
+    /// With the connection.
+    Close,
+}
+
+/// How the body of a request ends. A request whose length can be read in two
+/// ways is malformed.
+pub fn request_framing(head: &RequestHead) -> Result<Framing, BadMessage> {
+    match framing(&head.headers, head.minor)? {
+        Some(framing) => Ok(framing),
+        None => Ok(Framing::Length(0)),
+    }
+}
+
+/// How the body of an answer to a request with `method` ends.
+pub fn response_framing(method: &str, head: &ResponseHead) -> Result<Framing, BadMessage> {
+    match head.status {
+        100..=199 | 204 | 304 => Ok(Framing::Length(0)),
+        _ if method == "HEAD" => Ok(Framing::Length(0)),
+        _ => Ok(framing(&head.headers, head.minor)?.unwrap_or(Framing::Close)),
+    }
+}
+
+fn framing(headers: &Headers, minor: u8) -> Result<Option<Framing>, BadMessage> {
+    let count = |name: &str| headers.0.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes())).count();
+    match (count("transfer-encoding"), count("content-length")) {
+        (0, 0) => Ok(None),
+        (0, 1) => {
+            let text = headers.get("content-length").unwrap_or_default().trim();
+            let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+            match text.parse() {
+                Ok(length) if digits => Ok(Some(Framing::Length(length))),
+                _ => Err(BadMessage::Malformed("content-length")),
+            }
+        }
+        (1, 0) if minor == 1 => {
+            match headers.get("transfer-encoding").unwrap_or_default().trim() {
+                coding if coding.eq_ignore_ascii_case("chunked") => Ok(Some(Framing::Chunked)),
+                _ => Err(BadMessage::Malformed("transfer-encoding")),
+            }
+        }
+        _ => Err(BadMessage::Malformed("more than one length")),
+    }
+}
+
+/// Takes a body apart.
+#[derive(Debug)]
+pub struct Body {
+    state: State,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    Close,
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers(usize),
+    Done,
+}
+
+/// What a body has to give.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// More bytes must arrive first.
+    More,
+    /// The body is complete.
+    End,
+}
+
+impl From<Framing> for Body {
+    fn from(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::Close => State::Close,
+        };
+        Self { state }
+    }
+}
+
+impl Body {
+    /// The next piece of the body in `buf`; `ended` when the peer has closed
+    /// the connection in order.
+    pub fn next(&mut self, buf: &mut BytesMut, ended: bool) -> Result<Piece, BadMessage> {
+        loop {
+            match self.state {
+                State::Done => return Ok(Piece::End),
+                State::Close if !buf.is_empty() => return Ok(Piece::Data(buf.split().freeze())),
+                State::Close if ended => self.state = State::Done,
+                State::Length(left) if !buf.is_empty() => {
+                    let (data, left) = take(buf, left);
+                    self.state = if left == 0 { State::Done } else { State::Length(left) };
+                    return Ok(Piece::Data(data));
+                }
+                State::ChunkData(left) if !buf.is_empty() => {
+                    let (data, left) = take(buf, left);
+                    self.state = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
+                    return Ok(Piece::Data(data));
+                }
+                State::ChunkSize => match line(buf, MAX_CHUNK_LINE)? {
+                    Some(line) => {
+                        self.state = match chunk_size(&line)? {
+                            0 => State::Trailers(0),
+                            size => State::ChunkData(size),
+                        }
+                    }
+                    None => return Self::more(ended),
+                },
+                State::ChunkEnd => match line(buf, 2)? {
+                    Some(line) if line.is_empty() => self.state = State::ChunkSize,
+                    Some(_) => return Err(BadMessage::Malformed("end of a chunk")),
+                    None => return Self::more(ended),
+                },
+                State::Trailers(seen) => match line(buf, MAX_TRAILERS)? {
+                    Some(line) if line.is_empty() => self.state = State::Done,
+                    Some(line) if seen + line.len() <= MAX_TRAILERS => {
+                        self.state = State::Trailers(seen + line.len());
+                    }
+                    Some(_) => return Err(BadMessage::Malformed("trailers too long")),
+                    None => return Self::more(ended),
+                },
+                State::Close | State::Length(_) | State::ChunkData(_) => return Self::more(ended),
+            }
+        }
+    }
+
+    /// Whether the body is complete.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    fn more(ended: bool) -> Result<Piece, BadMessage> {
+        if ended { Err(BadMessage::CutOff) } else { Ok(Piece::More) }
+    }
+}
+
+fn take(buf: &mut BytesMut, left: u64) -> (Bytes, u64) {
+    let len = usize::try_from(left).unwrap_or(usize::MAX).min(buf.len());
+    (buf.split_to(len).freeze(), left - len as u64)
+}
+
+/// Takes one line without its end.
+fn line(buf: &mut BytesMut, limit: usize) -> Result<Option<Bytes>, BadMessage> {
+    match buf.iter().position(|b| *b == b'\n') {
+        Some(end) if end > limit => Err(BadMessage::Malformed("line too long")),
+        None if buf.len() > limit => Err(BadMessage::Malformed("line too long")),
+        None => Ok(None),
+        Some(end) => {
+            let mut line = buf.split_to(end + 1);
+            line.truncate(end);
+            match line.last() {
+                Some(b'\r') => line.truncate(end - 1),
+                _ => return Err(BadMessage::Malformed("line without carriage return")),
+            }
+            Ok(Some(line.freeze()))
+        }
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, BadMessage> {
+    let digits = line.split(|b| *b == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).unwrap_or_default().trim();
+    let hex = !text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    match u64::from_str_radix(text, 16) {
+        Ok(size) if hex => Ok(size),
+        _ => Err(BadMessage::Malformed("size of a chunk")),
+    }
+}
+
+/// Writes a request head; the body follows with its length.
+pub struct RequestWriter(BytesMut);
+
+impl RequestWriter {
+    /// Begins a request.
+    pub fn new(method: &str, target: &str) -> Self {
+        let mut buf = BytesMut::with_capacity(1_024);
+        for text in [method, " ", target, " HTTP/1.1\r\n"] {
+            buf.extend_from_slice(text.as_bytes());
+        }
+        Self(buf)
+    }
+
+    /// Adds a header.
+    pub fn header(&mut self, name: &str, value: &[u8]) {
+        write_header(&mut self.0, name, value);
+    }
+
+    /// Ends the head and adds `body`.
+    pub fn finish(mut self, body: Option<&[u8]>) -> Bytes {
+        if let Some(body) = body {
+            self.header("content-length", body.len().to_string().as_bytes());
+        }
+        self.0.extend_from_slice(b"\r\n");
+        self.0.extend_from_slice(body.unwrap_or_default());
+        self.0.freeze()
+    }
+}
+
+/// Writes the head of an answer.
+pub struct ResponseWriter(BytesMut);
+
+impl ResponseWriter {
+    /// Begins an answer with `status`.
+    pub fn new(status: u16) -> Self {
+        let mut buf = BytesMut::with_capacity(512);
+        let reason = ntex::http::StatusCode::from_u16(status)
+            .ok()
+            .and_then(|s| s.canonical_reason())
+            .unwrap_or("Unknown");
+        buf.extend_from_slice(format!("HTTP/1.1 {status} {reason}\r\n").as_bytes());
+        Self(buf)
+    }
+
+    /// Adds a header.
+    pub fn header(&mut self, name: &str, value: &[u8]) {
+        write_header(&mut self.0, name, value);
+    }
+
+    /// Ends the head and adds `body` with its length.
+    pub fn finish(mut self, body: &[u8]) -> BytesMut {
+        self.header("content-length", body.len().to_string().as_bytes());
+        self.0.extend_from_slice(b"\r\n");
+        self.0.extend_from_slice(body);
+        self.0
+    }
+
+    /// Ends the head; chunks follow.
+    pub fn chunked(mut self) -> BytesMut {
+        self.header("transfer-encoding", b"chunked");
+        self.0.extend_from_slice(b"\r\n");
+        self.0
+    }
+
+    /// Ends the head of an answer that has no body.
+    pub fn bare(mut self) -> BytesMut {
+        self.0.extend_from_slice(b"\r\n");
+        self.0
+    }
+}
+
+fn write_header(buf: &mut BytesMut, name: &str, value: &[u8]) {
+    buf.extend_from_slice(name.as_bytes());
+    buf.extend_from_slice(b": ");
+    buf.extend_from_slice(value);
+    buf.extend_from_slice(b"\r\n");
+}
+
+/// Adds `data` to `buf` as one chunk.
+pub fn write_chunk(buf: &mut BytesMut, data: &[u8]) {
+    buf.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    buf.extend_from_slice(data);
+    buf.extend_from_slice(b"\r\n");
+}
+
+/// What ends a chunked body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
--- /dev/null
+++ b/crates/router/src/proxy/peers.rs
@@ -0,0 +1,302 @@
+//! What hosts tell each other: who takes callers, how much each has sent to
+//! which upstream, and which engines are changing their weights.
+//!
+//! Datagrams with `bincode`: each says everything again a moment later, so a
+//! lost one needs no repair, and a host that has gone costs its peers
+//! nothing. (An `h2` stream to each of eight peers costs a connection's
+//! memory and several system calls a message; nothing here needs order or
+//! delivery.) Hosts find each other by the records they keep in the
+//! platform's store. Nothing here is agreed on: a wrong view costs a caller
+//! one detour or a request a worse place.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_core::host::HostSettings;
+use marjoram_core::upstream::UpstreamId;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use super::fleet::Load;
+use super::site::Site;
+
+/// Time between greetings to the same few peers.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Peers greeted at once; with more, they are greeted in turn.
+const FANOUT: usize = 16;
+
+/// Greetings missed before a peer is taken to be gone.
+const MISSES: u32 = 3;
+
+/// Largest datagram.
+const DATAGRAM: usize = 16 << 10;
+
+/// What a host keeps of itself in the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it takes datagrams of other hosts.
+    pub peers: SocketAddr,
+    /// Its data centre.
+    pub dc: String,
+    /// One life of its process.
+    pub life: u64,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum Message {
+    /// How the sender is.
+    Hello(Hello),
+    /// An engine closes for a change of weights, or is open again.
+    Notice(Notice),
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Hello {
+    name: String,
+    life: u64,
+    /// It takes callers.
+    open: bool,
+    /// Requests it has at each upstream, by key.
+    loads: Vec<(u64, Load)>,
+}
+
+/// A change of an engine's weights.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Notice {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The model.
+    pub model: String,
+    /// The version it changes to, or has changed to.
+    pub version: u64,
+    /// For how long it is closed, in milliseconds; `None` once it is open.
+    pub closed: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    record: HostRecord,
+    heard: Option<Duration>,
+    open: bool,
+    loads: Vec<(u64, Load)>,
+}
+
+/// The other hosts.
+pub struct Peers {
+    name: String,
+    /// What this host keeps of itself.
+    pub record: HostRecord,
+    known: RefCell<HashMap<String, Peer>>,
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    now: Cell<Duration>,
+    turn: Cell<usize>,
+}
+
+impl Peers {
+    /// No host known yet.
+    pub fn new(settings: &HostSettings) -> Self {
+        let record = HostRecord {
+            callers: settings.callers,
+            peers: SocketAddr::new(settings.ip, settings.ports.0),
+            dc: settings.dc.to_string(),
+            life: rand::random(),
+        };
+        Self {
+            name: settings.name.clone(),
+            record,
+            known: RefCell::default(),
+            socket: RefCell::default(),
+            now: Cell::default(),
+            turn: Cell::default(),
+        }
+    }
+
+    /// Takes in the record that the host `name` keeps of itself.
+    pub fn list(&self, name: &str, record: Option<HostRecord>) {
+        let mut known = self.known.borrow_mut();
+        match record {
+            _ if name == self.name => {}
+            None => drop(known.remove(name)),
+            Some(record) => match known.get_mut(name) {
+                Some(peer) if peer.record == record => {}
+                _ => {
+                    tracing::info!(target: "peers", host = name, addr = %record.peers, "host listed");
+                    let peer = Peer { record, heard: None, open: false, loads: Vec::new() };
+                    known.insert(name.to_string(), peer);
+                }
+            },
+        }
+    }
+
+    /// Hosts there are, this one included.
+    pub fn count(&self) -> usize {
+        self.known.borrow().len() + 1
+    }
+
+    /// Where the other hosts that take callers do so.
+    pub fn open(&self) -> Vec<SocketAddr> {
+        let (now, patience) = (self.now.get(), self.patience());
+        let known = self.known.borrow();
+        let open = known.values().filter(|p| p.open && p.is_heard(now, patience));
+        open.map(|p| p.record.callers).collect()
+    }
+
+    /// How long a host may be silent.
+    fn patience(&self) -> Duration {
+        let rounds = self.known.borrow().len().div_ceil(FANOUT).max(1) as u32;
+        PERIOD * rounds * MISSES + PERIOD / 4
+    }
+
+    fn hear(&self, hello: Hello, now: Duration) {
+        let mut known = self.known.borrow_mut();
+        let Some(peer) = known.get_mut(&hello.name) else { return };
+        if peer.record.life != hello.life {
+            return;
+        }
+        if peer.open != hello.open || peer.heard.is_none() {
+            tracing::info!(target: "peers", host = hello.name, open = hello.open, "host heard");
+        }
+        peer.heard = Some(now);
+        peer.open = hello.open;
+        peer.loads = hello.loads;
+    }
+
+    /// What the others have at each upstream, by key.
+    fn loads(&self) -> HashMap<u64, Load> {
+        let (now, patience) = (self.now.get(), self.patience());
+        let mut sums: HashMap<u64, Load> = HashMap::new();
+        for peer in self.known.borrow().values().filter(|p| p.is_heard(now, patience)) {
+            for (key, load) in &peer.loads {
+                let sum = sums.entry(*key).or_default();
+                *sum = sum.plus(*load);
+            }
+        }
+        sums
+    }
+
+    /// The hosts, for the state dump.
+    pub fn state(&self, now: Duration) -> serde_json::Value {
+        let known = self.known.borrow();
+        let state = |(name, p): (&String, &Peer)| {
+            let heard = p.heard.map(|at| now.saturating_sub(at).as_millis() as u64);
+            serde_json::json!({ "name": name, "callers": p.record.callers, "open": p.open,
+                "heard_ms_ago": heard })
+        };
+        known.iter().map(state).collect()
+    }
+
+    fn targets(&self, count: usize) -> Vec<SocketAddr> {
+        let known = self.known.borrow();
+        let mut names: Vec<(&String, SocketAddr)> =
+            known.iter().map(|(n, p)| (n, p.record.peers)).collect();
+        names.sort();
+        let all = names.len();
+        let first = self.turn.get();
+        self.turn.set((first + count.min(all)) % all.max(1));
+        (0..count.min(all)).map(|i| names[(first + i) % all].1).collect()
+    }
+
+    fn send(&self, message: &Message, to: &[SocketAddr]) {
+        let Some(socket) = self.socket.borrow().clone() else { return };
+        match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
+            Ok(bytes) => {
+                for addr in to {
+                    // A datagram that cannot be sent now is lost like any other.
+                    if let Err(error) = socket.try_send_to(&bytes, *addr) {
+                        tracing::debug!(target: "peers", %addr, %error, "datagram not sent");
+                    }
+                }
+            }
+            Err(error) => tracing::warn!(target: "peers", %error, "datagram not encoded"),
+        }
+    }
+
+    /// Tells all hosts of a change of an engine's weights.
+    pub fn notify(&self, notice: &Notice) {
+        let all: Vec<SocketAddr> = self.known.borrow().values().map(|p| p.record.peers).collect();
+        self.send(&Message::Notice(notice.clone()), &all);
+    }
+}
+
+impl Peer {
+    fn is_heard(&self, now: Duration, patience: Duration) -> bool {
+        self.heard.is_some_and(|at| now < at + patience)
+    }
+}
+
+/// Greets the other hosts and listens to them until the process ends.
+pub async fn run(site: Rc<Site>) {
+    let addr = site.peers.record.peers;
+    let socket = match UdpSocket::bind(addr).await {
+        Ok(socket) => Rc::new(socket),
+        Err(error) => {
+            tracing::error!(target: "peers", %addr, %error, "no socket between hosts");
+            return;
+        }
+    };
+    *site.peers.socket.borrow_mut() = Some(socket.clone());
+    ntex::rt::spawn(listen(site.clone(), socket));
+    loop {
+        site.peers.now.set(site.now());
+        greet(&site);
+        share_loads(&site);
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+/// Tells a few hosts how this one is.
+pub fn greet(site: &Site) {
+    let own = |u: &Rc<super::fleet::Upstream>| (u.key, u.own.get());
+    let loads = site.fleet.all().iter().map(own).filter(|(_, l)| l.running > 0).collect();
+    let hello = Hello {
+        name: site.peers.name.clone(),
+        life: site.peers.record.life,
+        open: site.is_ready(),
+        loads,
+    };
+    let targets = site.peers.targets(FANOUT);
+    site.peers.send(&Message::Hello(hello), &targets);
+}
+
+fn share_loads(site: &Site) {
+    let sums = site.peers.loads();
+    for upstream in site.fleet.all() {
+        upstream.others.set(sums.get(&upstream.key).copied().unwrap_or_default());
+    }
+}
+
+async fn listen(site: Rc<Site>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0u8; DATAGRAM];
+    loop {
+        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+            // A reset from a port without a listener: that peer is down.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let config = bincode::config::standard();
+        match bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config) {
+            Ok((Message::Hello(hello), _)) => site.peers.hear(hello, site.now()),
+            Ok((Message::Notice(notice), _)) => take_notice(&site, &notice),
+            Err(error) => tracing::warn!(target: "peers", %from, %error, "datagram not understood"),
+        }
+    }
+}
+
+/// Takes in a change of an engine's weights.
+pub fn take_notice(site: &Site, notice: &Notice) {
+    let Some(upstream) = site.fleet.get(&notice.upstream) else { return };
+    match notice.closed {
+        Some(ms) => upstream.closed.set(Some(site.now() + Duration::from_millis(ms))),
+        None => {
+            upstream.closed.set(None);
+            upstream.serves(&notice.model, notice.version);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/relay.rs
@@ -0,0 +1,284 @@
+//! Passing an answer on to the caller, whole or event by event.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use marjoram_core::events::Splitter;
+
+use super::attempt::{Failure, Opened};
+use super::conn::Conn;
+use super::fleet::Flight;
+use super::http1::{LAST_CHUNK, ResponseWriter, write_chunk};
+use super::request::{Answer, Exchange, Refusal};
+use super::site::Site;
+
+/// Silence inside a stream after which it is taken up elsewhere, where that
+/// is allowed. Callers give up after two seconds.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Bytes of a caller's next request that are read ahead of their turn.
+pub const READ_AHEAD: usize = 64 << 10;
+
+/// How an exchange with a caller ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered with this status; the connection may go on.
+    Answered(u16),
+    /// Refused by the router; the connection may go on.
+    Refused(Refusal),
+    /// The caller left.
+    Left,
+    /// The answer had begun and broke off; the connection must be reset.
+    Cut(String),
+}
+
+/// Sends the request of `exchange` and passes its answer on to `caller`;
+/// `last` when the connection closes after this answer.
+pub async fn run(site: &Site, caller: &mut Conn, exchange: &mut Exchange, last: bool) -> Outcome {
+    let answer = tokio::select! {
+        answer = exchange.open(None) => answer,
+        () = caller.gone(READ_AHEAD) => return Outcome::Left,
+    };
+    match answer {
+        Err(refusal) => Outcome::Refused(refusal),
+        Ok(Answer::Failed(opened, body)) => failed(site, caller, opened, &body, last).await,
+        Ok(Answer::Open(opened, flight)) if exchange.route.kind.streams() && is_stream(&opened) => {
+            Stream::new(site, exchange, last).relay(caller, opened, flight).await
+        }
+        Ok(Answer::Open(opened, flight)) => whole(site, caller, exchange, opened, flight, last).await,
+    }
+}
+
+fn is_stream(opened: &Opened) -> bool {
+    let kind = opened.head.headers.get("content-type").unwrap_or_default();
+    (200..300).contains(&opened.head.status) && kind.starts_with("text/event-stream")
+}
+
+/// The head of an upstream's answer for the caller.
+fn head(opened: &Opened, last: bool) -> ResponseWriter {
+    let mut writer = ResponseWriter::new(opened.head.status);
+    for (name, value) in opened.head.headers.end_to_end() {
+        writer.header(name, value);
+    }
+    if last {
+        writer.header("connection", b"close");
+    }
+    writer
+}
+
+/// Passes a failure on that an upstream answered.
+async fn failed(site: &Site, caller: &mut Conn, opened: Opened, body: &[u8], last: bool) -> Outcome {
+    let status = opened.head.status;
+    // To a caller these statuses promise that the request has not run.
+    if matches!(status, 408 | 421 | 429 | 503) && !opened.mark.not_run {
+        opened.finish(site.now());
+        return Outcome::Refused(Refusal::with_status(502, "upstream failed after it may have run"));
+    }
+    let bytes = head(&opened, last).finish(body);
+    opened.finish(site.now());
+    match caller.write(&bytes).await {
+        Ok(()) => Outcome::Answered(status),
+        Err(_) => Outcome::Left,
+    }
+}
+
+/// Passes on an answer that has been collected whole, so that one that is
+/// cut short is never taken for complete.
+async fn whole(
+    site: &Site,
+    caller: &mut Conn,
+    exchange: &mut Exchange,
+    mut opened: Opened,
+    mut flight: Flight,
+    last: bool,
+) -> Outcome {
+    let begun = site.now();
+    loop {
+        let collected = tokio::select! {
+            body = tokio::time::timeout_at(site.at(exchange.expires), opened.collect()) => body,
+            () = caller.gone(READ_AHEAD) => return Outcome::Left,
+        };
+        match collected {
+            Err(_) => return Outcome::Refused(exchange.expired()),
+            Ok(Ok(body)) => {
+                let status = opened.head.status;
+                let bytes = match exchange.request().head.method.as_str() {
+                    "HEAD" => head(&opened, last).bare(),
+                    _ => head(&opened, last).finish(&body),
+                };
+                {
+                    let mut health = opened.upstream.health.borrow_mut();
+                    health.answered(true);
+                    health.took(site.now().saturating_sub(begun) + exchange.last_wait());
+                }
+                opened.finish(site.now());
+                drop(flight);
+                return match caller.write(&bytes).await {
+                    Ok(()) => Outcome::Answered(status),
+                    Err(_) => Outcome::Left,
+                };
+            }
+            Ok(Err(failure)) => {
+                exchange.broke(&opened, &failure);
+                drop((opened, flight));
+                let again = tokio::select! {
+                    again = exchange.open(None) => again,
+                    () = caller.gone(READ_AHEAD) => return Outcome::Left,
+                };
+                match again {
+                    Err(refusal) => return Outcome::Refused(refusal),
+                    Ok(Answer::Failed(opened, body)) => {
+                        return failed(site, caller, opened, &body, last).await;
+                    }
+                    Ok(Answer::Open(next, counted)) => (opened, flight) = (next, counted),
+                }
+            }
+        }
+    }
+}
+
+/// A stream of events on its way to a caller.
+struct Stream<'a> {
+    site: &'a Site,
+    exchange: &'a mut Exchange,
+    last: bool,
+    splitter: Splitter,
+    /// The head, until it has been written.
+    head: Option<BytesMut>,
+    /// Id of the last event passed on.
+    passed: Option<u64>,
+    /// Something has been passed on.
+    begun: bool,
+}
+
+/// What comes next of a stream.
+enum Step {
+    Go,
+    Ended,
+    Broken(Failure),
+    Expired,
+    Left,
+}
+
+impl<'a> Stream<'a> {
+    fn new(site: &'a Site, exchange: &'a mut Exchange, last: bool) -> Self {
+        Self {
+            site,
+            exchange,
+            last,
+            splitter: Splitter::new(),
+            head: None,
+            passed: None,
+            begun: false,
+        }
+    }
+
+    async fn relay(mut self, caller: &mut Conn, mut opened: Opened, mut flight: Flight) -> Outcome {
+        self.head = Some(head(&opened, self.last).chunked());
+        loop {
+            let step = self.step(caller, &mut opened).await;
+            let failure = match step {
+                Step::Go => continue,
+                Step::Left => return Outcome::Left,
+                Step::Expired if self.begun => return Outcome::Cut("route's time is up".into()),
+                Step::Expired => return Outcome::Refused(self.exchange.expired()),
+                Step::Ended if self.splitter.is_empty() => {
+                    opened.upstream.health.borrow_mut().answered(true);
+                    opened.finish(self.site.now());
+                    drop(flight);
+                    return self.end(caller).await;
+                }
+                Step::Ended => Failure::Broken("stream", "ended inside an event".into()),
+                Step::Broken(failure) => failure,
+            };
+            self.exchange.broke(&opened, &failure);
+            if self.begun && !self.exchange.may_resume() {
+                return Outcome::Cut(failure.to_string());
+            }
+            drop((opened, flight));
+            self.splitter.clear();
+            let again = tokio::select! {
+                again = self.exchange.open(self.passed) => again,
+                () = caller.gone(READ_AHEAD) => return Outcome::Left,
+            };
+            match again {
+                Ok(Answer::Open(next, counted)) if is_stream(&next) => {
+                    self.site.counters.count("stream.resumed");
+                    tracing::info!(target: "stream", id = self.exchange.id(), passed = self.passed,
+                        upstream = %next.upstream.id, after = %failure, "stream taken up again");
+                    if !self.begun {
+                        self.head = Some(head(&next, self.last).chunked());
+                    }
+                    (opened, flight) = (next, counted);
+                }
+                Err(refusal) if self.begun => {
+                    return Outcome::Cut(format!("{failure}; not resumed: {}", refusal.why));
+                }
+                _ if self.begun => return Outcome::Cut(format!("{failure}; not resumed")),
+                Err(refusal) => return Outcome::Refused(refusal),
+                Ok(Answer::Failed(opened, body)) => {
+                    return failed(self.site, caller, opened, &body, self.last).await;
+                }
+                Ok(Answer::Open(..)) => {
+                    return Outcome::Refused(Refusal::with_status(502, "no stream came"));
+                }
+            }
+        }
+    }
+
+    /// Waits for more of the stream and passes on the events that are whole.
+    async fn step(&mut self, caller: &mut Conn, opened: &mut Opened) -> Step {
+        let silence = match self.exchange.may_resume() {
+            true => STREAM_SILENCE,
+            false => self.exchange.left(),
+        };
+        let until = (self.site.now() + silence).min(self.exchange.expires);
+        let data = tokio::select! {
+            data = tokio::time::timeout_at(self.site.at(until), opened.next_data()) => data,
+            () = caller.gone(READ_AHEAD) => return Step::Left,
+        };
+        match data {
+            Err(_) if self.site.now() >= self.exchange.expires => return Step::Expired,
+            Err(_) => return Step::Broken(Failure::Silent(silence)),
+            Ok(Err(failure)) => return Step::Broken(failure),
+            Ok(Ok(None)) => return Step::Ended,
+            Ok(Ok(Some(data))) => self.splitter.push(&data),
+        }
+        opened.upstream.health.borrow_mut().alive(self.site.now());
+        match self.pass(caller).await {
+            true => Step::Go,
+            false => Step::Left,
+        }
+    }
+
+    /// Passes on whole events; false when the caller has gone.
+    async fn pass(&mut self, caller: &mut Conn) -> bool {
+        let mut data = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
+            match (event.id, self.passed) {
+                // A resumed stream may begin with what has been passed on.
+                (Some(id), Some(passed)) if id <= passed => continue,
+                (Some(id), _) => self.passed = Some(id),
+                (None, _) => {}
+            }
+            data.extend_from_slice(&event.bytes);
+        }
+        if data.is_empty() {
+            return true;
+        }
+        let mut out = self.head.take().unwrap_or_default();
+        write_chunk(&mut out, &data);
+        self.begun = true;
+        let write = tokio::time::timeout_at(self.site.at(self.exchange.expires), caller.write(&out));
+        matches!(write.await, Ok(Ok(())))
+    }
+
+    async fn end(&mut self, caller: &mut Conn) -> Outcome {
+        let mut out = self.head.take().unwrap_or_default();
+        out.extend_from_slice(LAST_CHUNK);
+        match caller.write(&out).await {
+            Ok(()) => Outcome::Answered(200),
+            Err(_) => Outcome::Left,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/run.rs
@@ -0,0 +1,143 @@
+//! The life of the process: start, reload, stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use marjoram_platform::settings;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::duty::{self, Duty};
+use super::logs::Logs;
+use super::site::Site;
+use super::{callers, entry, follow, logs, peers};
+use crate::error::Error;
+
+/// New connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Time between looks at the settings file, which may change unannounced.
+const SETTINGS_LOOK: Duration = Duration::from_secs(1);
+
+/// Shortest time to go on serving after a request to stop: callers keep an
+/// answer that names this host for two seconds.
+const STOP_LEAST: Duration = Duration::from_millis(2_500);
+
+/// A stop is complete when no request came for so long.
+const STOP_QUIET: Duration = Duration::from_millis(600);
+
+/// Time kept back from what a stop may take.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
+
+/// Runs the proxy until it is told to stop.
+pub async fn run() -> Result<(), Error> {
+    let logs = logs::init();
+    let path = settings::path();
+    let host = settings::load(&path).map_err(|e| Error::Settings(path.clone(), e.to_string()))?;
+    tracing::info!(target: "run", host = host.name, dc = %host.dc, callers = %host.callers,
+        store = %host.store.addr, first_start = host.first_start, "starting");
+    let site = Site::new(host);
+    let listening = site.settings.load_full();
+    let callers_listener = listen(listening.callers)?;
+    let mut questions = Vec::new();
+    for addr in [listening.ready, listening.directory].into_iter().flatten() {
+        questions.push(listen(addr)?);
+    }
+    ntex::rt::spawn(callers::serve(site.clone(), callers_listener));
+    for listener in questions {
+        ntex::rt::spawn(entry::serve(site.clone(), listener));
+    }
+    follow::start(&site);
+    ntex::rt::spawn(peers::run(site.clone()));
+    let duty = duty::start(&site);
+    ntex::rt::spawn(watch_settings(site.clone(), path));
+    wait_for_stop().await?;
+    stop(&site, &duty, &logs).await;
+    Ok(())
+}
+
+fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
+    let bind = |e| Error::Bind(addr.to_string(), e);
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let socket = socket.map_err(bind)?;
+    socket.set_reuseaddr(true).map_err(bind)?;
+    socket.bind(addr).map_err(bind)?;
+    socket.listen(BACKLOG).map_err(bind)
+}
+
+async fn wait_for_stop() -> Result<(), Error> {
+    let watch = |kind| signal(kind).map_err(|e| Error::Bind("signals".into(), e));
+    let (mut term, mut int) = (watch(SignalKind::terminate())?, watch(SignalKind::interrupt())?);
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
+
+/// Stops without cutting a request: callers are sent elsewhere first.
+async fn stop(site: &Rc<Site>, duty: &Duty, logs: &Logs) {
+    let begun = site.now();
+    site.draining.set(true);
+    tracing::info!(target: "run", handled = site.handled.get(), "stopping");
+    peers::greet(site);
+    duty::release(duty).await;
+    peers::greet(site);
+    let end = begun + site.settings.load().bounds.grace.saturating_sub(STOP_MARGIN);
+    let mut quiet_since = site.now();
+    let mut answered = site.counters.requests();
+    loop {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let now = site.now();
+        let seen = site.counters.requests();
+        if site.handled.get() > 0 || seen != answered {
+            answered = seen;
+            quiet_since = now;
+        }
+        let quiet = now - quiet_since >= STOP_QUIET && now - begun >= STOP_LEAST;
+        if quiet || now >= end {
+            break;
+        }
+    }
+    site.stop.notify_waiters();
+    tracing::info!(target: "run", handled = site.handled.get(),
+        lines_dropped = logs.dropped.dropped_lines(), "stopped");
+}
+
+/// Reads the settings again on a signal, and when the file has changed.
+async fn watch_settings(site: Rc<Site>, path: String) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        tracing::error!(target: "run", "cannot watch for reloads");
+        return;
+    };
+    let mut seen = changed_at(&path);
+    loop {
+        let asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_LOOK) => false,
+        };
+        let at = changed_at(&path);
+        if !asked && at == seen {
+            continue;
+        }
+        seen = at;
+        match settings::load(&path) {
+            Ok(new) if new == **site.settings.load() => {
+                tracing::info!(target: "run", asked, "settings read again, unchanged");
+            }
+            Ok(new) => {
+                tracing::info!(target: "run", asked, store = %new.store.addr, "settings changed");
+                site.settings.store(Arc::new(new));
+            }
+            Err(error) => {
+                tracing::error!(target: "run", asked, %error, "settings not understood, old ones kept");
+            }
+        }
+    }
+}
+
+fn changed_at(path: &str) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
--- /dev/null
+++ b/crates/router/src/proxy/site.rs
@@ -0,0 +1,123 @@
+//! State that the parts of one process share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use marjoram_core::budget::{Allowance, Budget};
+use marjoram_core::catalog::Catalog;
+use marjoram_core::host::HostSettings;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::counters::Counters;
+use super::fleet::Fleet;
+use super::peers::Peers;
+
+/// Weights that the operators named.
+#[derive(Debug, Clone, Copy)]
+pub struct Named {
+    /// Their version.
+    pub version: u64,
+    /// When this host learnt of them.
+    pub since: Duration,
+}
+
+/// Everything that the parts of one process share.
+pub struct Site {
+    /// Checked settings; replaced when the file changes.
+    pub settings: ArcSwap<HostSettings>,
+    /// The configuration in force.
+    pub catalog: ArcSwapOption<Catalog>,
+    /// Upstreams.
+    pub fleet: Fleet,
+    /// The other hosts.
+    pub peers: Peers,
+    /// Newest weights by model.
+    pub named: RefCell<HashMap<String, Named>>,
+    /// Counters and histograms.
+    pub counters: Counters,
+    /// The process is stopping.
+    pub draining: Cell<bool>,
+    /// The upstreams have been listed once.
+    pub listed: Cell<bool>,
+    /// Told when the process stops taking connections.
+    pub stop: Notify,
+    /// Told when weights are named or upstreams change.
+    pub duty: Notify,
+    /// Requests being handled.
+    pub handled: Cell<u32>,
+    budgets: RefCell<HashMap<String, Budget>>,
+    start: Instant,
+}
+
+impl Site {
+    /// State for `settings`, before anything is known.
+    pub fn new(settings: HostSettings) -> Rc<Self> {
+        let peers = Peers::new(&settings);
+        Rc::new(Self {
+            settings: ArcSwap::from_pointee(settings),
+            catalog: ArcSwapOption::empty(),
+            fleet: Fleet::default(),
+            peers,
+            named: RefCell::default(),
+            counters: Counters::new(),
+            draining: Cell::default(),
+            listed: Cell::default(),
+            stop: Notify::new(),
+            duty: Notify::new(),
+            handled: Cell::default(),
+            budgets: RefCell::default(),
+            start: Instant::now(),
+        })
+    }
+
+    /// Time since the process started, on the steady clock.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// The moment `now` of the steady clock.
+    pub fn at(&self, now: Duration) -> Instant {
+        self.start + now
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.get() && self.catalog.load().is_some() && self.listed.get()
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.load_full()
+    }
+
+    /// Counts a caller's request for `service`.
+    pub fn count_request(&self, service: &str) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.request(now));
+    }
+
+    /// Whether a request for `service` may be sent once more.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let (now, hosts) = (self.now(), self.peers.count());
+        self.with_budget(service, |budget| budget.repeat(now, hosts))
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        if !budgets.contains_key(service) {
+            let bounds = &self.settings.load().bounds;
+            let allowance = Allowance {
+                ratio: bounds.retry_ratio,
+                slack: bounds.retry_slack,
+                window: bounds.retry_window,
+            };
+            budgets.insert(service.to_string(), Budget::new(allowance));
+        }
+        act(budgets.get_mut(service).expect("just inserted"))
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/storeclient.rs
@@ -0,0 +1,125 @@
+//! Calls to the platform's store and to upstreams' own interfaces.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use marjoram_platform::store::Call;
+use quick_error::quick_error;
+
+use super::conn::Conn;
+use super::http1::{self, Body, Piece, RequestWriter};
+
+/// Longest head of an answer.
+const HEAD_LIMIT: usize = 32 << 10;
+
+/// Longest time to connect.
+const CONNECT: Duration = Duration::from_millis(700);
+
+quick_error! {
+    /// Why a call brought no answer.
+    #[derive(Debug)]
+    pub enum CallError {
+        /// The peer could not be reached: nothing was done.
+        Connect(peer: SocketAddr, why: String) {
+            display("connect to {peer}: {why}")
+        }
+        /// The call broke off: it may have been carried out.
+        Broken(peer: SocketAddr, why: String) {
+            display("call to {peer}: {why}")
+        }
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Its status.
+    pub status: u16,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Calls one peer over one connection, one call at a time.
+pub struct Caller {
+    peer: SocketAddr,
+    conn: Option<Conn>,
+}
+
+impl Caller {
+    /// A caller of `peer`, not yet connected.
+    pub fn new(peer: SocketAddr) -> Self {
+        Self { peer, conn: None }
+    }
+
+    /// Makes `call` with further `headers`, within `limit`. A connection
+    /// that has been idle and turns out to be closed is replaced once.
+    pub async fn call(
+        &mut self,
+        call: &Call,
+        headers: &[(&str, &str)],
+        limit: Duration,
+    ) -> Result<Reply, CallError> {
+        let mut kept = self.conn.take();
+        let mut conn = match kept.take_if(|conn| conn.is_quiet()) {
+            Some(conn) => conn,
+            None => Conn::connect(self.peer, CONNECT.min(limit))
+                .await
+                .map_err(|e| CallError::Connect(self.peer, e.to_string()))?,
+        };
+        let bytes = encode(call, headers, self.peer);
+        match tokio::time::timeout(limit, exchange(&mut conn, &bytes, call.method)).await {
+            Ok(Ok((reply, keep))) => {
+                self.conn = keep.then_some(conn);
+                Ok(reply)
+            }
+            Ok(Err(why)) => Err(CallError::Broken(self.peer, why)),
+            Err(_) => {
+                Err(CallError::Broken(self.peer, format!("no answer in {} ms", limit.as_millis())))
+            }
+        }
+    }
+}
+
+fn encode(call: &Call, headers: &[(&str, &str)], peer: SocketAddr) -> Bytes {
+    let mut writer = RequestWriter::new(call.method, &call.target);
+    writer.header("host", peer.to_string().as_bytes());
+    for (name, value) in headers {
+        writer.header(name, value.as_bytes());
+    }
+    match &call.body {
+        Some((kind, body)) => {
+            writer.header("content-type", kind.as_bytes());
+            writer.finish(Some(body))
+        }
+        None => writer.finish(None),
+    }
+}
+
+async fn exchange(conn: &mut Conn, bytes: &[u8], method: &str) -> Result<(Reply, bool), String> {
+    conn.write(bytes).await.map_err(|e| e.to_string())?;
+    let head = loop {
+        match http1::response_head(&mut conn.buf, HEAD_LIMIT).map_err(|e| e.to_string())? {
+            Some(head) if (100..200).contains(&head.status) => continue,
+            Some(head) => break head,
+            None => {}
+        }
+        match conn.fill().await {
+            Ok(0) => return Err("connection closed".into()),
+            Ok(_) => {}
+            Err(e) => return Err(e.to_string()),
+        }
+    };
+    let framing = http1::response_framing(method, &head).map_err(|e| e.to_string())?;
+    let mut body = Body::from(framing);
+    let mut whole = bytes::BytesMut::new();
+    loop {
+        match body.next(&mut conn.buf, conn.ended).map_err(|e| e.to_string())? {
+            Piece::Data(data) => whole.extend_from_slice(&data),
+            Piece::End => break,
+            Piece::More => drop(conn.fill().await.map_err(|e| e.to_string())?),
+        }
+    }
+    let keep = !head.headers.closes(head.minor) && conn.buf.is_empty() && !conn.ended;
+    Ok((Reply { status: head.status, body: whole.freeze() }, keep))
+}
