--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -7,27 +7,45 @@
 //! another engine tens, finding it in place none; waiting behind other
 //! prompts costs what they take to be read.
 //!
-//! Each shared part has a home among the engines: the one that ranks first
-//! for it by hashing. All hosts compute the same ranks, so they agree on
-//! homes without telling each other anything, at any number of engines, and
-//! an engine that leaves moves only its own parts. A prompt goes to the
-//! engine that is expected to have read it soonest; away from home it copies
-//! the shared parts from there.
+//! Each shared part has a home among the engines on the same weights: the one
+//! that ranks first for it by hashing. All hosts compute the same ranks, so
+//! they agree on homes without telling each other anything, at any number of
+//! engines, and an engine that leaves moves only its own parts. Away from
+//! home the shared parts are copied from there.
 //!
-//! Limits: an engine whose memory would be overfull interrupts running
-//! requests, so its cost grows with the excess; one on weights that have
-//! been replaced is charged [`OLD_WEIGHTS`] of the target, since an answer on
-//! old weights is worth a fifth less but a late one is worth far less still.
+//! Engines are compared by what an answer from them is expected to be worth
+//! to the caller, between 0 and 1: less the likelier it comes late, less on
+//! weights that have been replaced, less by the work that reading shared
+//! parts once more takes from other prompts.
 
 use std::hash::Hasher;
 
 use xxhash_rust::xxh3::Xxh3Default;
 
-/// What a prompt on replaced weights costs, as a share of the target time.
-const OLD_WEIGHTS: f64 = 0.6;
+/// Worth of an answer on replaced weights.
+const OLD_WORTH: f64 = 0.8;
 
-/// Milliseconds for each token that does not fit into the memory.
-const OVERFULL_MS: f64 = 0.03;
+/// Worth lost by an answer that comes late.
+const LATE_LOSS: f64 = 0.7;
+
+/// The wait, as a share of the target time, at which half of the answers are
+/// late: the first event needs several steps after the prompt is read, and
+/// other hosts' requests are known with a delay.
+const LATE_MIDDLE: f64 = 0.5;
+
+/// How sharply lateness sets in around that wait.
+const LATE_WIDTH: f64 = 0.12;
+
+/// Worth lost by waiting for the whole target time, late or not: of two
+/// engines that would both be on time the quicker is taken.
+const WAIT_LOSS: f64 = 0.2;
+
+/// Worth lost by reading shared parts again, were they the whole prompt.
+const AGAIN_LOSS: f64 = 1.0;
+
+/// Worth lost where the memory would be overfull by as much as it holds:
+/// running requests are interrupted and read again.
+const OVERFULL_LOSS: f64 = 4.0;
 
 /// Share of an engine's memory that is planned to be used by running
 /// requests; caches need the rest.
@@ -39,15 +57,11 @@
 /// Copies between data centres take this many times as long.
 const FAR_FACTOR: f64 = 2.0;
 
-/// Milliseconds added to a step by each request that runs beside it.
-const RUNNING_MS: f64 = 0.8;
+/// Milliseconds added by each request that runs beside it.
+const RUNNING_MS: f64 = 1.0;
 
-/// Milliseconds that a hop to another data centre is charged: latency both
-/// ways, and the price of the bytes.
-const FAR_MS: f64 = 4.0;
-
-/// How many times as long an engine that always fails is taken to need.
-const FAILURE_FACTOR: f64 = 8.0;
+/// Worth lost by sending to another data centre: latency and bytes.
+const FAR_LOSS: f64 = 0.005;
 
 /// What a prompt needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -142,45 +156,42 @@
 /// assert_eq!((choice.engine, choice.source), (0, Some(1)));
 /// ```
 pub fn place(need: Need, candidates: &[Candidate]) -> Option<Choice> {
-    // Homes are among the engines on the weights in force, so that all
-    // prompts of a part gather where its cache will last.
-    let fresh = candidates.iter().any(|c| !c.old);
-    let home = (0..candidates.len())
-        .filter(|&i| !(fresh && candidates[i].old))
-        .max_by_key(|&i| candidates[i].rank);
-    let choices = (0..candidates.len()).map(|index| choice(need, candidates, index, home));
-    choices.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
+    let choices = (0..candidates.len()).map(|index| judge(need, candidates, index));
+    choices.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
+}
+
+/// Index of the engine that is home to a part among those on `weights`.
+fn home(candidates: &[Candidate], weights: u64) -> Option<usize> {
+    let same = (0..candidates.len()).filter(|&i| candidates[i].weights == weights);
+    same.max_by_key(|&i| candidates[i].rank)
 }
 
-/// The cost of the engine `index`, and what choosing it means.
-fn choice(
-    need: Need,
-    candidates: &[Candidate],
-    index: usize,
-    home: Option<usize>,
-) -> (f64, Choice) {
+/// What an answer from the engine `index` is expected to be worth, and what
+/// choosing it means.
+fn judge(need: Need, candidates: &[Candidate], index: usize) -> (f64, Choice) {
     let c = &candidates[index];
     let pace = c.pace.max(f64::MIN_POSITIVE);
-    let same = |h: &usize| *h != index && candidates[*h].weights == c.weights;
-    let source = home.filter(same).filter(|_| need.shared > 0);
-    let read_all = need.shared as f64 / pace;
+    let home = home(candidates, c.weights).filter(|_| need.shared > 0);
     let factor = if c.far_home { FAR_FACTOR } else { 1.0 };
     let copy = need.shared as f64 * c.copy * factor + COPY_MS;
-    let (shared_ms, source, unread_shared) = match source {
+    let read_all = need.shared as f64 / pace;
+    let (shared_ms, source, again) = match home {
         _ if c.held || home == Some(index) => (0.0, None, 0),
         Some(home) if copy < read_all => (copy, Some(home), 0),
         _ => (read_all, None, need.shared),
     };
-    let own = need.input.saturating_sub(need.shared) as f64 / pace;
-    let wait = c.unread as f64 / pace + shared_ms + own;
-    let memory = c.memory + need.input + need.output;
-    let room = c.capacity as f64 * MEMORY_SHARE;
-    let overfull = (memory as f64 - room).max(0.0) * OVERFULL_MS;
+    let own = need.input.saturating_sub(need.shared);
     let running = f64::from(c.running) * RUNNING_MS;
-    let far = if c.far { FAR_MS } else { 0.0 };
-    let old = if c.old { OLD_WEIGHTS * need.target } else { 0.0 };
-    let slow = 1.0 + FAILURE_FACTOR * c.failures;
-    let cost = (wait + running + overfull) * slow + far + old;
-    let unread = need.input.saturating_sub(need.shared) + unread_shared;
-    (cost, Choice { engine: index, source, wait, unread })
+    let wait = (c.unread + own) as f64 / pace + shared_ms + running;
+    let memory = (c.memory + need.input + need.output) as f64;
+    let capacity = (c.capacity as f64).max(1.0);
+    let overfull = (memory / capacity - MEMORY_SHARE).max(0.0);
+    let late = 1.0 / (1.0 + ((LATE_MIDDLE - wait / need.target) / LATE_WIDTH).exp());
+    let weights = if c.old { OLD_WORTH } else { 1.0 };
+    let worth = weights * (1.0 - LATE_LOSS * late) * (1.0 - c.failures)
+        - WAIT_LOSS * wait / need.target
+        - AGAIN_LOSS * again as f64 / (need.input.max(1)) as f64
+        - OVERFULL_LOSS * overfull
+        - if c.far { FAR_LOSS } else { 0.0 };
+    (worth, Choice { engine: index, source, wait, unread: own + again })
 }
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -24,13 +24,13 @@
 use super::site::Site;
 
 /// Time between greetings to the same few peers.
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: Duration = Duration::from_millis(100);
 
 /// Peers greeted at once; with more, they are greeted in turn.
 const FANOUT: usize = 16;
 
 /// Greetings missed before a peer is taken to be gone.
-const MISSES: u32 = 3;
+const MISSES: u32 = 12;
 
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -125,6 +125,7 @@
     wait: Duration,
     weights: Option<u64>,
     fetch: Option<String>,
+    save: Option<String>,
     part: Option<u64>,
 }
 
@@ -332,6 +333,7 @@
                 wait: Duration::from_secs_f64(choice.wait / 1e3),
                 weights: None,
                 fetch: None,
+                save: None,
                 part: None,
             }),
             _ => Err(self.give_up("too much waits")),
@@ -396,13 +398,20 @@
             return Err(self.give_up("too much waits"));
         }
         let upstream = candidates[choice.engine].clone();
+        let store = self.catalog.cache_store().map(|s| s.addr.to_string());
         let source = choice.source.map(|s| candidates[s].entry.borrow().addr.to_string());
+        let (fetch, save) = match part {
+            Some(_) if need.shared >= COPY_TOKENS => (source.or_else(|| store.clone()), store),
+            Some(_) => (None, None),
+            None => (None, None),
+        };
         Ok(Chosen {
             weights: upstream.weights(&prompt.model),
             upstream,
             unread: choice.unread,
             wait: Duration::from_secs_f64(choice.wait / 1e3),
-            fetch: source,
+            fetch,
+            save,
             part,
         })
     }
@@ -423,7 +432,7 @@
             weights: chosen.weights,
             salt,
             fetch: chosen.fetch.clone(),
-            save: None,
+            save: chosen.save.clone(),
             last_event: resumed.or(self.request.asked.last_event),
         }
     }
@@ -450,6 +459,10 @@
         let ahead = upstream.load().unread + chosen.unread;
         let encoded = self.encode(&self.envelope(chosen, resumed));
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
+        tracing::info!(target: "place", id = self.id(), upstream = %upstream.id, part = chosen.part,
+            weights = chosen.weights, fetch = chosen.fetch, unread = chosen.unread, ahead,
+            running = upstream.load().running, wait_ms = chosen.wait.as_millis() as u64,
+            left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
         self.last = Some(upstream.id.clone());
         self.tried.push(upstream.id.clone());
@@ -497,6 +510,10 @@
             }
             Ok(opened) => {
                 upstream.health.borrow_mut().alive(now);
+                tracing::info!(target: "attempt", id = self.id(), upstream = %upstream.id,
+                    status = opened.head.status, weights = opened.mark.weights,
+                    ms = self.waited.as_millis() as u64,
+                    expected_ms = chosen.wait.as_millis() as u64, "answer begun");
                 if let (Some(version), Some(prompt)) = (opened.mark.weights, prompt) {
                     upstream.serves(&prompt.model, version);
                 }
@@ -600,6 +617,9 @@
     }
 }
 
+/// Shared tokens from which copying them is worth a transfer.
+const COPY_TOKENS: u64 = 1_000;
+
 /// Prompt tokens from which a read tells the pace: below, the fixed time of
 /// a step prevails.
 const PACE_SAMPLE: u64 = 2_000;
