Weights: oldest first, each version judged from when it was replaced

Ruled out: a slow engine (orders took 0.8 to 1.6 s each, as published). Change: versions are kept with the time each was named; an engine is out of use within the bound of the first version that replaced its own, and the oldest are ordered first.

--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -7,8 +7,10 @@
 //! ordered: one that was replaced before an engine got to it is skipped.
 //!
 //! Limits: a fifth of the engines at a time, two at least, as the operators
-//! publish for their sites. Those with the least to finish go first, since
-//! an engine cannot load while it still runs requests.
+//! publish for their sites. Engines on the oldest weights go first, since each
+//! version is to be out of use within a bound of its own; among those the ones
+//! with the least to finish, since an engine cannot load while it still runs
+//! requests.
 
 use std::time::Duration;
 
@@ -19,6 +21,60 @@
 /// Fewest that may change at once.
 const FEWEST: usize = 2;
 
+/// Versions remembered: more are never open at once.
+const VERSIONS: usize = 32;
+
+/// The weights named for one model, and when each version was.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::rollout::Named;
+/// let mut named = Named::new();
+/// named.name(2, Duration::from_secs(10));
+/// named.name(4, Duration::from_secs(13));
+/// assert_eq!(named.newest(), Some(4));
+/// let now = Duration::from_secs(15);
+/// // Version 1 was replaced five seconds ago, by 2; version 2 and 3 by 4.
+/// assert_eq!(named.replaced(1, now), Some(Duration::from_secs(5)));
+/// assert_eq!(named.replaced(2, now), Some(Duration::from_secs(2)));
+/// assert_eq!(named.replaced(4, now), None);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Named {
+    /// Versions in rising order, and when each was named.
+    versions: Vec<(u64, Duration)>,
+}
+
+impl Named {
+    /// Nothing named.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in that `version` was named by `now`; whether that is news.
+    pub fn name(&mut self, version: u64, now: Duration) -> bool {
+        if self.newest().is_some_and(|newest| version <= newest) {
+            return false;
+        }
+        self.versions.push((version, now));
+        if self.versions.len() > VERSIONS {
+            self.versions.remove(0);
+        }
+        true
+    }
+
+    /// The newest version.
+    pub fn newest(&self) -> Option<u64> {
+        self.versions.last().map(|(version, _)| *version)
+    }
+
+    /// How long ago at `now` `version` was first replaced by a newer one.
+    pub fn replaced(&self, version: u64, now: Duration) -> Option<Duration> {
+        let (_, since) = self.versions.iter().find(|(named, _)| *named > version)?;
+        Some(now.saturating_sub(*since))
+    }
+}
+
 /// One engine, as far as its weights are concerned.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
@@ -60,6 +116,6 @@
         .filter(|e| e.version < version && e.changing.is_none())
         .filter(|e| e.pause.is_none_or(|until| now >= until))
         .collect();
-    due.sort_by(|a, b| (a.work, &a.id).cmp(&(b.work, &b.id)));
+    due.sort_by(|a, b| (a.version, a.work, &a.id).cmp(&(b.version, b.work, &b.id)));
     due.into_iter().take(limit.saturating_sub(changing)).map(|e| e.id.clone()).collect()
 }
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -194,7 +194,7 @@
 fn look(duty: &Rc<Duty>) {
     let site = &duty.site;
     let named: Vec<(String, u64)> =
-        site.named.borrow().iter().map(|(m, n)| (m.clone(), n.version)).collect();
+        site.named.borrow().iter().filter_map(|(m, n)| Some((m.clone(), n.newest()?))).collect();
     for (model, version) in named {
         let listed: Vec<Rc<Upstream>> = site
             .fleet
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -14,7 +14,7 @@
 use marjoram_platform::{catalog, registry};
 
 use super::peers::HostRecord;
-use super::site::{Named, Site};
+use super::site::Site;
 use super::storeclient::{CallError, Caller, Reply};
 
 /// How long the store is asked to wait for a record.
@@ -206,11 +206,8 @@
 
 fn name_weights(site: &Site, named: &catalog::Named) {
     let mut all = site.named.borrow_mut();
-    let newer = all.get(&named.model).is_none_or(|known| named.version > known.version);
-    if newer {
+    if all.entry(named.model.clone()).or_default().name(named.version, site.now()) {
         tracing::info!(target: "weights", model = named.model, version = named.version, "weights named");
-        let entry = Named { version: named.version, since: site.now() };
-        all.insert(named.model.clone(), entry);
         site.duty.notify_one();
     }
 }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -35,7 +35,7 @@
 
 /// Time before the end of the bound on weights at which replaced ones are no
 /// longer used.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// How long replaced weights are as good as the newest.
 const WEIGHTS_GRACE: Duration = Duration::from_millis(1_200);
@@ -348,12 +348,13 @@
         resumed: bool,
     ) -> Result<Chosen, Refusal> {
         let now = self.site.now();
-        let named = self.site.named.borrow().get(&prompt.model).copied();
+        let named = self.site.named.borrow().get(&prompt.model).cloned().unwrap_or_default();
         let bound = self.site.settings.load().bounds.weights.saturating_sub(WEIGHTS_MARGIN);
-        let replaced = |u: &Rc<Upstream>| named.is_some_and(|n| u.weights(&prompt.model) < Some(n.version));
-        let age = named.map_or(Duration::ZERO, |n| now.saturating_sub(n.since));
-        let candidates: Vec<&Rc<Upstream>> =
-            all.iter().filter(|u| age < bound || !replaced(u)).collect();
+        let replaced = |u: &Rc<Upstream>| {
+            let version = u.weights(&prompt.model).unwrap_or_default();
+            named.replaced(version, now).unwrap_or_default()
+        };
+        let candidates: Vec<&Rc<Upstream>> = all.iter().filter(|u| replaced(u) < bound).collect();
         let part = (prompt.parts.len() > 1).then(|| prompt.parts[0].id.0);
         let here = &self.site.settings.load().dc;
         let ranks: Vec<u64> = candidates
@@ -380,7 +381,7 @@
                     far_home: home
                         .is_some_and(|h| candidates[h].entry.borrow().dc != u.entry.borrow().dc),
                     weights: u.weights(&prompt.model).unwrap_or_default(),
-                    old: age > WEIGHTS_GRACE && replaced(u),
+                    old: replaced(u) > WEIGHTS_GRACE,
                     held: part.is_some_and(|part| u.holds(part, now)),
                 }
             })
@@ -552,8 +553,9 @@
             421 => {
                 let model = self.request.asked.prompt.as_ref().map(|p| p.model.clone());
                 let before = model.as_deref().and_then(|m| upstream.weights(m));
-                let named = model.as_deref().and_then(|m| self.site.named.borrow().get(m).copied());
-                let now_at = opened.mark.weights.or(named.map(|n| n.version));
+                let named = self.site.named.borrow();
+                let newest = model.as_deref().and_then(|m| named.get(m)?.newest());
+                let now_at = opened.mark.weights.or(newest);
                 opened.finish(now);
                 match (model, now_at) {
                     (Some(model), Some(version)) if before < Some(version) => {
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -10,6 +10,7 @@
 use marjoram_core::budget::{Allowance, Budget};
 use marjoram_core::catalog::Catalog;
 use marjoram_core::host::HostSettings;
+use marjoram_core::rollout::Named;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -17,15 +18,6 @@
 use super::fleet::Fleet;
 use super::peers::Peers;
 
-/// Weights that the operators named.
-#[derive(Debug, Clone, Copy)]
-pub struct Named {
-    /// Their version.
-    pub version: u64,
-    /// When this host learnt of them.
-    pub since: Duration,
-}
-
 /// Everything that the parts of one process share.
 pub struct Site {
     /// Checked settings; replaced when the file changes.
@@ -36,7 +28,7 @@
     pub fleet: Fleet,
     /// The other hosts.
     pub peers: Peers,
-    /// Newest weights by model.
+    /// Weights named, by model.
     pub named: RefCell<HashMap<String, Named>>,
     /// Counters and histograms.
     pub counters: Counters,
