Cache events tell where parts are kept; doubts are shared

Our log of places showed 236 of 1,055 prompts sent to copy from a home that had dropped the part; 28 sends in a row went to engines that had gone dark, each over an idle connection. Ruled out: first reads (5.0 M of 16.5 M tokens, needed), two reads of one part at once (5 of 1,055). Change: hosts follow the events of the engines and the cache store (as many hosts as an engine lets listen); place weighs what is kept here, what can be copied and from where; a first read goes home. An upstream that falls silent loses its idle connections, and hosts tell each other of such doubts.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -46,10 +46,14 @@
     pace: Option<f64>,
     /// Until when it gets no request, and how long that pause was.
     pause: Option<(Duration, Duration)>,
+    /// That pause is because it could not be reached.
+    lost: bool,
     /// Requests that wait for a first or further byte.
     waiting: u32,
     /// When it last showed life, or waiting began.
     progress: Duration,
+    /// When it last showed life.
+    heard: Option<Duration>,
 }
 
 impl Health {
@@ -66,15 +70,22 @@
             None => FIRST_PAUSE,
         };
         self.pause = Some((now + length, length));
+        self.lost = true;
     }
 
     /// It refuses requests for now: leave it alone for `length`.
     pub fn refuses(&mut self, now: Duration, length: Duration) {
         if !self.is_paused(now) {
             self.pause = Some((now + length, length.min(FIRST_PAUSE)));
+            self.lost = false;
         }
     }
 
+    /// Whether it is left alone at `now` since it could not be reached.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        self.lost && self.is_paused(now)
+    }
+
     /// Whether it is left alone at `now`.
     pub fn is_paused(&self, now: Duration) -> bool {
         self.pause.is_some_and(|(until, _)| now < until)
@@ -93,9 +104,15 @@
         self.waiting = self.waiting.saturating_sub(1);
     }
 
+    /// Whether it showed life within `span` before `now`.
+    pub fn was_alive(&self, now: Duration, span: Duration) -> bool {
+        self.heard.is_some_and(|at| now < at + span)
+    }
+
     /// It sent something.
     pub fn alive(&mut self, now: Duration) {
         self.progress = now;
+        self.heard = Some(now);
         self.pause = None;
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`exchange`]: what passes beside the bodies.
 //! - [`upstream`]: upstreams as the registry lists them.
 //! - [`health`]: what has been seen of an upstream.
+//! - [`holdings`]: which parts of prompts are kept where.
 //! - [`place`]: which engine a prompt goes to.
 //! - [`plain`]: which upstream of a plain service a request goes to.
 //! - [`budget`]: how often requests may be sent again.
@@ -41,6 +42,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod health;
+pub mod holdings;
 pub mod host;
 pub mod ids;
 pub mod lease;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -10,8 +10,8 @@
 //! Each shared part has a home among the engines on the same weights: the one
 //! that ranks first for it by hashing. All hosts compute the same ranks, so
 //! they agree on homes without telling each other anything, at any number of
-//! engines, and an engine that leaves moves only its own parts. Away from
-//! home the shared parts are copied from there.
+//! engines, and an engine that leaves moves only its own parts. A part that no
+//! engine keeps is read at its home; later it is found or copied where it is.
 //!
 //! Engines are compared by what an answer from them is expected to be worth
 //! to the caller, between 0 and 1: less the likelier it comes late, less on
@@ -54,9 +54,6 @@
 /// Fixed milliseconds of a copy between engines.
 const COPY_MS: f64 = 6.0;
 
-/// Copies between data centres take this many times as long.
-const FAR_FACTOR: f64 = 2.0;
-
 /// Milliseconds added by each request that runs beside it.
 const RUNNING_MS: f64 = 1.0;
 
@@ -76,6 +73,15 @@
     pub target: f64,
 }
 
+/// Shared parts that can be copied instead of read.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Copying {
+    /// Shared tokens that the source keeps.
+    pub held: u64,
+    /// Milliseconds to copy one token.
+    pub token_ms: f64,
+}
+
 /// An engine that may read it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -91,20 +97,18 @@
     pub capacity: u64,
     /// Prompt tokens it reads in a millisecond.
     pub pace: f64,
-    /// Milliseconds to copy one token to it from the same data centre.
-    pub copy: f64,
+    /// Shared tokens it keeps.
+    pub held: u64,
+    /// What it can copy from elsewhere.
+    pub copy: Option<Copying>,
     /// Share of its answers that were failures.
     pub failures: f64,
     /// It is in another data centre than this host.
     pub far: bool,
-    /// It is in another data centre than the home.
-    pub far_home: bool,
     /// Version of the weights it serves.
     pub weights: u64,
     /// Those have been replaced for a while.
     pub old: bool,
-    /// This host sent a prompt with the same shared parts there lately.
-    pub held: bool,
 }
 
 /// Where a prompt goes.
@@ -112,8 +116,8 @@
 pub struct Choice {
     /// Index of the engine.
     pub engine: usize,
-    /// Index of the engine to copy shared parts from.
-    pub source: Option<usize>,
+    /// Shared parts are to be copied.
+    pub copies: bool,
     /// Milliseconds expected until the prompt is read.
     pub wait: f64,
     /// Prompt tokens expected to be read rather than found or copied.
@@ -131,7 +135,7 @@
 /// The engine for a prompt that needs `need`; `None` without candidates.
 ///
 /// ```
-/// use marjoram_core::place::{Candidate, Need, place};
+/// use marjoram_core::place::{Candidate, Copying, Need, place};
 /// let idle = Candidate {
 ///     rank: 1,
 ///     unread: 0,
@@ -139,21 +143,21 @@
 ///     memory: 0,
 ///     capacity: 100_000,
 ///     pace: 50.0,
-///     copy: 0.002,
+///     held: 0,
+///     copy: None,
 ///     failures: 0.0,
 ///     far: false,
-///     far_home: false,
 ///     weights: 1,
 ///     old: false,
-///     held: false,
 /// };
 /// let home = Candidate { rank: 9, ..idle };
 /// let need = Need { input: 17_000, shared: 13_000, output: 30, target: 800.0 };
 /// assert_eq!(place(need, &[idle, home]).unwrap().engine, 1);
-/// // Behind a long queue at home, the parts are copied elsewhere.
-/// let busy = Candidate { unread: 50_000, ..home };
-/// let choice = place(need, &[idle, busy]).unwrap();
-/// assert_eq!((choice.engine, choice.source), (0, Some(1)));
+/// // Behind a long queue where they are kept, the parts are copied elsewhere.
+/// let busy = Candidate { unread: 50_000, held: 13_000, ..home };
+/// let copy = Some(Copying { held: 13_000, token_ms: 0.002 });
+/// let choice = place(need, &[Candidate { copy, ..idle }, busy]).unwrap();
+/// assert_eq!((choice.engine, choice.copies), (0, true));
 /// ```
 pub fn place(need: Need, candidates: &[Candidate]) -> Option<Choice> {
     let choices = (0..candidates.len()).map(|index| judge(need, candidates, index));
@@ -171,14 +175,18 @@
 fn judge(need: Need, candidates: &[Candidate], index: usize) -> (f64, Choice) {
     let c = &candidates[index];
     let pace = c.pace.max(f64::MIN_POSITIVE);
-    let home = home(candidates, c.weights).filter(|_| need.shared > 0);
-    let factor = if c.far_home { FAR_FACTOR } else { 1.0 };
-    let copy = need.shared as f64 * c.copy * factor + COPY_MS;
-    let read_all = need.shared as f64 / pace;
-    let (shared_ms, source, again) = match home {
-        _ if c.held || home == Some(index) => (0.0, None, 0),
-        Some(home) if copy < read_all => (copy, Some(home), 0),
-        _ => (read_all, None, need.shared),
+    let home = home(candidates, c.weights) == Some(index);
+    let missing = need.shared.saturating_sub(c.held);
+    let copied = c.copy.map_or(0, |copy| copy.held.saturating_sub(c.held).min(missing));
+    let copy_ms = c.copy.map_or(0.0, |copy| copied as f64 * copy.token_ms + COPY_MS);
+    let copies = copied > 0 && copy_ms < copied as f64 / pace;
+    let read = if copies { missing - copied } else { missing };
+    let shared_ms = read as f64 / pace + if copies { copy_ms } else { 0.0 };
+    // Nobody keeps what cannot be copied: it is read for the first time, and
+    // at home, where others will look for it.
+    let again = match c.copy {
+        None if home => 0,
+        _ => read,
     };
     let own = need.input.saturating_sub(need.shared);
     let running = f64::from(c.running) * RUNNING_MS;
@@ -193,5 +201,5 @@
         - AGAIN_LOSS * again as f64 / (need.input.max(1)) as f64
         - OVERFULL_LOSS * overfull
         - if c.far { FAR_LOSS } else { 0.0 };
-    (worth, Choice { engine: index, source, wait, unread: own + again })
+    (worth, Choice { engine: index, copies, wait, unread: own + read })
 }
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -6,8 +6,8 @@
 //! weights; too many and the rest drown. Only the newest version is ever
 //! ordered: one that was replaced before an engine got to it is skipped.
 //!
-//! Limits: a fifth of the engines at a time, two at least, as the operators
-//! publish for their sites. Engines on the oldest weights go first, since each
+//! Limits: a fifth of the engines at a time, as the operators publish for
+//! their sites, three at least. Engines on the oldest weights go first, since each
 //! version is to be out of use within a bound of its own; among those the ones
 //! with the least to finish, since an engine cannot load while it still runs
 //! requests.
@@ -18,8 +18,8 @@
 
 /// Engines that change at once, as a share of all.
 const SHARE: usize = 5;
-/// Fewest that may change at once.
-const FEWEST: usize = 2;
+/// Fewest that may change at once: two load while one finishes its requests.
+const FEWEST: usize = 3;
 
 /// Versions remembered: more are never open at once.
 const VERSIONS: usize = 32;
@@ -106,7 +106,7 @@
 /// let engines = [engine("a", 1, 9), engine("b", 1, 0), engine("c", 1, 3), engine("d", 2, 0)];
 /// let ids: Vec<String> =
 ///     next(&engines, 2, Duration::ZERO).into_iter().map(|id| id.to_string()).collect();
-/// assert_eq!(ids, ["b", "c"]);
+/// assert_eq!(ids, ["b", "c", "a"]);
 /// ```
 pub fn next(engines: &[Engine], version: u64, now: Duration) -> Vec<UpstreamId> {
     let limit = (engines.len() / SHARE).max(FEWEST);
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -6,6 +6,7 @@
 //! cells of its owner; no lock is held across an await.
 
 mod attempt;
+mod cachefeed;
 mod callers;
 mod conn;
 mod counters;
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -35,6 +35,10 @@
         Unreachable(why: io::Error) {
             display("connect: {why}")
         }
+        /// The connection was lost without a word; the request may have run.
+        Lost(step: &'static str, why: io::Error) {
+            display("{step}: {why}")
+        }
         /// The connection broke, or what came is no answer; the request may have run.
         Broken(step: &'static str, why: String) {
             display("{step}: {why}")
@@ -106,7 +110,7 @@
         .conn()
         .send(request)
         .await
-        .map_err(|e| Failure::Broken("send", e.to_string()))?;
+        .map_err(|e| lost("send", e))?;
     for _ in 0..=STRAY_ANSWERS {
         let head = read_head(link.conn()).await?;
         let framing = http1::response_framing(method, &head)
@@ -142,18 +146,27 @@
         match conn.fill().await {
             Ok(0) => return Err(broken("connection closed".into())),
             Ok(_) => {}
-            Err(e) => return Err(broken(e.to_string())),
+            Err(e) => return Err(lost("answer head", e)),
         }
     }
 }
 
+/// A connection that timed out was lost without a word: the peer or the way
+/// to it is gone. Any other error is the peer's doing.
+fn lost(step: &'static str, error: io::Error) -> Failure {
+    match error.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable => Failure::Lost(step, error),
+        _ => Failure::Broken(step, error.to_string()),
+    }
+}
+
 async fn next_piece(conn: &mut Conn, body: &mut Body) -> Result<Option<Bytes>, Failure> {
     let broken = |why: String| Failure::Broken("answer body", why);
     loop {
         match body.next(&mut conn.buf, conn.ended).map_err(|e| broken(e.to_string()))? {
             Piece::Data(data) => return Ok(Some(data)),
             Piece::End => return Ok(None),
-            Piece::More => drop(conn.fill().await.map_err(|e| broken(e.to_string()))?),
+            Piece::More => drop(conn.fill().await.map_err(|e| lost("answer body", e))?),
         }
     }
 }
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -5,20 +5,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marjoram_core::exchange::Part;
 use marjoram_core::health::Health;
+use marjoram_core::holdings::{CacheId, Holdings};
 use marjoram_core::host::DataCentre;
 use marjoram_core::upstream::{Entry, UpstreamId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::attempt::Failure;
 use super::pool::Pool;
 
-/// Prompts sent to an engine whose shared parts are taken to be there still.
-const HELD: Duration = Duration::from_secs(4);
+/// How long shared parts that were just read are taken to be kept without an
+/// event that tells so.
+const HELD: Duration = Duration::from_millis(400);
 
 /// Shared parts remembered for each engine.
 const HELD_PARTS: usize = 64;
 
+/// How long another host's doubt counts, unless the upstream shows life.
+const DOUBT: Duration = Duration::from_millis(500);
+
 /// Requests at an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -61,6 +68,12 @@
     pub own: Cell<Load>,
     /// Other hosts' requests there, as they last said.
     pub others: Cell<Load>,
+    /// Until when other hosts' doubts count.
+    doubted: Cell<Option<Duration>>,
+    /// Parts that it keeps, as its events tell.
+    pub kept: RefCell<Holdings>,
+    /// Its events are being read.
+    pub followed: Cell<bool>,
     held: RefCell<HashMap<u64, Duration>>,
 }
 
@@ -76,6 +89,9 @@
             pool: Pool::default(),
             own: Cell::default(),
             others: Cell::default(),
+            doubted: Cell::default(),
+            kept: RefCell::default(),
+            followed: Cell::default(),
             held: RefCell::default(),
         }
     }
@@ -85,6 +101,36 @@
         self.own.get().plus(self.others.get())
     }
 
+    /// A send to it brought no answer.
+    pub fn failed(&self, failure: &Failure, now: Duration) {
+        self.health.borrow_mut().answered(false);
+        if matches!(failure, Failure::Lost(..) | Failure::Silent(_)) {
+            self.doubt(now);
+        }
+    }
+
+    /// It seems to be gone. Its idle connections are closed, so that a trial
+    /// begins with connecting and costs no request if it is gone indeed.
+    pub fn doubt(&self, now: Duration) {
+        self.health.borrow_mut().unreachable(now);
+        self.pool.clear();
+    }
+
+    /// Another host doubts it.
+    pub fn heard_doubt(&self, now: Duration) {
+        if !self.health.borrow().was_alive(now, DOUBT) && !self.is_doubted(now) {
+            self.doubted.set(Some(now + DOUBT));
+            self.pool.clear();
+        }
+    }
+
+    /// Whether another host's doubt counts at `now`: this one has not heard
+    /// from the upstream since.
+    pub fn is_doubted(&self, now: Duration) -> bool {
+        self.doubted.get().is_some_and(|until| now < until)
+            && !self.health.borrow().was_alive(now, DOUBT)
+    }
+
     /// The version of the weights of `model` that it serves.
     pub fn weights(&self, model: &str) -> Option<u64> {
         self.entry.borrow().weights.iter().find(|w| w.model == model).map(|w| w.version)
@@ -97,6 +143,7 @@
             Some(weights) if version > weights.version => {
                 weights.version = version;
                 self.held.borrow_mut().clear();
+                self.kept.borrow_mut().clear();
             }
             _ => {}
         }
@@ -112,9 +159,14 @@
         self.entry.borrow().dc == *dc
     }
 
-    /// Whether this host sent a prompt with the shared part `part` there lately.
-    pub fn holds(&self, part: u64, now: Duration) -> bool {
-        self.held.borrow().get(&part).is_some_and(|at| now < *at + HELD)
+    /// Leading tokens of the shared parts `shared` that it keeps in `cache`:
+    /// as its events tell, or as this host has just had it read them.
+    pub fn held(&self, cache: CacheId, shared: &[Part], now: Duration) -> u64 {
+        let read = |p: &Part| self.held.borrow().get(&p.id.0).is_some_and(|at| now < *at + HELD);
+        match shared.first() {
+            Some(part) if read(part) => shared.iter().map(|p| p.tokens).sum(),
+            _ => self.kept.borrow().held(cache, shared),
+        }
     }
 
     /// A prompt with the shared part `part` was read there at `now`.
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -16,11 +16,13 @@
 use std::time::Duration;
 
 use marjoram_core::host::HostSettings;
+use marjoram_core::place;
 use marjoram_core::upstream::UpstreamId;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64;
 
-use super::fleet::Load;
+use super::fleet::{Load, Upstream};
 use super::site::Site;
 
 /// Time between greetings to the same few peers.
@@ -65,6 +67,8 @@
     open: bool,
     /// Requests it has at each upstream, by key.
     loads: Vec<(u64, Load)>,
+    /// Upstreams it could not reach, by key.
+    doubts: Vec<u64>,
 }
 
 /// A change of an engine's weights.
@@ -140,6 +144,14 @@
         self.known.borrow().len() + 1
     }
 
+    /// Whether this host is among the first `count` of all by rank for `key`.
+    pub fn ranks_within(&self, key: u64, count: usize) -> bool {
+        let rank = |name: &str| place::rank(key, xxh3_64(name.as_bytes()));
+        let own = rank(&self.name);
+        let known = self.known.borrow();
+        known.keys().filter(|name| rank(name) > own).count() < count
+    }
+
     /// Where the other hosts that take callers do so.
     pub fn open(&self) -> Vec<SocketAddr> {
         let (now, patience) = (self.now.get(), self.patience());
@@ -253,13 +265,15 @@
 
 /// Tells a few hosts how this one is.
 pub fn greet(site: &Site) {
-    let own = |u: &Rc<super::fleet::Upstream>| (u.key, u.own.get());
-    let loads = site.fleet.all().iter().map(own).filter(|(_, l)| l.running > 0).collect();
+    let own = |u: &Rc<Upstream>| (u.key, u.own.get());
+    let (now, all) = (site.now(), site.fleet.all());
+    let loads = all.iter().map(own).filter(|(_, l)| l.running > 0).collect();
     let hello = Hello {
         name: site.peers.name.clone(),
         life: site.peers.record.life,
         open: site.is_ready(),
         loads,
+        doubts: all.iter().filter(|u| u.health.borrow().is_lost(now)).map(|u| u.key).collect(),
     };
     let targets = site.peers.targets(FANOUT);
     site.peers.send(&Message::Hello(hello), &targets);
@@ -282,7 +296,11 @@
         };
         let config = bincode::config::standard();
         match bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config) {
-            Ok((Message::Hello(hello), _)) => site.peers.hear(hello, site.now()),
+            Ok((Message::Hello(hello), _)) => {
+                let doubts = |u: &Rc<Upstream>| hello.doubts.contains(&u.key);
+                site.fleet.all().iter().filter(|u| doubts(u)).for_each(|u| u.heard_doubt(site.now()));
+                site.peers.hear(hello, site.now());
+            }
             Ok((Message::Notice(notice), _)) => take_notice(&site, &notice),
             Err(error) => tracing::warn!(target: "peers", %from, %error, "datagram not understood"),
         }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -1,14 +1,18 @@
 //! A caller's request on its way: which upstreams it is sent to, and what is
 //! answered when none brings an answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use marjoram_core::catalog::{Catalog, EngineSpec, Kind, Route, Workspace};
-use marjoram_core::exchange::{Asked, Envelope, Prompt};
-use marjoram_core::place::{self, Candidate, Need};
+use marjoram_core::exchange::{Asked, Envelope, Part, Prompt};
+use marjoram_core::health::SILENCE;
+use marjoram_core::holdings::CacheId;
+use marjoram_core::host::DataCentre;
+use marjoram_core::place::{self, Candidate, Copying, Need};
 use marjoram_core::plain::{self, Plain};
 use marjoram_core::upstream::UpstreamId;
 use marjoram_platform::headers;
@@ -37,6 +41,10 @@
 /// longer used.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Time before the end of that bound at which a request that has not begun
+/// on replaced weights is taken back.
+const WEIGHTS_END: Duration = Duration::from_millis(250);
+
 /// How long replaced weights are as good as the newest.
 const WEIGHTS_GRACE: Duration = Duration::from_millis(1_200);
 
@@ -124,6 +132,8 @@
     /// How long the first byte is expected to take.
     wait: Duration,
     weights: Option<u64>,
+    /// How long it may take to begin before its weights are out of use.
+    begin: Duration,
     fetch: Option<String>,
     save: Option<String>,
     part: Option<u64>,
@@ -210,11 +220,7 @@
     /// An answer that had begun broke off.
     pub fn broke(&self, opened: &Opened, failure: &Failure) {
         let upstream = &opened.upstream;
-        let mut health = upstream.health.borrow_mut();
-        health.answered(false);
-        if matches!(failure, Failure::Silent(_)) {
-            health.unreachable(self.site.now());
-        }
+        upstream.failed(failure, self.site.now());
         self.site.counters.count("upstream.broken");
         tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.id, %failure,
             sends = self.sends, "answer broke off");
@@ -289,7 +295,7 @@
         };
         let well = |u: &&Rc<Upstream>| {
             let health = u.health.borrow();
-            !health.is_paused(now) && health.silent(now) < marjoram_core::health::SILENCE
+            !health.is_paused(now) && health.silent(now) < SILENCE && !u.is_doubted(now)
         };
         let usable: Vec<Rc<Upstream>> = all.iter().filter(open).cloned().collect();
         let best: Vec<Rc<Upstream>> = usable.iter().filter(well).cloned().collect();
@@ -332,6 +338,7 @@
                 unread: 0,
                 wait: Duration::from_secs_f64(choice.wait / 1e3),
                 weights: None,
+                begin: Duration::MAX,
                 fetch: None,
                 save: None,
                 part: None,
@@ -355,34 +362,30 @@
             named.replaced(version, now).unwrap_or_default()
         };
         let candidates: Vec<&Rc<Upstream>> = all.iter().filter(|u| replaced(u) < bound).collect();
-        let part = (prompt.parts.len() > 1).then(|| prompt.parts[0].id.0);
+        let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
+        let part = shared.first().map(|p| p.id.0);
         let here = &self.site.settings.load().dc;
-        let ranks: Vec<u64> = candidates
-            .iter()
-            .map(|u| place::rank(part.unwrap_or_default(), u.place))
-            .collect();
-        let home = (0..candidates.len()).max_by_key(|&i| ranks[i]);
-        let copy = spec.token_bytes * 8.0 / (spec.link_mbps.max(1.0) * 1e3);
+        let token_ms = spec.token_bytes * 8.0 / (spec.link_mbps.max(1.0) * 1e3);
+        let keepers = self.keepers(prompt, shared, token_ms);
         let views: Vec<Candidate> = candidates
             .iter()
-            .zip(&ranks)
-            .map(|(u, rank)| {
-                let (load, health) = (u.load(), u.health.borrow());
+            .map(|u| {
+                let (load, health, entry) = (u.load(), u.health.borrow(), u.entry.borrow());
+                let weights = u.weights(&prompt.model).unwrap_or_default();
+                let keeper = best_keeper(&keepers, weights, &u.id, &entry.dc);
                 Candidate {
-                    rank: *rank,
+                    rank: place::rank(part.unwrap_or_default(), u.place),
                     unread: load.unread,
                     running: load.running,
                     memory: load.memory,
                     capacity: spec.capacity,
                     pace: health.pace().unwrap_or(DEFAULT_PACE),
-                    copy,
+                    held: u.held(self.cache(weights), shared, now),
+                    copy: keeper.map(|k| k.copying(&entry.dc)),
                     failures: health.failures(),
                     far: !u.is_in(here),
-                    far_home: home
-                        .is_some_and(|h| candidates[h].entry.borrow().dc != u.entry.borrow().dc),
-                    weights: u.weights(&prompt.model).unwrap_or_default(),
+                    weights,
                     old: replaced(u) > WEIGHTS_GRACE,
-                    held: part.is_some_and(|part| u.holds(part, now)),
                 }
             })
             .collect();
@@ -399,15 +402,21 @@
             return Err(self.give_up("too much waits"));
         }
         let upstream = candidates[choice.engine].clone();
-        let store = self.catalog.cache_store().map(|s| s.addr.to_string());
-        let source = choice.source.map(|s| candidates[s].entry.borrow().addr.to_string());
-        let (fetch, save) = match part {
-            Some(_) if need.shared >= COPY_TOKENS => (source.or_else(|| store.clone()), store),
-            Some(_) => (None, None),
-            None => (None, None),
-        };
+        let weights = upstream.weights(&prompt.model);
+        let large = need.shared >= COPY_TOKENS;
+        let keeper = best_keeper(
+            &keepers,
+            weights.unwrap_or_default(),
+            &upstream.id,
+            &upstream.entry.borrow().dc,
+        );
+        let fetch = keeper.filter(|_| choice.copies && large).map(|k| k.addr.to_string());
+        let kept = keepers.iter().any(|k| k.id.is_none() && Some(k.weights) == weights);
+        let store = self.catalog.cache_store().filter(|_| large && !kept);
+        let save = store.map(|s| s.addr.to_string());
         Ok(Chosen {
-            weights: upstream.weights(&prompt.model),
+            weights,
+            begin: (bound + WEIGHTS_MARGIN).saturating_sub(replaced(&upstream) + WEIGHTS_END),
             upstream,
             unread: choice.unread,
             wait: Duration::from_secs_f64(choice.wait / 1e3),
@@ -417,12 +426,63 @@
         })
     }
 
-    fn envelope(&self, chosen: &Chosen, resumed: Option<u64>) -> Envelope {
-        let isolated = self.workspace.as_ref().filter(|w| w.isolated).map(|w| w.name.as_str());
-        let salt = chosen.weights.map(|version| match isolated {
-            Some(name) => format!("{version}/{name}"),
-            None => version.to_string(),
+    /// The cache that the request's parts are kept in at engines that serve
+    /// `weights`: no other weights' parts are found there, and none of other
+    /// workspaces if this one is isolated.
+    fn salt(&self, weights: u64) -> String {
+        match self.workspace.as_ref().filter(|w| w.isolated) {
+            Some(workspace) => format!("{weights}/{}", workspace.name),
+            None => weights.to_string(),
+        }
+    }
+
+    fn cache(&self, weights: u64) -> CacheId {
+        CacheId::new(&self.salt(weights))
+    }
+
+    /// Where large shared parts of the prompt can be copied from.
+    fn keepers(&self, prompt: &Prompt, shared: &[Part], token_ms: f64) -> Vec<Keeper> {
+        let tokens: u64 = shared.iter().map(|p| p.tokens).sum();
+        if tokens < COPY_TOKENS {
+            return Vec::new();
+        }
+        let now = self.site.now();
+        let engines = self.site.fleet.service(&self.service).into_iter().filter_map(|u| {
+            let weights = u.weights(&prompt.model)?;
+            let held = u.held(self.cache(weights), shared, now);
+            let entry = u.entry.borrow();
+            (held >= tokens / 2 && !u.is_closed(now)).then(|| Keeper {
+                id: Some(u.id.clone()),
+                addr: entry.addr,
+                dc: entry.dc.clone(),
+                weights,
+                held,
+                token_ms,
+            })
         });
+        let mut keepers: Vec<Keeper> = engines.collect();
+        if let Some(store) = self.catalog.cache_store() {
+            let named = self.site.named.borrow();
+            let newest = named.get(&prompt.model).and_then(|n| n.newest()).unwrap_or(1);
+            let served = self.site.fleet.service(&self.service);
+            let mut versions: Vec<u64> = served.iter().filter_map(|u| u.weights(&prompt.model)).collect();
+            versions.push(newest);
+            versions.sort();
+            versions.dedup();
+            for weights in versions {
+                let held = self.site.kept.borrow().held(self.cache(weights), shared);
+                if held >= tokens / 2 {
+                    let token_ms = token_ms * STORE_FACTOR;
+                    let (addr, dc) = (store.addr, store.dc.clone());
+                    keepers.push(Keeper { id: None, addr, dc, weights, held, token_ms });
+                }
+            }
+        }
+        keepers
+    }
+
+    fn envelope(&self, chosen: &Chosen, resumed: Option<u64>) -> Envelope {
+        let salt = chosen.weights.map(|version| self.salt(version));
         let priority = self.workspace.as_ref().and_then(|w| w.priority);
         let engine = self.request.asked.prompt.is_some();
         Envelope {
@@ -458,17 +518,18 @@
         let prompt = self.request.asked.prompt.as_ref();
         let memory = prompt.map_or(0, |p| p.input + p.output);
         let ahead = upstream.load().unread + chosen.unread;
-        let encoded = self.encode(&self.envelope(chosen, resumed));
+        let envelope = self.envelope(chosen, resumed);
+        let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.id, part = chosen.part,
-            weights = chosen.weights, fetch = chosen.fetch, unread = chosen.unread, ahead,
+            shared = prompt.map(|p| p.shared()), weights = chosen.weights, salt = envelope.salt, fetch = chosen.fetch, unread = chosen.unread, ahead,
             running = upstream.load().running, wait_ms = chosen.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
         self.last = Some(upstream.id.clone());
         self.tried.push(upstream.id.clone());
         let begun = site.now();
-        let deadline = site.at(begun + self.patience(chosen.wait));
+        let deadline = site.at(begun + self.patience(chosen.wait).min(chosen.begin));
         let id = self.request.asked.attempt.clone();
         let method = self.request.head.method.clone();
         // From here on the request may have reached the upstream, also if
@@ -488,18 +549,14 @@
                 self.connects += 1;
                 self.tried.pop();
                 self.avoided.push(upstream.id.clone());
-                upstream.health.borrow_mut().unreachable(now);
+                upstream.doubt(now);
                 site.counters.count("upstream.unreachable");
                 tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.id, %why,
                     "upstream unreachable");
                 Sent::Nothing
             }
             Err(failure) => {
-                let mut health = upstream.health.borrow_mut();
-                health.answered(false);
-                if matches!(failure, Failure::Silent(_)) {
-                    health.unreachable(now);
-                }
+                upstream.failed(&failure, now);
                 site.counters.count("upstream.broken");
                 tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.id,
                     %failure, sends = self.sends, "send brought no answer");
@@ -626,6 +683,47 @@
 /// a step prevails.
 const PACE_SAMPLE: u64 = 2_000;
 
+/// Where shared parts can be copied from.
+struct Keeper {
+    /// The engine; `None` for the store.
+    id: Option<UpstreamId>,
+    addr: SocketAddr,
+    dc: DataCentre,
+    /// The weights they were made by.
+    weights: u64,
+    held: u64,
+    /// Milliseconds to copy one token within a data centre.
+    token_ms: f64,
+}
+
+impl Keeper {
+    fn copying(&self, to: &DataCentre) -> Copying {
+        let factor = if self.dc == *to { 1.0 } else { FAR_FACTOR };
+        Copying { held: self.held, token_ms: self.token_ms * factor }
+    }
+}
+
+/// The keeper from which an engine in `dc` copies best.
+fn best_keeper<'a>(
+    keepers: &'a [Keeper],
+    weights: u64,
+    engine: &UpstreamId,
+    dc: &DataCentre,
+) -> Option<&'a Keeper> {
+    let others = keepers.iter().filter(|k| k.weights == weights && k.id.as_ref() != Some(engine));
+    others.min_by(|a, b| {
+        let (a, b) = (a.copying(dc), b.copying(dc));
+        b.held.cmp(&a.held).then(a.token_ms.total_cmp(&b.token_ms))
+    })
+}
+
+/// Copies between data centres take this many times as long.
+const FAR_FACTOR: f64 = 2.0;
+
+/// The store's link is every engine's: it is taken to be this many times as
+/// slow as an engine's.
+const STORE_FACTOR: f64 = 4.0;
+
 /// What one send brought.
 enum Sent {
     Open(Opened, Flight),
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -12,7 +12,7 @@
 use super::duty::{self, Duty};
 use super::logs::Logs;
 use super::site::Site;
-use super::{callers, entry, follow, logs, peers};
+use super::{cachefeed, callers, entry, follow, logs, peers};
 use crate::error::Error;
 
 /// New connections that may wait to be accepted.
@@ -50,6 +50,7 @@
         ntex::rt::spawn(entry::serve(site.clone(), listener));
     }
     follow::start(&site);
+    ntex::rt::spawn(cachefeed::run(site.clone()));
     ntex::rt::spawn(peers::run(site.clone()));
     let duty = duty::start(&site);
     ntex::rt::spawn(watch_settings(site.clone(), path));
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -9,6 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use marjoram_core::budget::{Allowance, Budget};
 use marjoram_core::catalog::Catalog;
+use marjoram_core::holdings::Holdings;
 use marjoram_core::host::HostSettings;
 use marjoram_core::rollout::Named;
 use tokio::sync::Notify;
@@ -30,6 +31,8 @@
     pub peers: Peers,
     /// Weights named, by model.
     pub named: RefCell<HashMap<String, Named>>,
+    /// What the store of prompt caches keeps, as its events tell.
+    pub kept: RefCell<Holdings>,
     /// Counters and histograms.
     pub counters: Counters,
     /// The process is stopping.
@@ -56,6 +59,7 @@
             fleet: Fleet::default(),
             peers,
             named: RefCell::default(),
+            kept: RefCell::default(),
             counters: Counters::new(),
             draining: Cell::default(),
             listed: Cell::default(),
