--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -106,7 +106,7 @@
         Err(_) => return refuse_bytes(site, conn, 408, "body not in time").await,
     };
     let asked = headers::asked(|name| head.headers.get(name));
-    let last = head.headers.closes(head.minor) || site.draining.get();
+    let last = head.headers.closes(head.minor) || site.stopping.get().is_some();
     let request = Request { head, body, started, asked };
     answer(site, conn, request, last).await
 }
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -116,7 +116,7 @@
     let mut generation = 0;
     let mut caller = Caller::new(site.settings.load().store.addr);
     let mut was_down = false;
-    while !site.draining.get() {
+    while site.stopping.get().is_none() {
         let settings = site.settings.load_full();
         let lease = LEASE.max(settings.store.lease_min);
         let join = store::join(GROUP, &settings.name, TOPIC, lease, generation);
@@ -129,7 +129,7 @@
             Ok(reply) => Err(format!("status {}", reply.status)),
             Err(error) => Err(error.to_string()),
         };
-        if site.draining.get() {
+        if site.stopping.get().is_some() {
             return;
         }
         match membership {
@@ -177,7 +177,7 @@
         let now = clock::now();
         let settled = since + self.site.settings.load().bounds.lease;
         let lasts = now + LEASE_MARGIN < self.until.get();
-        (lasts && now >= settled && !self.site.draining.get()).then_some(token)
+        (lasts && now >= settled && self.site.stopping.get().is_none()).then_some(token)
     }
 }
 
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -119,7 +119,7 @@
         "host": site.settings.load().name,
         "up_ms": now.as_millis() as u64,
         "ready": site.is_ready(),
-        "draining": site.draining.get(),
+        "stopping": site.stopping.get().is_some(),
         "configuration": site.catalog.load().as_ref().map(|c| c.version),
         "handled": site.handled.get(),
         "hosts": site.peers.state(now),
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -166,6 +166,9 @@
         };
         site.count_request(&service);
         let limit = request.asked.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+        if site.stopping.get().is_some_and(|stop| !stop.takes(request.started, limit)) {
+            return Err(Refusal::not_run("stopping", RETRY_MIN));
+        }
         Ok(Self {
             site: site.clone(),
             expires: request.started + limit,
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use marjoram_core::stop::Stop;
 use marjoram_platform::settings;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -81,12 +82,12 @@
 /// Stops without cutting a request: callers are sent elsewhere first.
 async fn stop(site: &Rc<Site>, duty: &Duty, logs: &Logs) {
     let begun = site.now();
-    site.draining.set(true);
+    let end = begun + site.settings.load().bounds.grace.saturating_sub(STOP_MARGIN);
+    site.stopping.set(Some(Stop { begun, end }));
     tracing::info!(target: "run", handled = site.handled.get(), "stopping");
     peers::greet(site);
     duty::release(duty).await;
     peers::greet(site);
-    let end = begun + site.settings.load().bounds.grace.saturating_sub(STOP_MARGIN);
     let mut quiet_since = site.now();
     let mut answered = site.counters.requests();
     loop {
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -12,6 +12,7 @@
 use marjoram_core::holdings::Holdings;
 use marjoram_core::host::HostSettings;
 use marjoram_core::rollout::Named;
+use marjoram_core::stop::Stop;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -36,7 +37,7 @@
     /// Counters and histograms.
     pub counters: Counters,
     /// The process is stopping.
-    pub draining: Cell<bool>,
+    pub stopping: Cell<Option<Stop>>,
     /// The upstreams have been listed once.
     pub listed: Cell<bool>,
     /// Told when the process stops taking connections.
@@ -61,7 +62,7 @@
             named: RefCell::default(),
             kept: RefCell::default(),
             counters: Counters::new(),
-            draining: Cell::default(),
+            stopping: Cell::default(),
             listed: Cell::default(),
             stop: Notify::new(),
             duty: Notify::new(),
@@ -83,7 +84,7 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.catalog.load().is_some() && self.listed.get()
+        self.stopping.get().is_none() && self.catalog.load().is_some() && self.listed.get()
     }
 
     /// The configuration in force.
