--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -58,12 +58,21 @@
     loop {
         let result = match from {
             None => list(&site, &mut caller, &mut sink).await.map(Some),
-            Some(at) => read(&site, &mut caller, &mut sink, at).await,
+            Some(at) => tokio::select! {
+                read = read(&site, &mut caller, &mut sink, at) => read,
+                // A call that was waiting while the store was away, or at
+                // its old address, may never be answered: ask again.
+                () = site.regained.notified() => {
+                    caller = Caller::new(site.settings.load().store.addr);
+                    continue;
+                }
+            },
         };
         match result {
             Ok(next) => {
                 if link.up() {
                     sink.returned(&site);
+                    site.regained.notify_waiters();
                 }
                 from = next;
                 sink.read(&site);
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -132,6 +132,7 @@
             Ok(new) => {
                 tracing::info!(target: "run", asked, store = %new.store.addr, "settings changed");
                 site.settings.store(Arc::new(new));
+                site.regained.notify_waiters();
             }
             Err(error) => {
                 tracing::error!(target: "run", asked, %error, "settings not understood, old ones kept");
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -42,6 +42,8 @@
     pub listed: Cell<bool>,
     /// Told when the process stops taking connections.
     pub stop: Notify,
+    /// Told when the store answers again, or has another address.
+    pub regained: Notify,
     /// Told when weights are named or upstreams change.
     pub duty: Notify,
     /// Requests being handled.
@@ -65,6 +67,7 @@
             stopping: Cell::default(),
             listed: Cell::default(),
             stop: Notify::new(),
+            regained: Notify::new(),
             duty: Notify::new(),
             handled: Cell::default(),
             budgets: RefCell::default(),
