Hosts take over what others know; the duty's lease outlives lost answers

Hosts that restarted while the store was away knew no configuration; later the duty changed hands four times in ten seconds, as lost answers let its lease lapse, so nine of twelve engines stayed on old weights past their bound and the three others were refused 'too much waits'. Ruled out: the hosts' view of each other (complete 0.4 s after a restart). Change: greetings tell versions, and a host that is behind for 0.3 s fetches configuration, weights, upstreams and hosts over an h2 link (the transport is now one module for both programs' links); a lease of 3.6 s with seven tries; while the store is not sound replaced weights stay in use past their bound.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -22,8 +22,10 @@
 
 use xxhash_rust::xxh3::Xxh3Default;
 
-/// Worth of an answer on replaced weights.
+/// Worth of an answer on replaced weights, and on ones that ought to be out
+/// of use.
 const OLD_WORTH: f64 = 0.8;
+const OVERDUE_WORTH: f64 = 0.1;
 
 /// Worth lost by an answer that comes late.
 const LATE_LOSS: f64 = 0.7;
@@ -73,6 +75,17 @@
     pub target: f64,
 }
 
+/// How long an engine's weights have been replaced by newer ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WeightsAge {
+    /// Not at all, or so shortly that they are as good.
+    Good,
+    /// For a while.
+    Old,
+    /// For longer than they are to be in use.
+    Overdue,
+}
+
 /// Shared parts that can be copied instead of read.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Copying {
@@ -107,8 +120,8 @@
     pub far: bool,
     /// Version of the weights it serves.
     pub weights: u64,
-    /// Those have been replaced for a while.
-    pub old: bool,
+    /// How long those have been replaced.
+    pub age: WeightsAge,
 }
 
 /// Where a prompt goes.
@@ -135,7 +148,7 @@
 /// The engine for a prompt that needs `need`; `None` without candidates.
 ///
 /// ```
-/// use marjoram_core::place::{Candidate, Copying, Need, place};
+/// use marjoram_core::place::{Candidate, Copying, Need, WeightsAge, place};
 /// let idle = Candidate {
 ///     rank: 1,
 ///     unread: 0,
@@ -148,7 +161,7 @@
 ///     failures: 0.0,
 ///     far: false,
 ///     weights: 1,
-///     old: false,
+///     age: WeightsAge::Good,
 /// };
 /// let home = Candidate { rank: 9, ..idle };
 /// let need = Need { input: 17_000, shared: 13_000, output: 30, target: 800.0 };
@@ -195,7 +208,11 @@
     let capacity = (c.capacity as f64).max(1.0);
     let overfull = (memory / capacity - MEMORY_SHARE).max(0.0);
     let late = 1.0 / (1.0 + ((LATE_MIDDLE - wait / need.target) / LATE_WIDTH).exp());
-    let weights = if c.old { OLD_WORTH } else { 1.0 };
+    let weights = match c.age {
+        WeightsAge::Good => 1.0,
+        WeightsAge::Old => OLD_WORTH,
+        WeightsAge::Overdue => OVERDUE_WORTH,
+    };
     let worth = weights * (1.0 - LATE_LOSS * late) * (1.0 - c.failures)
         - WAIT_LOSS * wait / need.target
         - AGAIN_LOSS * again as f64 / (need.input.max(1)) as f64
--- /dev/null
+++ b/crates/router/src/link.rs
@@ -0,0 +1,130 @@
+//! Calls between this system's own processes: `h2` streams, one a call.
+//!
+//! A call that fails or takes too long drops its connection: one that has
+//! gone silent for good is found by the next call and replaced.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Largest call or answer.
+const MESSAGE_LIMIT: usize = 64 << 20;
+/// Flow-control window of a stream: a picture passes in a few round trips.
+const WINDOW: u32 = 4 << 20;
+/// A served connection with no call for this long is closed.
+const IDLE: Duration = Duration::from_secs(120);
+
+/// Connects to the process at `addr`.
+pub async fn connect(addr: SocketAddr) -> Result<SendRequest<Bytes>, String> {
+    let socket = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+    socket.set_nodelay(true).map_err(|e| e.to_string())?;
+    let (sender, connection) = h2::client::Builder::new()
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW)
+        .handshake(socket)
+        .await
+        .map_err(|e| e.to_string())?;
+    ntex::rt::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(target: "link", "link to {addr} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+/// Makes one call over an open connection.
+pub async fn ask(sender: SendRequest<Bytes>, addr: SocketAddr, body: Bytes) -> Result<Bytes, String> {
+    let mut sender = sender.ready().await.map_err(|e| e.to_string())?;
+    let request =
+        http::Request::post(format!("http://{addr}/peer")).body(()).map_err(|e| e.to_string())?;
+    let (response, mut stream) = sender.send_request(request, false).map_err(|e| e.to_string())?;
+    stream.send_data(body, true).map_err(|e| e.to_string())?;
+    let response = response.await.map_err(|e| e.to_string())?;
+    match response.status() {
+        http::StatusCode::OK => read_all(response.into_body()).await,
+        status => Err(format!("status {status}")),
+    }
+}
+
+/// Answers calls on `listener` by `answer`, for ever.
+pub async fn serve<A>(listener: TcpListener, answer: A)
+where
+    A: Fn(&[u8]) -> Result<Vec<u8>, String> + Clone + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((socket, from)) => {
+                let _ = socket.set_nodelay(true);
+                let answer = answer.clone();
+                ntex::rt::spawn(async move {
+                    if let Err(why) = serve_link(socket, answer).await {
+                        tracing::debug!(target: "link", "link from {from} ended: {why}");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(target: "link", "accept failed: {error}");
+                ntex::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve_link<A>(socket: TcpStream, answer: A) -> Result<(), String>
+where
+    A: Fn(&[u8]) -> Result<Vec<u8>, String> + Clone + 'static,
+{
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW)
+        .handshake::<_, Bytes>(socket);
+    let mut connection = tokio::time::timeout(IDLE, handshake)
+        .await
+        .map_err(|_| "no handshake".to_string())?
+        .map_err(|e| e.to_string())?;
+    loop {
+        let next = tokio::time::timeout(IDLE, connection.accept()).await;
+        let (request, respond) = match next {
+            Err(_) => return Err("idle".into()),
+            Ok(None) => return Ok(()),
+            Ok(Some(accepted)) => accepted.map_err(|e| e.to_string())?,
+        };
+        let answer = answer.clone();
+        ntex::rt::spawn(async move {
+            if let Err(why) = serve_call(answer, request, respond).await {
+                tracing::debug!(target: "link", "call not answered: {why}");
+            }
+        });
+    }
+}
+
+async fn serve_call<A>(
+    answer: A,
+    request: http::Request<h2::RecvStream>,
+    mut respond: h2::server::SendResponse<Bytes>,
+) -> Result<(), String>
+where
+    A: Fn(&[u8]) -> Result<Vec<u8>, String>,
+{
+    let bytes = read_all(request.into_body()).await?;
+    let body = answer(&bytes)?;
+    let mut stream =
+        respond.send_response(http::Response::new(()), false).map_err(|e| e.to_string())?;
+    stream.send_data(body.into(), true).map_err(|e| e.to_string())
+}
+
+async fn read_all(mut body: h2::RecvStream) -> Result<Bytes, String> {
+    let mut all = BytesMut::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|e| e.to_string())?;
+        all.extend_from_slice(&chunk);
+        let _ = body.flow_control().release_capacity(chunk.len());
+        if all.len() > MESSAGE_LIMIT {
+            return Err(format!("message over {MESSAGE_LIMIT} bytes"));
+        }
+    }
+    Ok(all.freeze())
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod gossip;
 mod job;
+mod link;
 mod log;
 mod node;
 mod once;
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -23,5 +23,6 @@
 mod run;
 mod site;
 mod storeclient;
+mod warm;
 
 pub use run::run;
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -35,16 +35,21 @@
 
 /// The lease asked for, unless the store grants only longer ones. A holder
 /// that is gone is replaced after it.
-const LEASE: Duration = Duration::from_millis(2_400);
+const LEASE: Duration = Duration::from_millis(3_600);
 
 /// Part of the lease at its end that is not used.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 
-/// Renewals in one lease: two may be lost.
-const RENEWALS: u32 = 3;
+/// Renewals in one lease.
+const RENEWALS: u32 = 4;
 
-/// Time for the store's answer to a renewal.
-const JOIN_ANSWER: Duration = Duration::from_millis(700);
+/// Time for the store's answer to a renewal. One that brings no answer is
+/// made again at once: while the store loses half of its answers, a lease of
+/// seven such times still lapses less than once in a hundred.
+const JOIN_ANSWER: Duration = Duration::from_millis(450);
+
+/// Pause after a renewal that was refused.
+const JOIN_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time for an engine's answer.
 const ENGINE_ANSWER: Duration = Duration::from_millis(600);
@@ -144,7 +149,10 @@
                 if !std::mem::replace(&mut was_down, true) {
                     tracing::warn!(target: "duty", why, "group lost");
                 }
+                site.troubled.set(Some(site.now()));
                 caller = Caller::new(settings.store.addr);
+                tokio::time::sleep(JOIN_PAUSE).await;
+                continue;
             }
         }
         tokio::time::sleep(lease / RENEWALS).await;
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marjoram_core::upstream::{Change, Registry, UpstreamId};
+use marjoram_core::catalog::Catalog;
+use marjoram_core::upstream::{Change, UpstreamId};
 use marjoram_platform::store::{self, Call, Record};
 use marjoram_platform::{catalog, registry};
 
@@ -26,6 +27,10 @@
 /// Time for an answer beyond what the store was asked to wait.
 const ANSWER: Duration = Duration::from_millis(1_500);
 
+/// An answer that takes longer shows that the store is not sound: it takes a
+/// few milliseconds.
+const SLOW: Duration = Duration::from_millis(150);
+
 /// First and longest pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(900);
@@ -56,6 +61,7 @@
     let mut link = Link { topic: S::TOPIC, down: false, pause: FIRST_PAUSE };
     let mut from: Option<u64> = None;
     loop {
+        let asked = site.now();
         let result = match from {
             None => list(&site, &mut caller, &mut sink).await.map(Some),
             Some(at) => tokio::select! {
@@ -75,6 +81,9 @@
                     site.regained.notify_waiters();
                 }
                 from = next;
+                if !S::WAITS && site.now() - asked > SLOW {
+                    site.troubled.set(Some(site.now()));
+                }
                 sink.read(&site);
                 if !S::WAITS && from.is_some() {
                     tokio::time::sleep(POLL).await;
@@ -82,6 +91,7 @@
             }
             Err(why) => {
                 let pause = link.failed(&why);
+                site.troubled.set(Some(site.now()));
                 sink.read(&site);
                 tokio::time::sleep(pause).await;
                 caller = Caller::new(site.settings.load().store.addr);
@@ -187,7 +197,7 @@
             return configure(site, value);
         }
         match catalog::parse_weights(&record.key, value) {
-            Some(Ok(named)) => name_weights(site, &named),
+            Some(Ok(named)) => name_weights(site, &named.model, named.version, "store"),
             Some(Err(error)) => {
                 tracing::error!(target: "config", key = record.key, %error, "record not understood");
             }
@@ -197,92 +207,93 @@
 }
 
 fn configure(site: &Site, record: &[u8]) {
-    let known = site.catalog.load().as_ref().map(|c| c.version);
     match catalog::parse(record) {
-        Ok(new) if known.is_none_or(|known| new.version > known) => {
-            tracing::info!(target: "config", version = new.version, before = known,
-                routes = new.routes().count(), "configuration in force");
-            site.catalog.store(Some(Arc::new(new)));
-        }
-        Ok(old) => {
-            tracing::debug!(target: "config", version = old.version, known, "older configuration left");
-        }
+        Ok(new) => put_in_force(site, new, "store"),
         Err(error) => {
-            tracing::error!(target: "config", %error, kept = known, "configuration not understood");
+            let kept = site.catalog.load().as_ref().map(|c| c.version);
+            tracing::error!(target: "config", %error, kept, "configuration not understood");
         }
     }
 }
 
-fn name_weights(site: &Site, named: &catalog::Named) {
-    let mut all = site.named.borrow_mut();
-    if all.entry(named.model.clone()).or_default().name(named.version, site.now()) {
-        tracing::info!(target: "weights", model = named.model, version = named.version, "weights named");
-        site.duty.notify_one();
+/// Puts a configuration learnt from `source` in force, unless one as new is.
+pub fn put_in_force(site: &Site, new: Catalog, source: &str) {
+    let known = site.catalog.load().as_ref().map(|c| c.version);
+    if known.is_some_and(|known| new.version <= known) {
+        tracing::debug!(target: "config", version = new.version, known, "older configuration left");
+        return;
     }
+    tracing::info!(target: "config", version = new.version, before = known, source,
+        routes = new.routes().count(), "configuration in force");
+    site.catalog.store(Some(Arc::new(new)));
 }
 
-/// The upstreams' entries.
-struct Upstreams {
-    registry: Registry,
+/// Takes in that weights are named.
+pub fn name_weights(site: &Site, model: &str, version: u64, source: &str) {
+    let mut all = site.named.borrow_mut();
+    if all.entry(model.to_string()).or_default().name(version, site.now()) {
+        tracing::info!(target: "weights", model, version, source, "weights named");
+        site.duty.notify_one();
+    }
 }
 
-impl Upstreams {
-    fn changed(&self, site: &Site, id: &UpstreamId, change: &Change) {
-        match change {
-            Change::None => return,
-            Change::Joined | Change::Changed => {
-                if let Some(entry) = self.registry.get(id) {
-                    site.fleet.enter(entry);
-                    tracing::info!(target: "registry", upstream = %id, ?change, beat = entry.beat,
-                        leaving = entry.leaving, service = entry.service, "upstream stated");
-                }
-            }
-            Change::Left => {
-                site.fleet.remove(id);
-                tracing::info!(target: "registry", upstream = %id, "upstream left");
-            }
-            Change::Missing => {
-                tracing::info!(target: "registry", upstream = %id, "upstream missing, kept for now");
+/// Takes in at this host that the upstream `id` changed as `change` says.
+pub fn upstream_changed(site: &Site, id: &UpstreamId, change: &Change) {
+    match change {
+        Change::None => return,
+        Change::Joined | Change::Changed => {
+            if let Some(entry) = site.registry.borrow().get(id) {
+                site.fleet.enter(entry);
+                tracing::info!(target: "registry", upstream = %id, ?change, beat = entry.beat,
+                    leaving = entry.leaving, service = entry.service, "upstream stated");
             }
         }
-        site.duty.notify_one();
+        Change::Left => {
+            site.fleet.remove(id);
+            tracing::info!(target: "registry", upstream = %id, "upstream left");
+        }
+        Change::Missing => {
+            tracing::info!(target: "registry", upstream = %id, "upstream missing, kept for now");
+        }
     }
+    site.duty.notify_one();
+}
 
-    fn state(&mut self, site: &Site, record: &Record) {
+/// The upstreams' entries.
+struct Upstreams;
+
+impl Sink for Upstreams {
+    const TOPIC: &'static str = store::UPSTREAMS;
+    const WAITS: bool = false;
+
+    fn record(&mut self, site: &Site, record: &Record) {
         let id = UpstreamId(record.key.clone());
         let change = match &record.value {
-            None => self.registry.unlist(&id, site.now()),
+            None => site.registry.borrow_mut().unlist(&id, site.now()),
             Some(value) => match registry::parse(&record.key, value) {
-                Ok(entry) => self.registry.state(entry, site.now()),
+                Ok(entry) => site.registry.borrow_mut().state(entry, site.now()),
                 Err(error) => {
                     tracing::error!(target: "registry", upstream = %id, %error, "entry not understood");
                     return;
                 }
             },
         };
-        self.changed(site, &id, &change);
-    }
-}
-
-impl Sink for Upstreams {
-    const TOPIC: &'static str = store::UPSTREAMS;
-    const WAITS: bool = false;
-
-    fn record(&mut self, site: &Site, record: &Record) {
-        self.state(site, record);
+        upstream_changed(site, &id, &change);
     }
 
     fn complete(&mut self, site: &Site, keys: &[String]) {
         let ids: Vec<UpstreamId> = keys.iter().cloned().map(UpstreamId).collect();
-        for (id, change) in self.registry.retain(&ids, site.now()) {
-            self.changed(site, &id, &change);
+        let changes = site.registry.borrow_mut().retain(&ids, site.now());
+        for (id, change) in changes {
+            upstream_changed(site, &id, &change);
         }
         site.listed.set(true);
     }
 
     fn read(&mut self, site: &Site) {
-        for id in self.registry.expire(site.now()) {
-            self.changed(site, &id, &Change::Left);
+        let gone = site.registry.borrow_mut().expire(site.now());
+        for id in gone {
+            upstream_changed(site, &id, &Change::Left);
         }
         for upstream in site.fleet.all() {
             upstream.pool.sweep(site.now());
@@ -290,7 +301,7 @@
     }
 
     fn returned(&mut self, site: &Site) {
-        self.registry.returned(site.now());
+        site.registry.borrow_mut().returned(site.now());
     }
 }
 
@@ -336,7 +347,7 @@
 /// Starts following the store.
 pub fn start(site: &Rc<Site>) {
     ntex::rt::spawn(follow(site.clone(), Operators));
-    ntex::rt::spawn(follow(site.clone(), Upstreams { registry: Registry::new() }));
+    ntex::rt::spawn(follow(site.clone(), Upstreams));
     ntex::rt::spawn(follow(site.clone(), Hosts));
     ntex::rt::spawn(register(site.clone()));
 }
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -24,6 +24,7 @@
 
 use super::fleet::{Load, Upstream};
 use super::site::Site;
+use super::warm;
 
 /// Time between greetings to the same few peers.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -69,6 +70,9 @@
     loads: Vec<(u64, Load)>,
     /// Upstreams it could not reach, by key.
     doubts: Vec<u64>,
+    /// The version of its configuration, and those of its weights together.
+    config: u64,
+    weights: u64,
 }
 
 /// A change of an engine's weights.
@@ -193,6 +197,11 @@
         sums
     }
 
+    /// The records of the other hosts.
+    pub fn records(&self) -> Vec<(String, HostRecord)> {
+        self.known.borrow().iter().map(|(n, p)| (n.clone(), p.record.clone())).collect()
+    }
+
     /// The hosts, for the state dump.
     pub fn state(&self, now: Duration) -> serde_json::Value {
         let known = self.known.borrow();
@@ -273,6 +282,8 @@
         life: site.peers.record.life,
         open: site.is_ready(),
         loads,
+        config: site.catalog.load().as_ref().map_or(0, |c| c.version),
+        weights: site.named.borrow().values().filter_map(|n| n.newest()).sum(),
         doubts: all.iter().filter(|u| u.health.borrow().is_lost(now)).map(|u| u.key).collect(),
     };
     let targets = site.peers.targets(FANOUT);
@@ -299,6 +310,7 @@
             Ok((Message::Hello(hello), _)) => {
                 let doubts = |u: &Rc<Upstream>| hello.doubts.contains(&u.key);
                 site.fleet.all().iter().filter(|u| doubts(u)).for_each(|u| u.heard_doubt(site.now()));
+                warm::compare(&site, from, hello.config, hello.weights);
                 site.peers.hear(hello, site.now());
             }
             Ok((Message::Notice(notice), _)) => take_notice(&site, &notice),
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -12,7 +12,7 @@
 use marjoram_core::health::SILENCE;
 use marjoram_core::holdings::CacheId;
 use marjoram_core::host::DataCentre;
-use marjoram_core::place::{self, Candidate, Copying, Need};
+use marjoram_core::place::{self, Candidate, Copying, Need, WeightsAge};
 use marjoram_core::plain::{self, Plain};
 use marjoram_core::upstream::UpstreamId;
 use marjoram_platform::headers;
@@ -364,7 +364,11 @@
             let version = u.weights(&prompt.model).unwrap_or_default();
             named.replaced(version, now).unwrap_or_default()
         };
-        let candidates: Vec<&Rc<Upstream>> = all.iter().filter(|u| replaced(u) < bound).collect();
+        // While the store is not sound no orders can be given, and the bound
+        // on weights does not run: replaced ones are better than a refusal.
+        let sound = self.site.sound(now);
+        let usable = |u: &&Rc<Upstream>| replaced(u).min(sound) < bound;
+        let candidates: Vec<&Rc<Upstream>> = all.iter().filter(usable).collect();
         let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
         let part = shared.first().map(|p| p.id.0);
         let here = &self.site.settings.load().dc;
@@ -388,7 +392,7 @@
                     failures: health.failures(),
                     far: !u.is_in(here),
                     weights,
-                    old: replaced(u) > WEIGHTS_GRACE,
+                    age: weights_age(replaced(u), bound),
                 }
             })
             .collect();
@@ -419,7 +423,8 @@
         let save = store.map(|s| s.addr.to_string());
         Ok(Chosen {
             weights,
-            begin: (bound + WEIGHTS_MARGIN).saturating_sub(replaced(&upstream) + WEIGHTS_END),
+            begin: (bound + WEIGHTS_MARGIN)
+                .saturating_sub(replaced(&upstream).min(sound) + WEIGHTS_END),
             upstream,
             unread: choice.unread,
             wait: Duration::from_secs_f64(choice.wait / 1e3),
@@ -686,6 +691,14 @@
 /// a step prevails.
 const PACE_SAMPLE: u64 = 2_000;
 
+fn weights_age(replaced: Duration, bound: Duration) -> WeightsAge {
+    match replaced {
+        age if age <= WEIGHTS_GRACE => WeightsAge::Good,
+        age if age < bound => WeightsAge::Old,
+        _ => WeightsAge::Overdue,
+    }
+}
+
 /// Where shared parts can be copied from.
 struct Keeper {
     /// The engine; `None` for the store.
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -13,7 +13,7 @@
 use super::duty::{self, Duty};
 use super::logs::Logs;
 use super::site::Site;
-use super::{cachefeed, callers, entry, follow, logs, peers};
+use super::{cachefeed, callers, entry, follow, logs, peers, warm};
 use crate::error::Error;
 
 /// New connections that may wait to be accepted.
@@ -53,6 +53,8 @@
     follow::start(&site);
     ntex::rt::spawn(cachefeed::run(site.clone()));
     ntex::rt::spawn(peers::run(site.clone()));
+    let offers = listen(site.peers.record.peers)?;
+    ntex::rt::spawn(warm::serve(site.clone(), offers));
     let duty = duty::start(&site);
     ntex::rt::spawn(watch_settings(site.clone(), path));
     wait_for_stop().await?;
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -13,6 +13,7 @@
 use marjoram_core::host::HostSettings;
 use marjoram_core::rollout::Named;
 use marjoram_core::stop::Stop;
+use marjoram_core::upstream::Registry;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -26,6 +27,8 @@
     pub settings: ArcSwap<HostSettings>,
     /// The configuration in force.
     pub catalog: ArcSwapOption<Catalog>,
+    /// Upstreams as the store lists them.
+    pub registry: RefCell<Registry>,
     /// Upstreams.
     pub fleet: Fleet,
     /// The other hosts.
@@ -40,6 +43,10 @@
     pub stopping: Cell<Option<Stop>>,
     /// The upstreams have been listed once.
     pub listed: Cell<bool>,
+    /// When the store last failed a call or was slow to answer.
+    pub troubled: Cell<Option<Duration>>,
+    /// Since when other hosts are known to know more.
+    pub behind: Cell<Option<Duration>>,
     /// Told when the process stops taking connections.
     pub stop: Notify,
     /// Told when the store answers again, or has another address.
@@ -59,6 +66,7 @@
         Rc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwapOption::empty(),
+            registry: RefCell::default(),
             fleet: Fleet::default(),
             peers,
             named: RefCell::default(),
@@ -66,6 +74,8 @@
             counters: Counters::new(),
             stopping: Cell::default(),
             listed: Cell::default(),
+            troubled: Cell::default(),
+            behind: Cell::default(),
             stop: Notify::new(),
             regained: Notify::new(),
             duty: Notify::new(),
@@ -90,6 +100,11 @@
         self.stopping.get().is_none() && self.catalog.load().is_some() && self.listed.get()
     }
 
+    /// How long the store has been sound at `now`, as far as is known.
+    pub fn sound(&self, now: Duration) -> Duration {
+        self.troubled.get().map_or(now, |at| now.saturating_sub(at))
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.load_full()
--- /dev/null
+++ b/crates/router/src/proxy/warm.rs
@@ -0,0 +1,117 @@
+//! What a host takes from another one while the store does not tell it.
+//!
+//! A host that starts while the store is away, or that the store turns away,
+//! hears from the others' greetings that they know a newer configuration or
+//! newer weights, and fetches what they know. The store stays the source:
+//! what it tells is newer or the same, and versions only rise, so taking
+//! something over twice or late does no harm.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use marjoram_core::catalog::Catalog;
+use marjoram_core::upstream::Entry;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use super::follow;
+use super::peers::HostRecord;
+use super::site::Site;
+use crate::link;
+
+/// How long a difference must last before it is fetched: in steady state the
+/// store tells all hosts within a few milliseconds.
+const LASTS: Duration = Duration::from_millis(300);
+
+/// Longest time for another host's answer.
+const ANSWER: Duration = Duration::from_millis(1_500);
+
+/// What a host knows.
+#[derive(Debug, Serialize, Deserialize)]
+struct Knowledge {
+    catalog: Option<Catalog>,
+    /// Newest weights by model.
+    weights: Vec<(String, u64)>,
+    upstreams: Vec<Entry>,
+    hosts: Vec<(String, HostRecord)>,
+}
+
+/// Answers other hosts that ask what this one knows.
+pub async fn serve(site: Rc<Site>, listener: TcpListener) {
+    link::serve(listener, move |_| {
+        let named = site.named.borrow();
+        let newest = named.iter().filter_map(|(m, n)| Some((m.clone(), n.newest()?)));
+        let knowledge = Knowledge {
+            catalog: site.catalog().map(|c| (*c).clone()),
+            weights: newest.collect(),
+            upstreams: site.registry.borrow().entries().cloned().collect(),
+            hosts: site.peers.records(),
+        };
+        bincode::serde::encode_to_vec(&knowledge, bincode::config::standard())
+            .map_err(|e| e.to_string())
+    })
+    .await;
+}
+
+/// Compares what the host at `from` says it knows with what this one does.
+pub fn compare(site: &Rc<Site>, from: SocketAddr, config: u64, weights: u64) {
+    let own_config = site.catalog.load().as_ref().map_or(0, |c| c.version);
+    let own_weights: u64 = site.named.borrow().values().filter_map(|n| n.newest()).sum();
+    let now = site.now();
+    match site.behind.get() {
+        _ if config <= own_config && weights <= own_weights => {}
+        Some(since) if now < since + LASTS => {}
+        // Fetched or not, the next look is due after the same time again.
+        Some(since) if now < since + LASTS * 2 => {
+            site.behind.set(None);
+            ntex::rt::spawn(fetch(site.clone(), from));
+        }
+        _ => site.behind.set(Some(now)),
+    }
+}
+
+async fn fetch(site: Rc<Site>, from: SocketAddr) {
+    let asked = async {
+        let sender = link::connect(from).await?;
+        link::ask(sender, from, Bytes::new()).await
+    };
+    let answer = match tokio::time::timeout(ANSWER, asked).await {
+        Ok(answer) => answer,
+        Err(_) => Err(format!("no answer in {} ms", ANSWER.as_millis())),
+    };
+    let decoded = answer.and_then(|bytes| {
+        bincode::serde::decode_from_slice::<Knowledge, _>(&bytes, bincode::config::standard())
+            .map(|(knowledge, _)| knowledge)
+            .map_err(|e| e.to_string())
+    });
+    match decoded {
+        Ok(knowledge) => take(&site, from, knowledge),
+        Err(why) => tracing::warn!(target: "warm", %from, why, "nothing taken over"),
+    }
+}
+
+fn take(site: &Site, from: SocketAddr, knowledge: Knowledge) {
+    tracing::info!(target: "warm", %from, upstreams = knowledge.upstreams.len(),
+        hosts = knowledge.hosts.len(), "another host's knowledge taken over");
+    let source = from.to_string();
+    if let Some(catalog) = knowledge.catalog {
+        follow::put_in_force(site, catalog, &source);
+    }
+    for (model, version) in knowledge.weights {
+        follow::name_weights(site, &model, version, &source);
+    }
+    // Once the store has listed the upstreams, what it says is newer.
+    if !site.listed.get() {
+        for entry in knowledge.upstreams {
+            let id = entry.id.clone();
+            let change = site.registry.borrow_mut().state(entry, site.now());
+            follow::upstream_changed(site, &id, &change);
+        }
+        for (name, record) in knowledge.hosts {
+            site.peers.list(&name, Some(record));
+        }
+        site.listed.set(true);
+    }
+}
