Large prompts wait at the router, small ones have engines to go to first

Engines admit everything at once, so their ranks order nothing until slots or memory run out. Change: a large prompt is not sent behind 8,000 unread tokens; it waits at the router up to a quarter of the caller's time, looking every 40 ms. A quarter of the engines takes small prompts first.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -59,6 +59,9 @@
 /// Milliseconds added by each request that runs beside it.
 const RUNNING_MS: f64 = 1.0;
 
+/// Worth lost by leaving the lane of prompts of this size.
+const LANE_LOSS: f64 = 0.2;
+
 /// Worth lost by sending to another data centre: latency and bytes.
 const FAR_LOSS: f64 = 0.005;
 
@@ -122,6 +125,8 @@
     pub weights: u64,
     /// How long those have been replaced.
     pub age: WeightsAge,
+    /// It is one of those that prompts of this size go to first.
+    pub lane: bool,
 }
 
 /// Where a prompt goes.
@@ -137,6 +142,31 @@
     pub unread: u64,
 }
 
+/// Prompt tokens from which a prompt is large: reading it takes an engine
+/// more than one step, and each of those steps holds up all that it runs.
+pub const LARGE: u64 = 2_048;
+
+/// Which of `places`, the engines' places in the ranks, are the lane of
+/// prompts of a size: a share of the engines takes the small ones, so that
+/// their many short answers are not held up by the reading of large prompts.
+/// The lanes only tip the scales: an engine outside is taken when it is
+/// worth more.
+///
+/// ```
+/// use marjoram_core::place::lane;
+/// let small = lane(&[5, 1, 9], 0.34, false);
+/// assert_eq!(small, [false, true, false]);
+/// assert_eq!(lane(&[5, 1, 9], 0.34, true), [true, false, true]);
+/// ```
+pub fn lane(places: &[u64], small_share: f64, large: bool) -> Vec<bool> {
+    let mut order: Vec<usize> = (0..places.len()).collect();
+    order.sort_by_key(|&i| places[i]);
+    let small = (places.len() as f64 * small_share).floor() as usize;
+    let mut lane = vec![large; places.len()];
+    order.into_iter().take(small).for_each(|i| lane[i] = !large);
+    lane
+}
+
 /// The rank of the engine with `key` for the shared part `part`.
 pub fn rank(part: u64, key: u64) -> u64 {
     let mut hash = Xxh3Default::new();
@@ -162,6 +192,7 @@
 ///     far: false,
 ///     weights: 1,
 ///     age: WeightsAge::Good,
+///     lane: true,
 /// };
 /// let home = Candidate { rank: 9, ..idle };
 /// let need = Need { input: 17_000, shared: 13_000, output: 30, target: 800.0 };
@@ -217,6 +248,7 @@
         - WAIT_LOSS * wait / need.target
         - AGAIN_LOSS * again as f64 / (need.input.max(1)) as f64
         - OVERFULL_LOSS * overfull
+        - if c.lane { 0.0 } else { LANE_LOSS }
         - if c.far { FAR_LOSS } else { 0.0 };
     (worth, Choice { engine: index, copies, wait, unread: own + read })
 }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -241,6 +241,10 @@
                 Err(refusal) => Err(refusal),
             };
             let chosen = match (again, failed.take()) {
+                (Ok(chosen), None) if self.must_wait(&chosen) => {
+                    tokio::time::sleep(HOLD_LOOK).await;
+                    continue;
+                }
                 (Ok(chosen), _) => chosen,
                 (Err(_), Some((opened, body))) => return Ok(Answer::Failed(opened, body)),
                 (Err(refusal), None) => return Err(refusal),
@@ -272,6 +276,15 @@
         }
     }
 
+    /// Whether a large prompt waits here rather than behind others at the
+    /// engine chosen, where the small ones would wait with it.
+    fn must_wait(&self, chosen: &Chosen) -> bool {
+        let large = self.request.asked.prompt.as_ref().is_some_and(|p| p.input >= place::LARGE);
+        let held = self.site.now().saturating_sub(self.request.started);
+        let hold = (self.expires.saturating_sub(self.request.started)) / HOLD_SHARE;
+        large && held < hold && chosen.upstream.load().unread > LARGE_AHEAD
+    }
+
     fn give_up(&self, why: &'static str) -> Refusal {
         match self.ran {
             true => Refusal::with_status(502, why),
@@ -374,9 +387,12 @@
         let here = &self.site.settings.load().dc;
         let token_ms = spec.token_bytes * 8.0 / (spec.link_mbps.max(1.0) * 1e3);
         let keepers = self.keepers(prompt, shared, token_ms);
+        let places: Vec<u64> = candidates.iter().map(|u| u.place).collect();
+        let lanes = place::lane(&places, SMALL_SHARE, prompt.input >= place::LARGE);
         let views: Vec<Candidate> = candidates
             .iter()
-            .map(|u| {
+            .zip(lanes)
+            .map(|(u, lane)| {
                 let (load, health, entry) = (u.load(), u.health.borrow(), u.entry.borrow());
                 let weights = u.weights(&prompt.model).unwrap_or_default();
                 let keeper = best_keeper(&keepers, weights, &u.id, &entry.dc);
@@ -393,6 +409,7 @@
                     far: !u.is_in(here),
                     weights,
                     age: weights_age(replaced(u), bound),
+                    lane,
                 }
             })
             .collect();
@@ -684,6 +701,18 @@
     }
 }
 
+/// Unread tokens at an engine behind which a large prompt is not sent.
+const LARGE_AHEAD: u64 = 8_000;
+
+/// Time between looks for an engine while a large prompt waits.
+const HOLD_LOOK: Duration = Duration::from_millis(40);
+
+/// Part of the caller's time that a large prompt waits here at most.
+const HOLD_SHARE: u32 = 4;
+
+/// Share of the engines that small prompts go to first.
+const SMALL_SHARE: f64 = 0.25;
+
 /// Shared tokens from which copying them is worth a transfer.
 const COPY_TOKENS: u64 = 1_000;
 
