--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -23,6 +23,8 @@
 
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::policy::PolicyName;
+
 /// Worth of an answer on replaced weights, and on ones that ought to be out
 /// of use.
 const OLD_WORTH: f64 = 0.8;
@@ -215,6 +217,31 @@
     hash.finish()
 }
 
+/// The engine for a prompt by the policy `name`; `turn` counts the choices.
+/// Under every policy engines on overdue weights come last, and shared parts
+/// are copied where that is quicker, so results compare the choice alone.
+pub fn place_by(
+    name: PolicyName,
+    need: Need,
+    candidates: &[Candidate],
+    turn: u64,
+) -> Option<Choice> {
+    let fresh = candidates.iter().any(|c| c.age != WeightsAge::Overdue);
+    let open: Vec<usize> = (0..candidates.len())
+        .filter(|&i| !fresh || candidates[i].age != WeightsAge::Overdue)
+        .collect();
+    let index = match name {
+        PolicyName::PrefixAware => return place(need, candidates),
+        PolicyName::RoundRobin => *open.get(turn as usize % open.len().max(1))?,
+        PolicyName::LeastLoad => {
+            open.into_iter().min_by_key(|&i| (candidates[i].running, candidates[i].unread))?
+        }
+        PolicyName::Maglev => open.into_iter().max_by_key(|&i| candidates[i].rank)?,
+    };
+    let home = homes(candidates).iter().any(|(_, home)| *home == index);
+    Some(judge(need, &candidates[index], index, home).1)
+}
+
 /// The engine for a prompt that needs `need`; `None` without candidates.
 ///
 /// ```
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -27,7 +27,7 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     if args.first().is_some_and(|arg| arg == options::PROXY) {
-        return end(ntex::rt::System::new("marjoram").block_on(proxy::run()));
+        return run_proxy(&args[1..]);
     }
     let settings = match options::parse(&args) {
         Ok(options::Parsed::Help(text)) => {
@@ -44,6 +44,22 @@
     end(ntex::rt::System::new("marjoram").block_on(serve::run(*settings)))
 }
 
+fn run_proxy(args: &[String]) -> ExitCode {
+    match proxy::parse(args) {
+        Ok(proxy::Parsed::Help(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(proxy::Parsed::Run(options)) => {
+            end(ntex::rt::System::new("marjoram").block_on(proxy::run(options)))
+        }
+        Err(error) => {
+            eprintln!("marjoram: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn end(result: Result<(), error::Error>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod http1;
 mod logs;
+mod options;
 mod peers;
 mod pool;
 mod relay;
@@ -25,4 +26,5 @@
 mod storeclient;
 mod warm;
 
+pub use options::{Parsed, parse};
 pub use run::run;
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -8,8 +8,10 @@
 
 use marjoram_platform::entry::{self, Question};
 use tokio::net::TcpListener;
+use tracing_appender::non_blocking::ErrorCounter;
 
 use super::conn::Conn;
+use super::fleet::Upstream;
 use super::http1::{self, ResponseWriter};
 use super::site::Site;
 
@@ -30,19 +32,19 @@
 const STATE: &str = "/debug/state";
 
 /// Answers questions on `listener` until the process stops.
-pub async fn serve(site: Rc<Site>, listener: TcpListener) {
+pub async fn serve(site: Rc<Site>, listener: TcpListener, dropped: ErrorCounter) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = site.stop.notified() => return,
         };
         if let Ok((stream, _)) = accepted {
-            ntex::rt::spawn(connection(site.clone(), Conn::new(stream)));
+            ntex::rt::spawn(connection(site.clone(), Conn::new(stream), dropped.clone()));
         }
     }
 }
 
-async fn connection(site: Rc<Site>, mut conn: Conn) {
+async fn connection(site: Rc<Site>, mut conn: Conn, dropped: ErrorCounter) {
     loop {
         let head = match http1::request_head(&mut conn.buf, HEAD_LIMIT) {
             Ok(Some(head)) => head,
@@ -61,7 +63,7 @@
             (Question::Unknown, METRICS) => {
                 let mut writer = ResponseWriter::new(200);
                 writer.header("content-type", b"text/plain");
-                writer.finish(site.counters.text().as_bytes())
+                writer.finish(metrics(&site, &dropped).as_bytes())
             }
             (Question::Unknown, STATE) => {
                 let mut writer = ResponseWriter::new(200);
@@ -79,6 +81,32 @@
     }
 }
 
+fn paused(site: &Site) -> u64 {
+    let now = site.now();
+    site.fleet.all().iter().filter(|u| u.health.borrow().is_paused(now)).count() as u64
+}
+
+/// Counters, histograms and a few gauges as text.
+fn metrics(site: &Site, dropped: &ErrorCounter) -> String {
+    let mut text = site.counters.text();
+    let sum = |of: fn(&Upstream) -> u64| site.fleet.all().iter().map(|u| of(u)).sum::<u64>();
+    let gauges = [
+        ("ready", u64::from(site.is_ready())),
+        ("handled", u64::from(site.handled.get())),
+        ("configuration", site.catalog.load().as_ref().map_or(0, |c| c.version)),
+        ("hosts", site.peers.open().len() as u64 + 1),
+        ("upstreams", site.fleet.all().len() as u64),
+        ("upstreams_paused", paused(site)),
+        ("upstream_requests", sum(|u| u64::from(u.own.get().running))),
+        ("unread_tokens", sum(|u| u.load().unread)),
+        ("log_lines_dropped", dropped.dropped_lines() as u64),
+    ];
+    for (name, value) in gauges {
+        text += &format!("marjoram_{name} {value}\n");
+    }
+    text
+}
+
 fn addresses(site: &Site) -> bytes::BytesMut {
     let mut known: Vec<SocketAddr> = site.peers.open();
     let settings = site.settings.load();
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -208,7 +208,8 @@
             output: prompt.output,
             target: self.route.target.as_secs_f64() * 1e3,
         };
-        let Some(choice) = place::place(need, &views) else {
+        let turn = self.site.turn.replace(self.site.turn.get().wrapping_add(1));
+        let Some(choice) = place::place_by(self.site.policy, need, &views, turn) else {
             return Err(self.give_up("no engine on weights in force"));
         };
         if !resumed && millis(choice.wait) > self.left() {
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -12,6 +12,7 @@
 
 use super::duty::{self, Duty};
 use super::logs::Logs;
+use super::options::ProxyOptions;
 use super::site::Site;
 use super::{cachefeed, callers, entry, follow, logs, peers, warm};
 use crate::error::Error;
@@ -33,22 +34,28 @@
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 
 /// Runs the proxy until it is told to stop.
-pub async fn run() -> Result<(), Error> {
+pub async fn run(options: ProxyOptions) -> Result<(), Error> {
     let logs = logs::init();
-    let path = settings::path();
+    let path = options.settings;
     let host = settings::load(&path).map_err(|e| Error::Settings(path.clone(), e.to_string()))?;
     tracing::info!(target: "run", host = host.name, dc = %host.dc, callers = %host.callers,
-        store = %host.store.addr, first_start = host.first_start, "starting");
-    let site = Site::new(host);
+        store = %host.store.addr, policy = %options.policy, first_start = host.first_start, "starting");
+    let site = Site::new(host, options.policy);
     let listening = site.settings.load_full();
     let callers_listener = listen(listening.callers)?;
     let mut questions = Vec::new();
     for addr in [listening.ready, listening.directory].into_iter().flatten() {
         questions.push(listen(addr)?);
     }
+    let metrics = SocketAddr::new(listening.ip, options.metrics_port);
+    match listen(metrics) {
+        Ok(listener) => questions.push(listener),
+        // Requests are served without metrics; the state stands elsewhere too.
+        Err(error) => tracing::error!(target: "run", %error, "no metrics"),
+    }
     ntex::rt::spawn(callers::serve(site.clone(), callers_listener));
     for listener in questions {
-        ntex::rt::spawn(entry::serve(site.clone(), listener));
+        ntex::rt::spawn(entry::serve(site.clone(), listener, logs.dropped.clone()));
     }
     follow::start(&site);
     ntex::rt::spawn(cachefeed::run(site.clone()));
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -11,6 +11,7 @@
 use marjoram_core::catalog::Catalog;
 use marjoram_core::holdings::Holdings;
 use marjoram_core::host::HostSettings;
+use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::Named;
 use marjoram_core::stop::Stop;
 use marjoram_core::upstream::Registry;
@@ -25,6 +26,10 @@
 pub struct Site {
     /// Checked settings; replaced when the file changes.
     pub settings: ArcSwap<HostSettings>,
+    /// How engines are chosen.
+    pub policy: PolicyName,
+    /// Counts choices, for policies that take turns.
+    pub turn: Cell<u64>,
     /// The configuration in force.
     pub catalog: ArcSwapOption<Catalog>,
     /// Upstreams as the store lists them.
@@ -61,10 +66,12 @@
 
 impl Site {
     /// State for `settings`, before anything is known.
-    pub fn new(settings: HostSettings) -> Rc<Self> {
+    pub fn new(settings: HostSettings, policy: PolicyName) -> Rc<Self> {
         let peers = Peers::new(&settings);
         Rc::new(Self {
             settings: ArcSwap::from_pointee(settings),
+            policy,
+            turn: Cell::default(),
             catalog: ArcSwapOption::empty(),
             registry: RefCell::default(),
             fleet: Fleet::default(),
