Weights: 120 ms between an engine's announcement and its order

Ruled out: hosts that had not heard the announcement (none placed after it). Change: the order follows the announcement after 120 ms.

--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -54,6 +54,10 @@
 /// Time for an engine's answer: it takes a few milliseconds.
 const ENGINE_ANSWER: Duration = Duration::from_millis(300);
 
+/// Time between the announcement that an engine closes and its order: what
+/// was sent there before has begun by then. The engine refuses what has not.
+const ORDER_DELAY: Duration = Duration::from_millis(120);
+
 /// How long an engine is announced as closed at a time.
 const CLOSED: Duration = Duration::from_millis(2_500);
 
@@ -244,6 +248,7 @@
 async fn change(duty: Rc<Duty>, upstream: Rc<Upstream>, weights: Weights) {
     let begun = duty.site.now();
     announce(&duty, &upstream, &weights, Some(CLOSED));
+    tokio::time::sleep(ORDER_DELAY).await;
     let end = order(&duty, &upstream, &weights).await;
     let now = duty.site.now();
     let ms = (now - begun).as_millis() as u64;
