A failure that was answered is passed on; the repeat budget is taken at a send

Cause: reading the request path as a newcomer: an upstream's own answer was dropped when the repeat brought none, and a request that waits at the router took a repeat from the budget at every look, 25 times a second. Change: Exchange::next takes the budget only for a send that is made, and the answered failure is kept until something better comes. Engines' events are first read one engine after the other, 60 ms apart.

--- a/crates/router/src/proxy/cachefeed.rs
+++ b/crates/router/src/proxy/cachefeed.rs
@@ -20,6 +20,11 @@
 /// Time between looks for engines that are not followed yet.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// Time between the first reads of two engines. Each brings all events that
+/// the engine still has, thousands of them, while a host that has just
+/// started has callers waiting.
+const STAGGER: Duration = Duration::from_millis(60);
+
 /// Time for an answer beyond the wait asked for.
 const ANSWER: Duration = Duration::from_millis(700);
 
@@ -48,6 +53,7 @@
                 let due = site.peers.ranks_within(upstream.key, listeners.saturating_sub(SPARE));
                 if due && !upstream.followed.replace(true) {
                     ntex::rt::spawn(follow_engine(site.clone(), upstream));
+                    tokio::time::sleep(STAGGER).await;
                 }
             }
         }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -201,18 +201,17 @@
         let mut failed: Option<(Opened, BytesMut)> = None;
         let mut weights_tries = 0;
         loop {
-            let again = match self.may_send() {
-                Ok(()) => self.choose(resumed.is_some()),
-                Err(refusal) => Err(refusal),
-            };
-            let chosen = match (again, failed.take()) {
-                (Ok(chosen), None) if self.must_wait(&chosen) => {
+            let chosen = match self.next(resumed.is_some()) {
+                Ok(Some(chosen)) => chosen,
+                Ok(None) => {
                     tokio::time::sleep(HOLD_LOOK).await;
                     continue;
                 }
-                (Ok(chosen), _) => chosen,
-                (Err(_), Some((opened, body))) => return Ok(Answer::Failed(opened, body)),
-                (Err(refusal), None) => return Err(refusal),
+                Err(refusal) => {
+                    return failed
+                        .map(|(opened, body)| Answer::Failed(opened, body))
+                        .ok_or(refusal);
+                }
             };
             match self.send(&chosen, resumed).await {
                 Sent::Open(opened, flight) => return Ok(Answer::Open(opened, flight)),
@@ -227,8 +226,20 @@
         }
     }
 
-    /// Whether one more send is allowed; the first always is.
-    fn may_send(&mut self) -> Result<(), Refusal> {
+    /// The next send, if one is allowed; `None` while the request waits here.
+    fn next(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
+        self.may_send()?;
+        let chosen = self.choose(resumed)?;
+        match self.sends {
+            _ if self.must_wait(&chosen) => Ok(None),
+            0 => Ok(Some(chosen)),
+            _ if self.site.may_repeat(&self.service) => Ok(Some(chosen)),
+            _ => Err(self.give_up("repeat budget used up")),
+        }
+    }
+
+    /// Whether one more send is allowed, the budget aside; the first always is.
+    fn may_send(&self) -> Result<(), Refusal> {
         let count = self.tried.len() as u32;
         match (self.sends, self.ran) {
             _ if self.left().is_zero() => Err(self.expired()),
@@ -236,7 +247,6 @@
             (0, _) => Ok(()),
             (_, true) if !self.route.kind.repeatable() => Err(self.give_up("may have run")),
             _ if count >= self.route.attempts => Err(self.give_up("attempts used up")),
-            _ if !self.site.may_repeat(&self.service) => Err(self.give_up("repeat budget used up")),
             _ => Ok(()),
         }
     }
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -81,8 +81,9 @@
         let envelope = self.envelope(chosen, resumed);
         let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
-        tracing::info!(target: "place", id = self.id(), upstream = %upstream.id, part = chosen.part,
-            shared = prompt.map(|p| p.shared()), weights = chosen.weights, salt = envelope.salt, fetch = chosen.fetch.map(|a| a.to_string()), unread = chosen.unread, ahead,
+        tracing::info!(target: "place", id = self.id(), upstream = %upstream.id,
+            part = chosen.part, shared = prompt.map(|p| p.shared()), weights = chosen.weights,
+            salt = envelope.salt, fetch = envelope.fetch, unread = chosen.unread, ahead,
             running = upstream.load().running, wait_ms = chosen.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
