--- a/crates/core/benches/placement.rs
+++ b/crates/core/benches/placement.rs
@@ -15,13 +15,13 @@
         memory: n * 911 % 120_000,
         capacity: 165_614,
         pace: 49.6,
-        held: if n % 9 == 0 { 13_300 } else { 0 },
+        held: if n.is_multiple_of(9) { 13_300 } else { 0 },
         copy: Some(Copying { held: 13_300, token_ms: 0.0024 }),
         failures: 0.0,
-        far: n % 4 != 0,
+        far: !n.is_multiple_of(4),
         weights: n % 2,
         age: WeightsAge::Good,
-        lane: n % 4 == 0,
+        lane: n.is_multiple_of(4),
     };
     (0..count).map(candidate).collect()
 }
