Duty: resumed when nobody can have ordered since; ages of weights always told

Hosts that started at 27 s then took version 2 as replaced three seconds before, since ages above 20 s were not told. Ruled out: the store (sound), the engines (0.9 s an order). Change: a host that is dealt the duty again before the pause between holders has passed since the store last confirmed its tenure goes on at once: another holder would still be waiting. Greetings tell ages up to ten minutes.

--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -102,11 +102,8 @@
         let told = Version { number: version, before: age, seen: now, known: true };
         let at = self.versions.partition_point(|v| v.number < version);
         match self.versions.get_mut(at) {
-            Some(entry) if entry.number == version => {
-                if !entry.known || age > entry.age(now) {
-                    *entry = told;
-                }
-            }
+            Some(entry) if entry.number == version && entry.known && age <= entry.age(now) => {}
+            Some(entry) if entry.number == version => *entry = told,
             // The store lists only the newest to a host that starts: one that
             // was named between is known from other hosts alone.
             Some(_) => self.versions.insert(at, told),
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -93,6 +93,8 @@
     until: Cell<Duration>,
     /// The token of this tenure and when it began, while the duty is held.
     tenure: Cell<Option<(u64, Duration)>>,
+    /// When the last tenure began, and when the store last confirmed it.
+    last: Cell<Option<(Duration, Duration)>>,
     known: RefCell<HashMap<UpstreamId, Known>>,
 }
 
@@ -102,6 +104,7 @@
         site: site.clone(),
         until: Cell::default(),
         tenure: Cell::default(),
+        last: Cell::default(),
         known: RefCell::default(),
     });
     ntex::rt::spawn(stand(duty.clone()));
@@ -147,7 +150,7 @@
                     tracing::info!(target: "duty", "group regained");
                 }
                 generation = membership.generation;
-                duty.dealt(membership.parts.contains(&DUTY), generation, asked + lease);
+                duty.dealt(membership.parts.contains(&DUTY), generation, asked, lease);
             }
             Err(why) => {
                 if !std::mem::replace(&mut was_down, true) {
@@ -164,16 +167,23 @@
 }
 
 impl Duty {
-    /// The store dealt the duty to this host, or not.
-    fn dealt(&self, held: bool, generation: u64, until: Duration) {
+    /// The store, asked at `asked`, dealt the duty to this host for `lease`,
+    /// or not.
+    fn dealt(&self, held: bool, generation: u64, asked: Duration, lease: Duration) {
         let lapsed = clock::now() >= self.until.get();
         match (held, self.tenure.get()) {
-            (true, Some(_)) if !lapsed => self.until.set(until),
+            (true, Some((_, since))) if !lapsed => {
+                self.until.set(asked + lease);
+                self.last.set(Some((since, asked)));
+            }
             (true, _) => {
-                tracing::info!(target: "duty", token = generation, "duty taken");
-                self.tenure.set(Some((generation, clock::now())));
+                let since = self.resumed(asked).unwrap_or_else(clock::now);
+                tracing::info!(target: "duty", token = generation,
+                    settled_ms = (clock::now() - since).as_millis() as u64, "duty taken");
+                self.tenure.set(Some((generation, since)));
+                self.last.set(Some((since, asked)));
                 self.known.borrow_mut().clear();
-                self.until.set(until);
+                self.until.set(asked + lease);
             }
             (false, Some((token, _))) => {
                 tracing::info!(target: "duty", token, "duty lost");
@@ -183,6 +193,14 @@
         }
     }
 
+    /// When this host's last tenure began, if nobody can have ordered since:
+    /// any other holder lets the bound on turns pass before its first order.
+    fn resumed(&self, asked: Duration) -> Option<Duration> {
+        let (since, confirmed) = self.last.get()?;
+        let turns = self.site.settings.load().bounds.lease;
+        (asked < confirmed + turns).then_some(since)
+    }
+
     /// The fencing token, while orders may be given.
     fn token(&self) -> Option<u64> {
         let (token, since) = self.tenure.get()?;
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -35,9 +35,9 @@
 /// Greetings missed before a peer is taken to be gone.
 const MISSES: u32 = 12;
 
-/// How long hosts tell each other when weights were named: longer than any
-/// bound on bringing them into use.
-const NAMED_LATELY: Duration = Duration::from_secs(20);
+/// How long hosts tell each other when weights were named: an engine that
+/// could not be reached may still be on weights that were replaced long ago.
+const NAMED_LATELY: Duration = Duration::from_secs(600);
 
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
