Duty: its rules move to the core; a resumed holder must have been able to order

A model of three hosts before a store that lets members expire and moves the duty by itself found a fault in them: a host that had lost the duty and was dealt it again within the bound on turns went on at once although it had never settled, and a waiting holder could give its first order on a lease confirmed before it had lost the duty.

Ruled out: restarting the pause whenever the group's number jumps by two (hosts that start or stop in turn would restart it again and again, and weights would stay old).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 //! - [`plain`]: which upstream of a plain service a request goes to.
 //! - [`budget`]: how often requests may be sent again.
 //! - [`rollout`]: which engines change their weights next.
+//! - [`tenure`]: one host's tenure of a duty that the store deals.
 //! - [`stop`]: which requests are still taken while a process stops.
 //! - [`events`]: cutting a stream into whole events.
 
@@ -55,6 +56,7 @@
 pub mod prefix;
 pub mod rollout;
 pub mod stop;
+pub mod tenure;
 pub mod upstream;
 pub mod wire;
 pub mod workload;
--- /dev/null
+++ b/crates/core/src/tenure.rs
@@ -0,0 +1,156 @@
+//! One host's tenure of a duty that a group in the platform's store deals.
+//!
+//! Load pattern: the store deals the duty to one member at a time and numbers
+//! each change, but hosts freeze, are cut off, hear of a loss late or never,
+//! and are dealt the duty again after they had lost it. Upstreams that do not
+//! compare tokens carry out whatever reaches them, so two hosts must never
+//! order within the operators' bound on turns between holders.
+//!
+//! Limits: a holder orders only while its lease surely lasts, counted from
+//! before it asked for it, on a clock that counts suspension, less a margin
+//! for an order on its way; and only once the bound on turns has passed since
+//! it was dealt the duty and the store has confirmed it after that. One that
+//! could order and is dealt the duty again within that bound since the store
+//! last confirmed it goes on at once: any other holder would still be waiting,
+//! and finds out at its confirmation that it has lost the duty. (The store
+//! would have to move the duty by itself twice within the bound to break
+//! this.)
+
+use std::time::Duration;
+
+/// Part of the lease at its end that is not used: an order takes a few
+/// milliseconds to arrive.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// What an answer of the store meant for this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Dealt {
+    /// As before.
+    Unchanged,
+    /// The duty is now this host's, under this token.
+    Taken {
+        /// The fencing token of its orders.
+        token: u64,
+        /// When the bound on turns began to run.
+        since: Duration,
+    },
+    /// The duty, held under this token, is another's.
+    Lost {
+        /// The token it had.
+        token: u64,
+    },
+}
+
+/// A host's side of the duty. All times are of a clock that counts suspension.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::tenure::Tenure;
+/// let ms = Duration::from_millis;
+/// let mut tenure = Tenure::new(ms(2_700));
+/// tenure.dealt(true, 7, ms(10), ms(14), ms(3_000));
+/// assert_eq!(tenure.token(ms(1_000), ms(3_000)), None);
+/// // Renewed while the bound on turns passes, and confirmed after it.
+/// tenure.dealt(true, 7, ms(2_000), ms(2_004), ms(3_000));
+/// assert_eq!(tenure.token(ms(3_014), ms(3_000)), None);
+/// tenure.dealt(true, 7, ms(3_014), ms(3_018), ms(3_000));
+/// assert_eq!(tenure.token(ms(3_018), ms(3_000)), Some(7));
+/// // Its lease is about to end.
+/// assert_eq!(tenure.token(ms(5_400), ms(3_000)), None);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Tenure {
+    /// How long the store is asked to keep the member.
+    lease: Duration,
+    /// Until when the lease surely lasts.
+    until: Duration,
+    /// The token and when the tenure began, while the duty is held.
+    held: Option<(u64, Duration)>,
+    /// When the last tenure began, and when the store last confirmed it.
+    last: Option<(Duration, Duration)>,
+}
+
+impl Tenure {
+    /// No duty held; the store is asked for leases of `lease`.
+    pub fn new(lease: Duration) -> Self {
+        Self { lease, until: Duration::ZERO, held: None, last: None }
+    }
+
+    /// The store, asked at `asked` and heard at `now`, dealt the duty to this
+    /// host as its change number `generation`, or not. Holders must be `turns`
+    /// apart.
+    pub fn dealt(
+        &mut self,
+        held: bool,
+        generation: u64,
+        asked: Duration,
+        now: Duration,
+        turns: Duration,
+    ) -> Dealt {
+        match (held, self.held) {
+            (true, Some((_, since))) if now < self.until => {
+                // The store may have moved the duty away and back unheard:
+                // the newest number is above any other holder's.
+                self.held = Some((generation, since));
+                self.confirm(since, asked);
+                Dealt::Unchanged
+            }
+            (true, _) => {
+                let since = self.resumed(asked, turns).unwrap_or(now);
+                self.held = Some((generation, since));
+                self.confirm(since, asked);
+                Dealt::Taken { token: generation, since }
+            }
+            (false, Some((token, _))) => {
+                self.held = None;
+                Dealt::Lost { token }
+            }
+            (false, None) => Dealt::Unchanged,
+        }
+    }
+
+    /// Gives the duty up.
+    pub fn release(&mut self) {
+        self.held = None;
+        self.until = Duration::ZERO;
+    }
+
+    /// The fencing token, while orders may be given at `now`.
+    pub fn token(&self, now: Duration, turns: Duration) -> Option<u64> {
+        let (token, since) = self.held?;
+        let confirmed = self.last.is_some_and(|(_, asked)| asked >= since + turns);
+        (now + MARGIN < self.until && confirmed).then_some(token)
+    }
+
+    /// When the store is to be asked next at `now`: `renewals` times a lease,
+    /// and as soon as the bound on turns has passed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use marjoram_core::tenure::Tenure;
+    /// let ms = Duration::from_millis;
+    /// let mut tenure = Tenure::new(ms(2_000));
+    /// tenure.dealt(true, 7, ms(10), ms(14), ms(3_000));
+    /// assert_eq!(tenure.pause(ms(14), ms(3_000), 4), ms(500));
+    /// assert_eq!(tenure.pause(ms(2_914), ms(3_000), 4), ms(100));
+    /// ```
+    pub fn pause(&self, now: Duration, turns: Duration, renewals: u32) -> Duration {
+        let usual = self.lease / renewals;
+        match self.held {
+            Some((_, since)) if now < since + turns => usual.min(since + turns - now),
+            _ => usual,
+        }
+    }
+
+    fn confirm(&mut self, since: Duration, asked: Duration) {
+        self.last = Some((since, asked));
+        self.until = asked + self.lease;
+    }
+
+    /// When the last tenure began, if this host could order in it and nobody
+    /// else can have ordered since.
+    fn resumed(&self, asked: Duration, turns: Duration) -> Option<Duration> {
+        let (since, confirmed) = self.last?;
+        (confirmed >= since + turns && asked < confirmed + turns).then_some(since)
+    }
+}
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -2,20 +2,19 @@
 //!
 //! The holder is the member of a group in the platform's store to which the
 //! store deals one partition: the store decides, keeps the lease and numbers
-//! each change, and that number is the fencing token. A host orders only
-//! while its own lease surely lasts, counted from before it asked for it on
-//! a clock that counts suspension too, and only once the operators' bound on
-//! turns between holders has passed since it was dealt the duty, so that no
-//! two hosts order within it. Each order names the life of the engine and
-//! how many orders that has accepted, so one that arrives late does nothing.
-
-use std::cell::{Cell, RefCell};
+//! each change, and that number is the fencing token. When a host that was
+//! dealt the duty may order is decided by [`marjoram_core::tenure`]. Each
+//! order names the life of the engine and how many orders that has accepted,
+//! so one that arrives late does nothing.
+
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use marjoram_core::rollout;
+use marjoram_core::tenure::{Dealt, Tenure};
 use marjoram_core::upstream::{UpstreamId, Weights};
 use marjoram_platform::engine::{self, Ordered, UPSTREAM_HEADER, WeightsOrder};
 use marjoram_platform::store::{self, Call};
@@ -37,9 +36,6 @@
 /// that is gone is replaced after it.
 const LEASE: Duration = Duration::from_millis(2_700);
 
-/// Part of the lease at its end that is not used.
-const LEASE_MARGIN: Duration = Duration::from_millis(400);
-
 /// Renewals in one lease.
 const RENEWALS: u32 = 4;
 
@@ -89,12 +85,8 @@
 /// This host's side of the duty.
 pub struct Duty {
     site: Rc<Site>,
-    /// Until when the lease surely lasts, on the clock of [`clock::now`].
-    until: Cell<Duration>,
-    /// The token of this tenure and when it began, while the duty is held.
-    tenure: Cell<Option<(u64, Duration)>>,
-    /// When the last tenure began, and when the store last confirmed it.
-    last: Cell<Option<(Duration, Duration)>>,
+    /// Whether and since when it is held, on the clock of [`clock::now`].
+    tenure: RefCell<Tenure>,
     known: RefCell<HashMap<UpstreamId, Known>>,
 }
 
@@ -102,9 +94,7 @@
 pub fn start(site: &Rc<Site>) -> Rc<Duty> {
     let duty = Rc::new(Duty {
         site: site.clone(),
-        until: Cell::default(),
-        tenure: Cell::default(),
-        last: Cell::default(),
+        tenure: RefCell::new(Tenure::new(lease(site))),
         known: RefCell::default(),
     });
     ntex::rt::spawn(stand(duty.clone()));
@@ -114,8 +104,7 @@
 
 /// Gives the duty up; nothing is ordered from here on.
 pub async fn release(duty: &Duty) {
-    duty.tenure.set(None);
-    duty.until.set(Duration::ZERO);
+    duty.tenure.borrow_mut().release();
     let settings = duty.site.settings.load_full();
     let leave = store::leave(GROUP, &settings.name);
     let left = Caller::new(settings.store.addr).call(&leave, &[], JOIN_ANSWER).await;
@@ -130,8 +119,7 @@
     let mut was_down = false;
     while site.stopping.get().is_none() {
         let settings = site.settings.load_full();
-        let lease = LEASE.max(settings.store.lease_min);
-        let join = store::join(GROUP, &settings.name, TOPIC, lease, generation);
+        let join = store::join(GROUP, &settings.name, TOPIC, lease(site), generation);
         let asked = clock::now();
         let reply = caller.call(&join, &[], JOIN_ANSWER).await;
         let membership = match reply {
@@ -150,7 +138,7 @@
                     tracing::info!(target: "duty", "group regained");
                 }
                 generation = membership.generation;
-                duty.dealt(membership.parts.contains(&DUTY), generation, asked, lease);
+                duty.dealt(membership.parts.contains(&DUTY), generation, asked);
             }
             Err(why) => {
                 if !std::mem::replace(&mut was_down, true) {
@@ -162,55 +150,43 @@
                 continue;
             }
         }
-        tokio::time::sleep(lease / RENEWALS).await;
+        let pause = duty.tenure.borrow().pause(clock::now(), duty.turns(), RENEWALS);
+        tokio::time::sleep(pause).await;
     }
 }
 
 impl Duty {
-    /// The store, asked at `asked`, dealt the duty to this host for `lease`,
-    /// or not.
-    fn dealt(&self, held: bool, generation: u64, asked: Duration, lease: Duration) {
-        let lapsed = clock::now() >= self.until.get();
-        match (held, self.tenure.get()) {
-            (true, Some((_, since))) if !lapsed => {
-                self.until.set(asked + lease);
-                self.last.set(Some((since, asked)));
-            }
-            (true, _) => {
-                let since = self.resumed(asked).unwrap_or_else(clock::now);
-                tracing::info!(target: "duty", token = generation,
-                    settled_ms = (clock::now() - since).as_millis() as u64, "duty taken");
-                self.tenure.set(Some((generation, since)));
-                self.last.set(Some((since, asked)));
+    /// The store, asked at `asked`, dealt the duty to this host, or not.
+    fn dealt(&self, held: bool, generation: u64, asked: Duration) {
+        let now = clock::now();
+        match self.tenure.borrow_mut().dealt(held, generation, asked, now, self.turns()) {
+            Dealt::Unchanged => {}
+            Dealt::Taken { token, since } => {
+                let settled_ms = now.saturating_sub(since).as_millis() as u64;
+                tracing::info!(target: "duty", token, settled_ms, "duty taken");
                 self.known.borrow_mut().clear();
-                self.until.set(asked + lease);
             }
-            (false, Some((token, _))) => {
-                tracing::info!(target: "duty", token, "duty lost");
-                self.tenure.set(None);
-            }
-            (false, None) => {}
+            Dealt::Lost { token } => tracing::info!(target: "duty", token, "duty lost"),
         }
     }
 
-    /// When this host's last tenure began, if nobody can have ordered since:
-    /// any other holder lets the bound on turns pass before its first order.
-    fn resumed(&self, asked: Duration) -> Option<Duration> {
-        let (since, confirmed) = self.last.get()?;
-        let turns = self.site.settings.load().bounds.lease;
-        (asked < confirmed + turns).then_some(since)
+    /// How far apart the orders of two holders must be.
+    fn turns(&self) -> Duration {
+        self.site.settings.load().bounds.lease
     }
 
     /// The fencing token, while orders may be given.
     fn token(&self) -> Option<u64> {
-        let (token, since) = self.tenure.get()?;
-        let now = clock::now();
-        let settled = since + self.site.settings.load().bounds.lease;
-        let lasts = now + LEASE_MARGIN < self.until.get();
-        (lasts && now >= settled && self.site.stopping.get().is_none()).then_some(token)
+        let token = self.tenure.borrow().token(clock::now(), self.turns());
+        token.filter(|_| self.site.stopping.get().is_none())
     }
 }
 
+/// The lease asked for.
+fn lease(site: &Site) -> Duration {
+    LEASE.max(site.settings.load().store.lease_min)
+}
+
 /// Looks for engines on replaced weights and orders them to change.
 async fn carry_out(duty: Rc<Duty>) {
     loop {
