Cache news: two hosts an engine read its events and tell all others

Cause: with 64 and 70 hosts before engines that let eight callers wait for events, a host knew what 7 of 72 engines keep.

Ruled out: event reads by all hosts (the engines refuse them); telling every send instead of every event (it says nothing of what was dropped).

Change: where not all hosts may read, the two that rank first for an engine (and for the cache store) read; events of parts of 1,000 tokens or more go out with the greetings, twice to each host, with their numbers so that a late one undoes nothing.

--- a/crates/core/src/holdings.rs
+++ b/crates/core/src/holdings.rs
@@ -5,6 +5,12 @@
 //! costs a copy or a read, never a wrong answer, since the engine looks for
 //! itself. It is kept by cache and part in one map an engine; there is no
 //! limit on how many engines there are.
+//!
+//! Load pattern: more hosts than an engine lets read its events, and more
+//! parts than all engines together have memory for. A host that does not know
+//! where a part is kept has it read again, which evicts another one. So the
+//! few hosts that read an engine's events pass on what they say of large
+//! parts, each event twice; numbers tell which of two is the newer.
 
 use std::collections::HashMap;
 
@@ -18,7 +24,7 @@
 
 /// Name of a cache, hashed: parts are found only under the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct CacheId(u64);
+pub struct CacheId(pub u64);
 
 impl CacheId {
     /// The cache called `name`.
@@ -27,9 +33,19 @@
     }
 }
 
+/// Tokens from which a part is worth being told of: reading it again takes an
+/// engine tens of milliseconds.
+pub const LARGE: u64 = 1_000;
+
+/// Parts remembered from other hosts, dropped ones included, before the
+/// dropped ones are forgotten.
+const MOST_HEARD: usize = 512;
+
 /// One change of what is kept.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Event {
+    /// Its number: later changes have higher ones.
+    pub number: u64,
     /// The cache.
     pub cache: CacheId,
     /// The part.
@@ -57,7 +73,7 @@
 /// use marjoram_core::exchange::{Part, PartId};
 /// use marjoram_core::holdings::{CacheId, Event, Holdings, Page};
 /// let cache = CacheId::new("3");
-/// let event = Event { cache, part: PartId(7), tokens: 800 };
+/// let event = Event { number: 8, cache, part: PartId(7), tokens: 800 };
 /// let mut holdings = Holdings::new();
 /// holdings.apply(&Page { epoch: 1, next: 9, lost: false, events: vec![event] });
 /// let parts = [Part { id: PartId(7), tokens: 805 }, Part { id: PartId(8), tokens: 100 }];
@@ -68,7 +84,16 @@
 pub struct Holdings {
     epoch: Option<u64>,
     next: u64,
-    kept: HashMap<(CacheId, PartId), u64>,
+    kept: HashMap<(CacheId, PartId), Kept>,
+}
+
+/// What is known of one part.
+#[derive(Debug, Clone, Copy, Default)]
+struct Kept {
+    /// Tokens of it that are kept; none once it was dropped.
+    tokens: u64,
+    /// The number of the event that told so.
+    number: u64,
 }
 
 impl Holdings {
@@ -94,21 +119,83 @@
 
     /// Takes in events; whether the cache began a new life.
     pub fn apply(&mut self, page: &Page) -> bool {
-        let reborn = self.epoch.is_some_and(|epoch| epoch != page.epoch);
-        if reborn {
-            self.kept.clear();
-        }
-        self.epoch = Some(page.epoch);
+        let reborn = self.enter(page.epoch);
         self.next = page.next;
         for event in &page.events {
             match event.tokens {
                 0 => drop(self.kept.remove(&(event.cache, event.part))),
-                tokens => drop(self.kept.insert((event.cache, event.part), tokens)),
+                _ => self.put(event),
             }
         }
         reborn
     }
 
+    /// The events of `page`, not yet taken in, that concern large parts.
+    ///
+    /// ```
+    /// use marjoram_core::exchange::PartId;
+    /// use marjoram_core::holdings::{CacheId, Event, Holdings, Page};
+    /// let event = |number, part, tokens| Event {
+    ///     number,
+    ///     cache: CacheId::new("3"),
+    ///     part: PartId(part),
+    ///     tokens,
+    /// };
+    /// let page = |events| Page { epoch: 1, next: 9, lost: false, events };
+    /// let mut holdings = Holdings::new();
+    /// let first = page(vec![event(1, 7, 8_000), event(2, 8, 60)]);
+    /// assert_eq!(holdings.large(&first), [event(1, 7, 8_000)]);
+    /// holdings.apply(&first);
+    /// let dropped = page(vec![event(3, 8, 0), event(4, 7, 0)]);
+    /// assert_eq!(holdings.large(&dropped), [event(4, 7, 0)]);
+    /// ```
+    pub fn large(&self, page: &Page) -> Vec<Event> {
+        let before = |e: &Event| self.kept.get(&(e.cache, e.part)).map_or(0, |k| k.tokens);
+        let large = |e: &&Event| e.tokens >= LARGE || before(e) >= LARGE;
+        page.events.iter().filter(large).copied().collect()
+    }
+
+    /// Takes in what another host read of a cache in its life `epoch`. One
+    /// that comes late, after a newer one of the same part, changes nothing.
+    ///
+    /// ```
+    /// use marjoram_core::exchange::{Part, PartId};
+    /// use marjoram_core::holdings::{CacheId, Event, Holdings};
+    /// let cache = CacheId::new("3");
+    /// let event = |number, tokens| Event { number, cache, part: PartId(7), tokens };
+    /// let parts = [Part { id: PartId(7), tokens: 8_000 }];
+    /// let mut holdings = Holdings::new();
+    /// holdings.hear(1, &event(4, 8_000));
+    /// holdings.hear(1, &event(6, 0));
+    /// holdings.hear(1, &event(4, 8_000));
+    /// assert_eq!(holdings.held(cache, &parts), 0);
+    /// ```
+    pub fn hear(&mut self, epoch: u64, event: &Event) {
+        self.enter(epoch);
+        if self.kept.len() >= MOST_HEARD {
+            self.kept.retain(|_, kept| kept.tokens > 0);
+        }
+        let known = self.kept.get(&(event.cache, event.part));
+        if known.is_none_or(|known| event.number > known.number) {
+            self.put(event);
+        }
+    }
+
+    fn put(&mut self, event: &Event) {
+        let kept = Kept { tokens: event.tokens, number: event.number };
+        self.kept.insert((event.cache, event.part), kept);
+    }
+
+    /// Forgets everything if this is another life of the cache; whether it is.
+    fn enter(&mut self, epoch: u64) -> bool {
+        let reborn = self.epoch.is_some_and(|known| known != epoch);
+        if reborn {
+            self.kept.clear();
+        }
+        self.epoch = Some(epoch);
+        reborn
+    }
+
     /// Forgets everything: other weights are in use.
     pub fn clear(&mut self) {
         self.kept.clear();
@@ -118,7 +205,7 @@
     pub fn held(&self, cache: CacheId, parts: &[Part]) -> u64 {
         let mut held = 0;
         for part in parts {
-            let kept = self.kept.get(&(cache, part.id)).copied().unwrap_or_default();
+            let kept = self.kept.get(&(cache, part.id)).map_or(0, |k| k.tokens);
             held += kept.min(part.tokens);
             if kept + BLOCK_SLACK < part.tokens {
                 break;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`upstream`]: upstreams as the registry lists them.
 //! - [`health`]: what has been seen of an upstream.
 //! - [`holdings`]: which parts of prompts are kept where.
+//! - [`news`]: what hosts tell each other of caches.
 //! - [`place`]: which engine a prompt goes to.
 //! - [`plain`]: which upstream of a plain service a request goes to.
 //! - [`budget`]: how often requests may be sent again.
@@ -50,6 +51,7 @@
 pub mod lease;
 pub mod measure;
 pub mod members;
+pub mod news;
 pub mod place;
 pub mod plain;
 pub mod policy;
--- /dev/null
+++ b/crates/core/src/news.rs
@@ -0,0 +1,92 @@
+//! What a host has read of caches and tells the others with its greetings.
+//!
+//! Load pattern: an engine lets fewer hosts read its events than there are,
+//! and each host meets each other one only every few hundred milliseconds, by
+//! datagrams that may be lost. So each event is told to each host twice, and
+//! the newest come first when there are more than a greeting holds.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::exchange::PartId;
+use crate::holdings::{CacheId, Event};
+
+/// Most events in one greeting: they fill a third of a packet.
+const MOST: usize = 16;
+
+/// Events that wait to be told at most: after a burst the oldest, which say
+/// least about now, are dropped.
+const WAITING: usize = 256;
+
+/// One event of a cache, as hosts tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Key of the engine or the store.
+    pub source: u64,
+    /// The cache's life.
+    pub epoch: u64,
+    number: u64,
+    cache: u64,
+    part: u64,
+    tokens: u64,
+}
+
+impl News {
+    /// The event.
+    pub fn event(&self) -> Event {
+        Event {
+            number: self.number,
+            cache: CacheId(self.cache),
+            part: PartId(self.part),
+            tokens: self.tokens,
+        }
+    }
+}
+
+/// Events to be told.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::exchange::PartId;
+/// use marjoram_core::holdings::{CacheId, Event};
+/// use marjoram_core::news::Digest;
+/// let event = Event { number: 3, cache: CacheId::new("1"), part: PartId(7), tokens: 8_000 };
+/// let mut digest = Digest::new();
+/// let now = Duration::from_secs(1);
+/// digest.add(5, 1, &[event], now);
+/// let told = digest.lately(Duration::from_millis(800), now);
+/// assert_eq!((told[0].source, told[0].event()), (5, event));
+/// assert!(digest.lately(Duration::from_millis(800), now * 2).is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct Digest {
+    waiting: VecDeque<(Duration, News)>,
+}
+
+impl Digest {
+    /// Nothing to tell.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds `events` of the cache `source` in its life `epoch`, read at `now`.
+    pub fn add(&mut self, source: u64, epoch: u64, events: &[Event], now: Duration) {
+        for event in events {
+            let Event { number, cache, part, tokens } = *event;
+            let news = News { source, epoch, number, cache: cache.0, part: part.0, tokens };
+            self.waiting.push_back((now, news));
+        }
+        let excess = self.waiting.len().saturating_sub(WAITING);
+        self.waiting.drain(..excess);
+    }
+
+    /// The newest events that were read within `span` before `now`.
+    pub fn lately(&mut self, span: Duration, now: Duration) -> Vec<News> {
+        while self.waiting.front().is_some_and(|(at, _)| *at + span < now) {
+            self.waiting.pop_front();
+        }
+        self.waiting.iter().rev().take(MOST).map(|(_, news)| *news).collect()
+    }
+}
--- a/crates/router/src/proxy/cachefeed.rs
+++ b/crates/router/src/proxy/cachefeed.rs
@@ -1,15 +1,17 @@
 //! Reading what engines and the cache store keep from their events.
 //!
 //! An engine lets only so many callers wait for events at once. Where there
-//! are more hosts than that, the ones that rank first for an engine by
-//! hashing read its events, and the others go by the homes of parts alone.
+//! are more hosts than that, the two that rank first for an engine by hashing
+//! read its events and tell all others what they say of large parts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use marjoram_core::catalog::Role;
-use marjoram_core::holdings::Page;
+use marjoram_core::holdings::{Holdings, Page};
+use marjoram_core::news::News;
 use marjoram_platform::engine::{self, EVENTS_WAIT_MS, WAIT_HEADER};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -34,12 +36,41 @@
 /// Places among an engine's listeners that are left for hosts that restart.
 const SPARE: usize = 2;
 
-/// Hosts that read the cache store's events.
+/// Hosts that may read the cache store's events.
 const STORE_LISTENERS: usize = 10;
 
+/// Hosts that read the events of one cache where not all can: one may be down.
+const TELLERS: usize = 2;
+
+/// Where a cache's events come from, and who reads them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Source {
+    /// The cache's key in what hosts tell each other.
+    key: u64,
+    addr: SocketAddr,
+    /// Hosts that may read at once.
+    places: usize,
+}
+
+impl Source {
+    /// Whether hosts depend on each other for these events.
+    fn is_told(&self, site: &Site) -> bool {
+        site.peers.count() > self.places
+    }
+
+    /// Whether this host is to read them.
+    fn is_due(&self, site: &Site) -> bool {
+        !self.is_told(site) || site.peers.ranks_within(self.key, TELLERS.min(self.places))
+    }
+}
+
+/// The cache store at `addr`.
+fn store_source(addr: SocketAddr) -> Source {
+    Source { key: xxh3_64(addr.to_string().as_bytes()), addr, places: STORE_LISTENERS }
+}
+
 /// Follows all engines and the store of prompt caches.
 pub async fn run(site: Rc<Site>) {
-    let mut store = None;
     loop {
         tokio::time::sleep(LOOK).await;
         let Some(catalog) = site.catalog() else { continue };
@@ -50,36 +81,63 @@
         });
         for (service, listeners) in engines {
             for upstream in site.fleet.service(&service) {
-                let due = site.peers.ranks_within(upstream.key, listeners.saturating_sub(SPARE));
-                if due && !upstream.followed.replace(true) {
-                    ntex::rt::spawn(follow_engine(site.clone(), upstream));
+                let addr = upstream.entry.borrow().addr;
+                let places = listeners.saturating_sub(SPARE);
+                let source = Source { key: upstream.key, addr, places };
+                if source.is_due(&site) && !upstream.followed.replace(true) {
+                    ntex::rt::spawn(follow_engine(site.clone(), upstream, source));
                     tokio::time::sleep(STAGGER).await;
                 }
             }
         }
-        let reads = |addr: &SocketAddr| {
-            site.peers.ranks_within(xxh3_64(addr.to_string().as_bytes()), STORE_LISTENERS)
-        };
-        match (store, catalog.cache_store()) {
-            (None, Some(keeper)) if reads(&keeper.addr) => {
-                store = Some(keeper.addr);
-                ntex::rt::spawn(follow_store(site.clone(), keeper.addr));
+        if let Some(keeper) = catalog.cache_store() {
+            let source = store_source(keeper.addr);
+            if source.is_due(&site) && !site.kept_followed.replace(true) {
+                ntex::rt::spawn(follow_store(site.clone(), source));
+            }
+        }
+    }
+}
+
+/// Takes in events that another host read.
+pub fn hear(site: &Site, news: &[News]) {
+    let catalog = site.catalog();
+    let store = catalog.as_ref().and_then(|c| c.cache_store()).map(|k| store_source(k.addr).key);
+    let engines: HashMap<u64, Rc<Upstream>> = match news.is_empty() {
+        true => return,
+        false => site.fleet.all().into_iter().map(|u| (u.key, u)).collect(),
+    };
+    for item in news {
+        let event = item.event();
+        match engines.get(&item.source) {
+            Some(engine) if !engine.followed.get() => {
+                engine.kept.borrow_mut().hear(item.epoch, &event);
+            }
+            None if store == Some(item.source) && !site.kept_followed.get() => {
+                site.kept.borrow_mut().hear(item.epoch, &event);
             }
             _ => {}
         }
     }
 }
 
-async fn follow_engine(site: Rc<Site>, upstream: Rc<Upstream>) {
-    let addr = upstream.entry.borrow().addr;
+/// Passes on what `page`, not yet taken in, says of large parts.
+fn tell(site: &Site, source: Source, holdings: &Holdings, page: &Page) {
+    if source.is_told(site) {
+        site.news.borrow_mut().add(source.key, page.epoch, &holdings.large(page), site.now());
+    }
+}
+
+async fn follow_engine(site: Rc<Site>, upstream: Rc<Upstream>, source: Source) {
+    let addr = source.addr;
     let mut caller = Caller::new(addr);
-    loop {
-        if site.fleet.get(&upstream.id).is_none() {
-            return;
-        }
+    while site.fleet.get(&upstream.id).is_some() && source.is_due(&site) {
         let since = upstream.kept.borrow().next();
         match read(&mut caller, since).await {
-            Ok(page) => drop(upstream.kept.borrow_mut().apply(&page)),
+            Ok(page) => {
+                tell(&site, source, &upstream.kept.borrow(), &page);
+                upstream.kept.borrow_mut().apply(&page);
+            }
             Err(why) => {
                 tracing::debug!(target: "cachefeed", upstream = %upstream.id, why, "events not read");
                 tokio::time::sleep(PAUSE).await;
@@ -87,18 +145,21 @@
             }
         }
     }
+    upstream.followed.set(false);
 }
 
-async fn follow_store(site: Rc<Site>, addr: SocketAddr) {
+async fn follow_store(site: Rc<Site>, source: Source) {
+    let addr = source.addr;
     let mut caller = Caller::new(addr);
     let mut down = false;
-    loop {
+    while source.is_due(&site) {
         let since = site.kept.borrow().next();
         match read(&mut caller, since).await {
             Ok(page) => {
                 if std::mem::take(&mut down) {
                     tracing::info!(target: "cachefeed", %addr, "cache store regained");
                 }
+                tell(&site, source, &site.kept.borrow(), &page);
                 if site.kept.borrow_mut().apply(&page) {
                     tracing::info!(target: "cachefeed", %addr, "cache store returned empty");
                 }
@@ -114,6 +175,7 @@
             }
         }
     }
+    site.kept_followed.set(false);
 }
 
 async fn read(caller: &mut Caller, since: u64) -> Result<Page, String> {
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::exchange::Part;
+use marjoram_core::exchange::{Part, PartId};
 use marjoram_core::health::Health;
 use marjoram_core::holdings::{CacheId, Holdings};
 use marjoram_core::host::DataCentre;
@@ -17,8 +17,10 @@
 use super::pool::Pool;
 
 /// How long shared parts that were just read are taken to be kept without an
-/// event that tells so.
+/// event that tells so: events come within half of it, and, where other hosts
+/// read them, within a second.
 const HELD: Duration = Duration::from_millis(400);
+const HELD_UNTIL_TOLD: Duration = Duration::from_millis(1_200);
 
 /// Shared parts remembered for each engine.
 const HELD_PARTS: usize = 64;
@@ -74,7 +76,7 @@
     pub kept: RefCell<Holdings>,
     /// Its events are being read.
     pub followed: Cell<bool>,
-    held: RefCell<HashMap<u64, Duration>>,
+    held: RefCell<HashMap<(CacheId, PartId), Duration>>,
 }
 
 impl Upstream {
@@ -162,20 +164,30 @@
     /// Leading tokens of the shared parts `shared` that it keeps in `cache`:
     /// as its events tell, or as this host has just had it read them.
     pub fn held(&self, cache: CacheId, shared: &[Part], now: Duration) -> u64 {
-        let read = |p: &Part| self.held.borrow().get(&p.id.0).is_some_and(|at| now < *at + HELD);
+        let span = self.held_span();
+        let known = self.held.borrow();
+        let read = |p: &Part| known.get(&(cache, p.id)).is_some_and(|at| now < *at + span);
         match shared.first() {
             Some(part) if read(part) => shared.iter().map(|p| p.tokens).sum(),
             _ => self.kept.borrow().held(cache, shared),
         }
     }
 
-    /// A prompt with the shared part `part` was read there at `now`.
-    pub fn hold(&self, part: u64, now: Duration) {
+    /// A prompt with the shared part `part` was read there into `cache` at `now`.
+    pub fn hold(&self, cache: CacheId, part: PartId, now: Duration) {
+        let span = self.held_span();
         let mut held = self.held.borrow_mut();
         if held.len() >= HELD_PARTS {
-            held.retain(|_, at| now < *at + HELD);
+            held.retain(|_, at| now < *at + span);
+        }
+        held.insert((cache, part), now);
+    }
+
+    fn held_span(&self) -> Duration {
+        match self.followed.get() {
+            true => HELD,
+            false => HELD_UNTIL_TOLD,
         }
-        held.insert(part, now);
     }
 }
 
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use marjoram_core::host::HostSettings;
+use marjoram_core::news::News;
 use marjoram_core::place;
 use marjoram_core::upstream::UpstreamId;
 use serde::{Deserialize, Serialize};
@@ -24,7 +25,7 @@
 
 use super::fleet::{Load, Upstream};
 use super::site::Site;
-use super::warm;
+use super::{cachefeed, warm};
 
 /// Time between greetings to the same few peers.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -39,6 +40,9 @@
 /// could not be reached may still be on weights that were replaced long ago.
 const NAMED_LATELY: Duration = Duration::from_secs(600);
 
+/// Times each peer is told of an event: a datagram may be lost.
+const TELLINGS: u32 = 2;
+
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
 
@@ -79,6 +83,8 @@
     weights: u64,
     /// Weights named lately: model, version, milliseconds since.
     named: Vec<(String, u64, u64)>,
+    /// What caches have taken in and dropped lately.
+    news: Vec<News>,
 }
 
 /// A change of an engine's weights.
@@ -170,10 +176,14 @@
         open.map(|p| p.record.callers).collect()
     }
 
+    /// Time in which all peers are greeted once.
+    fn round(&self) -> Duration {
+        PERIOD * self.known.borrow().len().div_ceil(FANOUT).max(1) as u32
+    }
+
     /// How long a host may be silent.
     fn patience(&self) -> Duration {
-        let rounds = self.known.borrow().len().div_ceil(FANOUT).max(1) as u32;
-        PERIOD * rounds * MISSES + PERIOD / 4
+        self.round() * MISSES + PERIOD / 4
     }
 
     fn hear(&self, hello: Hello, now: Duration) {
@@ -282,6 +292,7 @@
 pub fn greet(site: &Site) {
     let own = |u: &Rc<Upstream>| (u.key, u.own.get());
     let (now, all) = (site.now(), site.fleet.all());
+    let span = site.peers.round() * TELLINGS;
     let loads = all.iter().map(own).filter(|(_, l)| l.running > 0).collect();
     let hello = Hello {
         name: site.peers.name.clone(),
@@ -289,6 +300,7 @@
         open: site.is_ready(),
         loads,
         named: lately_named(site),
+        news: site.news.borrow_mut().lately(span, now),
         config: site.catalog.load().as_ref().map_or(0, |c| c.version),
         weights: site.named.borrow().values().filter_map(|n| n.newest()).sum(),
         doubts: all.iter().filter(|u| u.health.borrow().is_lost(now)).map(|u| u.key).collect(),
@@ -342,6 +354,7 @@
                     .filter(|u| doubts(u))
                     .for_each(|u| u.heard_doubt(site.now()));
                 take_ages(&site, &hello.named);
+                cachefeed::hear(&site, &hello.news);
                 warm::compare(&site, from, hello.config, hello.weights);
                 site.peers.hear(hello, site.now());
             }
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use marjoram_core::catalog::EngineSpec;
-use marjoram_core::exchange::{Part, Prompt};
+use marjoram_core::exchange::{Part, PartId, Prompt};
 use marjoram_core::health::SILENCE;
+use marjoram_core::holdings::{CacheId, LARGE};
 use marjoram_core::host::DataCentre;
 use marjoram_core::place::{self, Candidate, Copying, Need, WeightsAge};
 use marjoram_core::plain::{self, Plain};
@@ -32,9 +33,6 @@
 /// Share of the engines that small prompts go to first.
 const SMALL_SHARE: f64 = 0.25;
 
-/// Shared tokens from which copying them is worth a transfer.
-const COPY_TOKENS: u64 = 1_000;
-
 /// Copies between data centres take this many times as long.
 const FAR_FACTOR: f64 = 2.0;
 
@@ -58,8 +56,8 @@
     pub fetch: Option<SocketAddr>,
     /// Where shared parts are sent to once they are read.
     pub save: Option<SocketAddr>,
-    /// The first shared part.
-    pub part: Option<u64>,
+    /// The first shared part, and the cache it is kept in there.
+    pub part: Option<(CacheId, PartId)>,
 }
 
 /// Where shared parts can be copied from.
@@ -217,7 +215,7 @@
         }
         let upstream = allowed[choice.engine].clone();
         let weights = weights(&upstream);
-        let large = need.shared >= COPY_TOKENS;
+        let large = need.shared >= LARGE;
         let keeper = best_keeper(&keepers, weights, &upstream.id, &upstream.entry.borrow().dc);
         let fetch = keeper.filter(|_| choice.copies && large).map(|k| k.addr);
         let kept = keepers.iter().any(|k| k.id.is_none() && k.weights == weights);
@@ -230,7 +228,7 @@
             wait: millis(choice.wait),
             fetch,
             save: store.map(|s| s.addr),
-            part: shared.first().map(|p| p.id.0),
+            part: shared.first().map(|p| (self.cache(weights), p.id)),
         })
     }
 
@@ -285,7 +283,7 @@
     /// Where large shared parts of the prompt can be copied from.
     fn keepers(&self, prompt: &Prompt, shared: &[Part], spec: &EngineSpec) -> Vec<Keeper> {
         let tokens: u64 = shared.iter().map(|p| p.tokens).sum();
-        if tokens < COPY_TOKENS {
+        if tokens < LARGE {
             return Vec::new();
         }
         let now = self.site.now();
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -82,7 +82,7 @@
         let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.id,
-            part = chosen.part, shared = prompt.map(|p| p.shared()), weights = chosen.weights,
+            part = chosen.part.map(|(_, part)| part.0), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
             salt = envelope.salt, fetch = envelope.fetch, unread = chosen.unread, ahead,
             running = upstream.load().running, wait_ms = chosen.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
@@ -228,8 +228,8 @@
 /// Notes that a prompt sent at `begun` was read by `now`.
 fn note_read(flight: &mut Flight, chosen: &Chosen, ahead: u64, begun: Duration, now: Duration) {
     flight.read();
-    if let Some(part) = chosen.part {
-        chosen.upstream.hold(part, now);
+    if let Some((cache, part)) = chosen.part {
+        chosen.upstream.hold(cache, part, now);
     }
     // Only prompts read alone tell the pace: others' are not known exactly.
     if chosen.unread >= PACE_SAMPLE && ahead == chosen.unread {
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -11,6 +11,7 @@
 use marjoram_core::catalog::Catalog;
 use marjoram_core::holdings::Holdings;
 use marjoram_core::host::HostSettings;
+use marjoram_core::news::Digest;
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::Named;
 use marjoram_core::stop::Stop;
@@ -42,6 +43,10 @@
     pub named: RefCell<HashMap<String, Named>>,
     /// What the store of prompt caches keeps, as its events tell.
     pub kept: RefCell<Holdings>,
+    /// The events of that store are being read.
+    pub kept_followed: Cell<bool>,
+    /// Events of caches to be told to other hosts.
+    pub news: RefCell<Digest>,
     /// Counters and histograms.
     pub counters: Counters,
     /// The process is stopping.
@@ -78,6 +83,8 @@
             peers,
             named: RefCell::default(),
             kept: RefCell::default(),
+            kept_followed: Cell::default(),
+            news: RefCell::default(),
             counters: Counters::new(),
             stopping: Cell::default(),
             listed: Cell::default(),
