Placement: a few engines drawn for each request where loads are told late; slots count

Cause: at 64 and 70 hosts each greets each other one every 400 to 500 ms.

Ruled out: greeting all peers every 100 ms (3.6 of the 10 Mbit/s of a small host).

Change: with more than 17 hosts a request is compared over three engines drawn by hashing in each lane, beside those that keep its parts or are home to them.

--- a/crates/core/benches/placement.rs
+++ b/crates/core/benches/placement.rs
@@ -12,6 +12,7 @@
         rank: place::rank(0x5c1e_07a2, n),
         unread: n * 37 % 9_000,
         running: (n % 12) as u32,
+        slots: 64,
         memory: n * 911 % 120_000,
         capacity: 165_614,
         pace: 49.6,
@@ -22,6 +23,7 @@
         weights: n % 2,
         age: WeightsAge::Good,
         lane: n.is_multiple_of(4),
+        drawn: true,
     };
     (0..count).map(candidate).collect()
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -17,12 +17,18 @@
 //! to the caller, between 0 and 1: less the likelier it comes late, less on
 //! weights that have been replaced, less by the work that reading shared
 //! parts once more takes from other prompts.
+//!
+//! Where there are many hosts, each hears of the others' loads late, and the
+//! engine that looks best draws all hosts at once until they hear. There each
+//! request is compared over a few engines drawn for it by hashing, beside
+//! those that keep its parts or are home to them.
 
 use std::hash::Hasher;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::holdings;
 use crate::policy::PolicyName;
 
 /// Worth of an answer on replaced weights, and on ones that ought to be out
@@ -65,6 +71,19 @@
 /// Milliseconds added by each request that runs beside it.
 const RUNNING_MS: f64 = 1.0;
 
+/// Hosts up to which loads are told often enough to compare all engines: each
+/// greets all others every 100 ms.
+const FRESH_HOSTS: usize = 17;
+
+/// Engines drawn in each lane where there are more hosts. (In the replay of
+/// `tests/herd.rs` with loads 400 ms old, requests that find an engine full:
+/// see there.)
+const DRAWN: usize = 3;
+
+/// Milliseconds that a request keeps its slot while an engine is full: one
+/// that finds all slots taken waits for as many to end as stand before it.
+const SLOT_MS: f64 = 150.0;
+
 /// Worth lost by leaving the lane of prompts of this size.
 const LANE_LOSS: f64 = 0.2;
 
@@ -123,8 +142,10 @@
     pub rank: u64,
     /// Prompt tokens sent there by all hosts and not yet read.
     pub unread: u64,
-    /// Requests that run there.
+    /// Requests that were sent there and have not ended.
     pub running: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
     /// Tokens in memory for requests that were sent there.
     pub memory: u64,
     /// Tokens it has memory for.
@@ -145,6 +166,8 @@
     pub age: WeightsAge,
     /// It is one of those that prompts of this size go to first.
     pub lane: bool,
+    /// It is one of those that this request is compared over.
+    pub drawn: bool,
 }
 
 /// Where a prompt goes.
@@ -209,6 +232,33 @@
     lane
 }
 
+/// Which engines a request with the key `request` is compared over, at
+/// `hosts` hosts: a few of those in its lane and a few others.
+///
+/// ```
+/// use marjoram_core::place::draw;
+/// let (places, lanes) = ([1, 2, 3, 4, 5, 6, 7, 8], [true; 8]);
+/// assert_eq!(draw(7, &places, &lanes, 9), [true; 8]);
+/// let drawn = draw(7, &places, &lanes, 64);
+/// assert_eq!(drawn.iter().filter(|d| **d).count(), 3);
+/// assert_ne!(drawn, draw(8, &places, &lanes, 64));
+/// ```
+pub fn draw(request: u64, places: &[u64], lanes: &[bool], hosts: usize) -> Vec<bool> {
+    if hosts <= FRESH_HOSTS {
+        return vec![true; places.len()];
+    }
+    let mut drawn = vec![false; places.len()];
+    for lane in [true, false] {
+        let mut order: Vec<(u64, usize)> = (0..places.len())
+            .filter(|&i| lanes[i] == lane)
+            .map(|i| (rank(request, places[i]), i))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().take(DRAWN).for_each(|(_, i)| drawn[i] = true);
+    }
+    drawn
+}
+
 /// The rank of the engine with `key` for the shared part `part`.
 pub fn rank(part: u64, key: u64) -> u64 {
     let mut hash = Xxh3Default::new();
@@ -250,6 +300,7 @@
 ///     rank: 1,
 ///     unread: 0,
 ///     running: 0,
+///     slots: 64,
 ///     memory: 0,
 ///     capacity: 100_000,
 ///     pace: 50.0,
@@ -260,6 +311,7 @@
 ///     weights: 1,
 ///     age: WeightsAge::Good,
 ///     lane: true,
+///     drawn: true,
 /// };
 /// let home = Candidate { rank: 9, ..idle };
 /// let need = Need { input: 17_000, shared: 13_000, output: 30, target: 800.0 };
@@ -272,9 +324,10 @@
 /// ```
 pub fn place(need: Need, candidates: &[Candidate]) -> Option<Choice> {
     let homes = homes(candidates);
-    let judged = candidates.iter().enumerate().map(|(index, c)| {
+    let judged = candidates.iter().enumerate().filter_map(|(index, c)| {
         let home = homes.iter().any(|(_, home)| *home == index);
-        judge(need, c, index, home)
+        let sought = need.shared >= holdings::LARGE && (home || c.held > 0);
+        (c.drawn || sought).then(|| judge(need, c, index, home))
     });
     judged.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
 }
@@ -311,7 +364,9 @@
     };
     let own = need.input.saturating_sub(need.shared);
     let running = f64::from(c.running) * RUNNING_MS;
-    let wait = (c.unread + own) as f64 / pace + shared_ms + running;
+    let before = f64::from((c.running + 1).saturating_sub(c.slots));
+    let slot = before * SLOT_MS / f64::from(c.slots.max(1));
+    let wait = (c.unread + own) as f64 / pace + shared_ms + running + slot;
     let memory = (c.memory + need.input + need.output) as f64;
     let capacity = (c.capacity as f64).max(1.0);
     let overfull = (memory / capacity - MEMORY_SHARE).max(0.0);
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -135,6 +135,7 @@
             rank: place::rank(ask.part.unwrap_or_default(), *place),
             unread: e.unread(ask.host, now, trial.told_after),
             running: 0,
+            slots: 64,
             memory: 0,
             capacity: CAPACITY,
             pace: PACE,
@@ -146,6 +147,7 @@
             weights: 1,
             age: WeightsAge::Good,
             lane,
+            drawn: true,
         })
         .collect();
     let target = if shared > 0 { 800.0 } else { 400.0 };
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -15,6 +15,8 @@
 use marjoram_core::rollout::Named;
 use marjoram_core::upstream::UpstreamId;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{Exchange, Refusal, millis};
 use crate::proxy::fleet::Upstream;
 
@@ -257,7 +259,9 @@
         let part = shared.first().map(|p| p.id.0).unwrap_or_default();
         let places: Vec<u64> = engines.iter().map(|u| u.place).collect();
         let lanes = place::lane(&places, SMALL_SHARE, prompt.input >= place::LARGE);
-        let view = |(u, lane): (&&Rc<Upstream>, bool)| {
+        let request = xxh3_64(self.id().as_bytes());
+        let drawn = place::draw(request, &places, &lanes, self.site.peers.count());
+        let view = |((u, lane), drawn): ((&&Rc<Upstream>, bool), bool)| {
             let (load, health, entry) = (u.load(), u.health.borrow(), u.entry.borrow());
             let weights = u.weights(&prompt.model).unwrap_or_default();
             let keeper = best_keeper(keepers, weights, &u.id, &entry.dc);
@@ -265,6 +269,7 @@
                 rank: place::rank(part, u.place),
                 unread: load.unread,
                 running: load.running,
+                slots: entry.slots,
                 memory: load.memory,
                 capacity: spec.capacity,
                 pace: health.pace().unwrap_or(DEFAULT_PACE),
@@ -275,9 +280,10 @@
                 weights,
                 age: WeightsAge::new(bound.replaced(weights), bound.bound),
                 lane,
+                drawn,
             }
         };
-        engines.iter().zip(lanes).map(view).collect()
+        engines.iter().zip(lanes).zip(drawn).map(view).collect()
     }
 
     /// Where large shared parts of the prompt can be copied from.
