Cache stores: all of them, each part's by hashing

Cause: a grown site publishes three stores of prompt caches in three data centres; only the first was used.

Change: every store is followed or told of; a part is saved to the store that ranks first for it and copied from wherever it is kept; the time of a copy from a store follows from that store's published link, doubled for others' copies, in place of four times an engine's. A store that a teller loses is told to be empty.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -115,6 +115,8 @@
     pub dc: DataCentre,
     /// Speed of its link, in megabits a second.
     pub link_mbps: f64,
+    /// Hosts that may wait for its events at once.
+    pub listeners: u32,
 }
 
 /// What a service is.
@@ -276,9 +278,9 @@
         }
     }
 
-    /// The store of kept prompt caches, if there is one.
-    pub fn cache_store(&self) -> Option<&CacheStore> {
-        self.services.values().find_map(|s| match &s.role {
+    /// The stores of kept prompt caches.
+    pub fn cache_stores(&self) -> impl Iterator<Item = &CacheStore> {
+        self.services.values().filter_map(|s| match &s.role {
             Role::Store(store) => Some(store),
             _ => None,
         })
--- a/crates/core/src/news.rs
+++ b/crates/core/src/news.rs
@@ -20,6 +20,9 @@
 /// least about now, are dropped.
 const WAITING: usize = 256;
 
+/// The life that a cache which is gone is said to be in.
+const NO_LIFE: u64 = 0;
+
 /// One event of a cache, as hosts tell each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -82,6 +85,13 @@
         self.waiting.drain(..excess);
     }
 
+    /// Adds that the cache `source` was found to be gone at `now`: what hosts
+    /// know of it is of another life.
+    pub fn add_loss(&mut self, source: u64, now: Duration) {
+        let nothing = Event { number: 0, cache: CacheId(0), part: PartId(0), tokens: 0 };
+        self.add(source, NO_LIFE, &[nothing], now);
+    }
+
     /// The newest events that were read within `span` before `now`.
     pub fn lately(&mut self, span: Duration, now: Duration) -> Vec<News> {
         while self.waiting.front().is_some_and(|(at, _)| *at + span < now) {
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -24,6 +24,7 @@
 mod run;
 mod site;
 mod storeclient;
+mod stores;
 mod warm;
 
 pub use options::{Parsed, parse};
--- a/crates/router/src/proxy/cachefeed.rs
+++ b/crates/router/src/proxy/cachefeed.rs
@@ -13,11 +13,11 @@
 use marjoram_core::holdings::{Holdings, Page};
 use marjoram_core::news::News;
 use marjoram_platform::engine::{self, EVENTS_WAIT_MS, WAIT_HEADER};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::fleet::Upstream;
 use super::site::Site;
 use super::storeclient::Caller;
+use super::stores::Store;
 
 /// Time between looks for engines that are not followed yet.
 const LOOK: Duration = Duration::from_millis(500);
@@ -36,9 +36,6 @@
 /// Places among an engine's listeners that are left for hosts that restart.
 const SPARE: usize = 2;
 
-/// Hosts that may read the cache store's events.
-const STORE_LISTENERS: usize = 10;
-
 /// Hosts that read the events of one cache where not all can: one may be down.
 const TELLERS: usize = 2;
 
@@ -64,12 +61,7 @@
     }
 }
 
-/// The cache store at `addr`.
-fn store_source(addr: SocketAddr) -> Source {
-    Source { key: xxh3_64(addr.to_string().as_bytes()), addr, places: STORE_LISTENERS }
-}
-
-/// Follows all engines and the store of prompt caches.
+/// Follows all engines and the stores of prompt caches.
 pub async fn run(site: Rc<Site>) {
     loop {
         tokio::time::sleep(LOOK).await;
@@ -90,10 +82,12 @@
                 }
             }
         }
-        if let Some(keeper) = catalog.cache_store() {
-            let source = store_source(keeper.addr);
-            if source.is_due(&site) && !site.kept_followed.replace(true) {
-                ntex::rt::spawn(follow_store(site.clone(), source));
+        for listed in catalog.cache_stores() {
+            let store = site.stores.at(listed.addr);
+            let places = (listed.listeners as usize).saturating_sub(SPARE);
+            let source = Source { key: store.key, addr: store.addr, places };
+            if source.is_due(&site) && !store.followed.replace(true) {
+                ntex::rt::spawn(follow_store(site.clone(), store, source));
             }
         }
     }
@@ -101,20 +95,18 @@
 
 /// Takes in events that another host read.
 pub fn hear(site: &Site, news: &[News]) {
-    let catalog = site.catalog();
-    let store = catalog.as_ref().and_then(|c| c.cache_store()).map(|k| store_source(k.addr).key);
     let engines: HashMap<u64, Rc<Upstream>> = match news.is_empty() {
         true => return,
         false => site.fleet.all().into_iter().map(|u| (u.key, u)).collect(),
     };
     for item in news {
         let event = item.event();
-        match engines.get(&item.source) {
-            Some(engine) if !engine.followed.get() => {
+        match (engines.get(&item.source), site.stores.get(item.source)) {
+            (Some(engine), _) if !engine.followed.get() => {
                 engine.kept.borrow_mut().hear(item.epoch, &event);
             }
-            None if store == Some(item.source) && !site.kept_followed.get() => {
-                site.kept.borrow_mut().hear(item.epoch, &event);
+            (None, Some(store)) if !store.followed.get() => {
+                store.kept.borrow_mut().hear(item.epoch, &event);
             }
             _ => {}
         }
@@ -148,26 +140,27 @@
     upstream.followed.set(false);
 }
 
-async fn follow_store(site: Rc<Site>, source: Source) {
+async fn follow_store(site: Rc<Site>, store: Rc<Store>, source: Source) {
     let addr = source.addr;
     let mut caller = Caller::new(addr);
     let mut down = false;
     while source.is_due(&site) {
-        let since = site.kept.borrow().next();
+        let since = store.kept.borrow().next();
         match read(&mut caller, since).await {
             Ok(page) => {
                 if std::mem::take(&mut down) {
                     tracing::info!(target: "cachefeed", %addr, "cache store regained");
                 }
-                tell(&site, source, &site.kept.borrow(), &page);
-                if site.kept.borrow_mut().apply(&page) {
+                tell(&site, source, &store.kept.borrow(), &page);
+                if store.kept.borrow_mut().apply(&page) {
                     tracing::info!(target: "cachefeed", %addr, "cache store returned empty");
                 }
             }
             Err(why) => {
                 // What a store that cannot be reached keeps is of no use.
-                site.kept.borrow_mut().clear();
+                store.kept.borrow_mut().clear();
                 if !std::mem::replace(&mut down, true) {
+                    site.news.borrow_mut().add_loss(source.key, site.now());
                     tracing::warn!(target: "cachefeed", %addr, why, "cache store lost");
                 }
                 tokio::time::sleep(PAUSE).await;
@@ -175,7 +168,7 @@
             }
         }
     }
-    site.kept_followed.set(false);
+    store.followed.set(false);
 }
 
 async fn read(caller: &mut Caller, since: u64) -> Result<Page, String> {
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -38,9 +38,9 @@
 /// Copies between data centres take this many times as long.
 const FAR_FACTOR: f64 = 2.0;
 
-/// The cache store's link is every engine's: it is taken to be this many
-/// times as slow as an engine's.
-const STORE_FACTOR: f64 = 4.0;
+/// A cache store's link is every engine's: it is taken to be this many times
+/// as slow as it is for one alone.
+const STORE_FACTOR: f64 = 2.0;
 
 /// An upstream chosen for a send.
 pub struct Chosen {
@@ -96,6 +96,11 @@
     })
 }
 
+/// Milliseconds to copy one token of `bytes` over a link.
+fn copy_ms(bytes: f64, link_mbps: f64) -> f64 {
+    bytes * 8.0 / (link_mbps.max(1.0) * 1e3)
+}
+
 /// The bound on weights, and how far the engines' are past it.
 struct WeightsBound {
     named: Named,
@@ -221,7 +226,9 @@
         let keeper = best_keeper(&keepers, weights, &upstream.id, &upstream.entry.borrow().dc);
         let fetch = keeper.filter(|_| choice.copies && large).map(|k| k.addr);
         let kept = keepers.iter().any(|k| k.id.is_none() && k.weights == weights);
-        let store = self.catalog.cache_store().filter(|_| large && !kept);
+        let first = shared.first().map_or(0, |p| p.id.0);
+        let store = self.catalog.cache_stores().filter(|_| large && !kept);
+        let store = store.max_by_key(|s| place::rank(first, self.site.stores.at(s.addr).key));
         Ok(Chosen {
             weights: upstream.weights(&prompt.model),
             begin: bound.begin(weights),
@@ -293,7 +300,7 @@
             return Vec::new();
         }
         let now = self.site.now();
-        let token_ms = spec.token_bytes * 8.0 / (spec.link_mbps.max(1.0) * 1e3);
+        let token_ms = copy_ms(spec.token_bytes, spec.link_mbps);
         let engines = self.site.fleet.service(&self.service);
         let mut versions: Vec<u64> = Vec::new();
         let mut keepers = Vec::new();
@@ -309,10 +316,11 @@
                 keepers.push(Keeper { id, addr, dc, weights, held, token_ms });
             }
         }
-        if let Some(store) = self.catalog.cache_store() {
-            let token_ms = token_ms * STORE_FACTOR;
-            for weights in versions {
-                let held = self.site.kept.borrow().held(self.cache(weights), shared);
+        for store in self.catalog.cache_stores() {
+            let known = self.site.stores.at(store.addr);
+            let token_ms = STORE_FACTOR * copy_ms(spec.token_bytes, store.link_mbps);
+            for &weights in &versions {
+                let held = known.kept.borrow().held(self.cache(weights), shared);
                 if held >= tokens / 2 {
                     let (addr, dc) = (store.addr, store.dc.clone());
                     keepers.push(Keeper { id: None, addr, dc, weights, held, token_ms });
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -9,7 +9,6 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use marjoram_core::budget::{Allowance, Budget};
 use marjoram_core::catalog::Catalog;
-use marjoram_core::holdings::Holdings;
 use marjoram_core::host::HostSettings;
 use marjoram_core::news::Digest;
 use marjoram_core::policy::PolicyName;
@@ -22,6 +21,7 @@
 use super::counters::Counters;
 use super::fleet::Fleet;
 use super::peers::Peers;
+use super::stores::Stores;
 
 /// Everything that the parts of one process share.
 pub struct Site {
@@ -41,10 +41,8 @@
     pub peers: Peers,
     /// Weights named, by model.
     pub named: RefCell<HashMap<String, Named>>,
-    /// What the store of prompt caches keeps, as its events tell.
-    pub kept: RefCell<Holdings>,
-    /// The events of that store are being read.
-    pub kept_followed: Cell<bool>,
+    /// The stores of prompt caches.
+    pub stores: Stores,
     /// Events of caches to be told to other hosts.
     pub news: RefCell<Digest>,
     /// Counters and histograms.
@@ -82,8 +80,7 @@
             fleet: Fleet::default(),
             peers,
             named: RefCell::default(),
-            kept: RefCell::default(),
-            kept_followed: Cell::default(),
+            stores: Stores::default(),
             news: RefCell::default(),
             counters: Counters::new(),
             stopping: Cell::default(),
--- /dev/null
+++ b/crates/router/src/proxy/stores.rs
@@ -0,0 +1,44 @@
+//! The stores of prompt caches as this host sees them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use marjoram_core::holdings::Holdings;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// One store.
+pub struct Store {
+    /// Its name between hosts.
+    pub key: u64,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// What it keeps, as its events tell.
+    pub kept: RefCell<Holdings>,
+    /// Its events are being read.
+    pub followed: Cell<bool>,
+}
+
+/// All stores, by address.
+#[derive(Default)]
+pub struct Stores(RefCell<HashMap<SocketAddr, Rc<Store>>>);
+
+impl Stores {
+    /// The store at `addr`, entered if it is new.
+    pub fn at(&self, addr: SocketAddr) -> Rc<Store> {
+        let mut all = self.0.borrow_mut();
+        let new = || Store {
+            key: xxh3_64(addr.to_string().as_bytes()),
+            addr,
+            kept: RefCell::default(),
+            followed: Cell::default(),
+        };
+        all.entry(addr).or_insert_with(|| Rc::new(new())).clone()
+    }
+
+    /// The store with `key`.
+    pub fn get(&self, key: u64) -> Option<Rc<Store>> {
+        self.0.borrow().values().find(|s| s.key == key).cloned()
+    }
+}
