Store calls: hosts learn of each other from greetings; upstreams read by the bound

Every host waited for the hosts' records, so each start of one was read by all: 143 starts before 64 hosts, half of all calls. The upstreams were read every 0.9 s whatever the bound on leaving ones. And with four rounds of greetings a host that froze was named to callers for 4.8 s.

Ruled out: one host reading the upstreams for its data centre (its death must be noticed within the same bound; not now).

Change: a greeting carries the host's record; one of a life that is not known is entered unless another life of that host is being heard. The records in the store are read every 5 s, first after the own one is written. Upstreams are read at 0.45 of the bound on leaving ones (0.9 s at 2 s, 1.35 s at 3 s), which makes that setting used. A host may be silent for 1.2 s or three greetings.

The rule for lives has no test of its own yet.

--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -1,9 +1,12 @@
 //! Following the platform's store: the operators' records, the upstreams'
 //! entries and the hosts' records.
 //!
-//! Configuration and weights change seldom and are waited for; upstreams
-//! write all the time and are read once a second, which is half of the time
-//! within which a leaving upstream must get no more work.
+//! Configuration and weights change seldom and are waited for. Upstreams
+//! write all the time and are read twice within the time in which a leaving
+//! one must get no more work. Hosts learn of each other from their greetings;
+//! their records, which name the first hosts to greet, are read now and then:
+//! waiting for them had every start of one host read by all others, half of
+//! all calls on days with many restarts.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,8 +24,16 @@
 /// How long the store is asked to wait for a record.
 const WAIT: Duration = Duration::from_secs(25);
 
-/// Time between reads of the upstreams' entries.
-const POLL: Duration = Duration::from_millis(900);
+/// Part of the bound on leaving upstreams that passes between two reads of
+/// their entries: a read may take as long again as that leaves.
+const POLL_SHARE: f64 = 0.45;
+
+/// Time between reads of the hosts' records.
+const HOSTS_POLL: Duration = Duration::from_secs(5);
+
+/// How long a host waits for its own record to be written before it first
+/// reads the others': of two hosts that start at once, one then finds the other.
+const REGISTERED: Duration = Duration::from_millis(100);
 
 /// Time for an answer beyond what the store was asked to wait.
 const ANSWER: Duration = Duration::from_millis(1_500);
@@ -39,8 +50,10 @@
 trait Sink {
     /// The topic.
     const TOPIC: &'static str;
-    /// Whether the store is asked to wait for records.
-    const WAITS: bool;
+
+    /// How long to pause between two reads; `None` if the store is asked to
+    /// wait for records.
+    fn pause(site: &Site) -> Option<Duration>;
 
     /// Takes in one record.
     fn record(&mut self, site: &Site, record: &Record);
@@ -81,12 +94,13 @@
                     site.regained.notify_waiters();
                 }
                 from = next;
-                if !S::WAITS && site.now() - asked > SLOW {
+                let pause = S::pause(&site);
+                if pause.is_some() && site.now() - asked > SLOW {
                     site.troubled.set(Some(site.now()));
                 }
                 sink.read(&site);
-                if !S::WAITS && from.is_some() {
-                    tokio::time::sleep(POLL).await;
+                if let Some(pause) = pause.filter(|_| from.is_some()) {
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(why) => {
@@ -168,7 +182,7 @@
     sink: &mut S,
     from: u64,
 ) -> Result<Option<u64>, String> {
-    let wait = if S::WAITS { WAIT } else { Duration::ZERO };
+    let wait = if S::pause(site).is_none() { WAIT } else { Duration::ZERO };
     let reply = call(caller, &store::read(S::TOPIC, from, wait), wait + ANSWER).await?;
     match reply.status {
         200 => {
@@ -193,7 +207,10 @@
 
 impl Sink for Operators {
     const TOPIC: &'static str = store::OPERATORS;
-    const WAITS: bool = true;
+
+    fn pause(_site: &Site) -> Option<Duration> {
+        None
+    }
 
     fn record(&mut self, site: &Site, record: &Record) {
         let Some(value) = &record.value else { return };
@@ -280,7 +297,10 @@
 
 impl Sink for Upstreams {
     const TOPIC: &'static str = store::UPSTREAMS;
-    const WAITS: bool = false;
+
+    fn pause(site: &Site) -> Option<Duration> {
+        Some(site.settings.load().bounds.drain.mul_f64(POLL_SHARE))
+    }
 
     fn record(&mut self, site: &Site, record: &Record) {
         let id = UpstreamId(record.key.clone());
@@ -326,7 +346,10 @@
 
 impl Sink for Hosts {
     const TOPIC: &'static str = store::HOSTS;
-    const WAITS: bool = true;
+
+    fn pause(_site: &Site) -> Option<Duration> {
+        Some(HOSTS_POLL)
+    }
 
     fn record(&mut self, site: &Site, record: &Record) {
         let parsed = record.value.as_deref().map(serde_json::from_slice::<HostRecord>);
@@ -364,6 +387,10 @@
 pub fn start(site: &Rc<Site>) {
     ntex::rt::spawn(follow(site.clone(), Operators::default()));
     ntex::rt::spawn(follow(site.clone(), Upstreams));
-    ntex::rt::spawn(follow(site.clone(), Hosts));
-    ntex::rt::spawn(register(site.clone()));
+    let (site, registered) = (site.clone(), ntex::rt::spawn(register(site.clone())));
+    ntex::rt::spawn(async move {
+        // Not written in time, it is written later; the others are read now.
+        let _ = tokio::time::timeout(REGISTERED, registered).await;
+        follow(site, Hosts).await;
+    });
 }
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -33,8 +33,15 @@
 /// Peers greeted at once; with more, they are greeted in turn.
 const FANOUT: usize = 16;
 
-/// Greetings missed before a peer is taken to be gone.
-const MISSES: u32 = 12;
+/// How long a peer may be silent before it is taken to be gone, and how many
+/// greetings it may miss where there are many hosts: more than one in forty is
+/// seldom lost.
+const SILENCE: Duration = Duration::from_millis(1_225);
+const MISSES: u32 = 3;
+
+/// Greetings missed before another life of a peer is believed: a late one of
+/// a process that has ended comes while the new one greets.
+const QUIET: u32 = 2;
 
 /// How long hosts tell each other when weights were named: an engine that
 /// could not be reached may still be on weights that were replaced long ago.
@@ -53,8 +60,6 @@
     pub callers: SocketAddr,
     /// Where it takes datagrams of other hosts.
     pub peers: SocketAddr,
-    /// Its data centre.
-    pub dc: String,
     /// One life of its process.
     pub life: u64,
 }
@@ -71,7 +76,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct Hello {
     name: String,
-    life: u64,
+    record: HostRecord,
     /// It takes callers.
     open: bool,
     /// Requests it has at each upstream, by key.
@@ -125,7 +130,6 @@
         let record = HostRecord {
             callers: settings.callers,
             peers: SocketAddr::new(settings.ip, settings.ports.0),
-            dc: settings.dc.to_string(),
             life: rand::random(),
         };
         Self {
@@ -140,18 +144,25 @@
 
     /// Takes in the record that the host `name` keeps of itself.
     pub fn list(&self, name: &str, record: Option<HostRecord>) {
-        let mut known = self.known.borrow_mut();
         match record {
+            None => drop(self.known.borrow_mut().remove(name)),
+            Some(record) => self.enter(name, record, "store"),
+        }
+    }
+
+    /// Enters a host's record, learnt from `source`, unless another life of
+    /// that host is being heard.
+    fn enter(&self, name: &str, record: HostRecord, source: &str) {
+        let (now, quiet) = (self.now.get(), self.round() * QUIET);
+        let mut known = self.known.borrow_mut();
+        match known.get(name) {
             _ if name == self.name => {}
-            None => drop(known.remove(name)),
-            Some(record) => match known.get_mut(name) {
-                Some(peer) if peer.record == record => {}
-                _ => {
-                    tracing::info!(target: "peers", host = name, addr = %record.peers, "host listed");
-                    let peer = Peer { record, heard: None, open: false, loads: Vec::new() };
-                    known.insert(name.to_string(), peer);
-                }
-            },
+            Some(peer) if peer.record == record || peer.is_heard(now, quiet) => {}
+            _ => {
+                tracing::info!(target: "peers", host = name, addr = %record.peers, source, "host entered");
+                let peer = Peer { record, heard: None, open: false, loads: Vec::new() };
+                known.insert(name.to_string(), peer);
+            }
         }
     }
 
@@ -183,13 +194,14 @@
 
     /// How long a host may be silent.
     fn patience(&self) -> Duration {
-        self.round() * MISSES + PERIOD / 4
+        SILENCE.max(self.round() * MISSES)
     }
 
     fn hear(&self, hello: Hello, now: Duration) {
+        self.enter(&hello.name, hello.record.clone(), "greeting");
         let mut known = self.known.borrow_mut();
         let Some(peer) = known.get_mut(&hello.name) else { return };
-        if peer.record.life != hello.life {
+        if peer.record != hello.record {
             return;
         }
         if peer.open != hello.open || peer.heard.is_none() {
@@ -296,7 +308,7 @@
     let loads = all.iter().map(own).filter(|(_, l)| l.running > 0).collect();
     let hello = Hello {
         name: site.peers.name.clone(),
-        life: site.peers.record.life,
+        record: site.peers.record.clone(),
         open: site.is_ready(),
         loads,
         named: lately_named(site),
