Duty: three members stand for it; hosts that start do not join

The holder lost power just as weights were named (3.0 s); at 5.7 s the store dealt the duty to another host, at 7.0 s a host started and joined, and the store moved the duty to that one: the pause before a first order began anew, and ended at 11.7 s.

Ruled out: a shorter pause (orders of two holders would be closer than the operators' bound); reading from engines' reports that nobody has ordered (says nothing of a holder that does not know yet that it has lost the duty).

Change: hosts tell each other how they stand to the duty; one joins only if fewer than three stand or rank before it; one that the store does not confirm keeps nobody from it. core::tenure::joins.

--- a/crates/core/src/tenure.rs
+++ b/crates/core/src/tenure.rs
@@ -18,6 +18,68 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+/// Members of the group: each join may make the store move the duty, and the
+/// pause of its next holder leaves weights old for seconds, so hosts that
+/// start do not join while there are enough. One holds, two stand by: both
+/// are lost at once only with most hosts.
+const MEMBERS: usize = 3;
+
+/// How long a member may take to be confirmed for the first time.
+const FIRST_JOIN: Duration = Duration::from_secs(1);
+
+/// How a host stands to the duty, as hosts tell each other.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stance {
+    /// It is no member of the group.
+    #[default]
+    Idle,
+    /// It is a member.
+    Stands,
+    /// It would be a member, but the store does not confirm it.
+    Fails,
+}
+
+impl Stance {
+    /// The stance at `now` of a host that has been a member since `joined`,
+    /// last confirmed for `lease` at `confirmed`.
+    pub fn new(
+        joined: Option<Duration>,
+        confirmed: Option<Duration>,
+        lease: Duration,
+        now: Duration,
+    ) -> Self {
+        match (joined, confirmed) {
+            (None, _) => Self::Idle,
+            (_, Some(at)) if now < at + lease => Self::Stands,
+            (Some(at), _) if now < at + FIRST_JOIN => Self::Stands,
+            _ => Self::Fails,
+        }
+    }
+}
+
+/// Whether an idle host of rank `own` is to join, beside `others` that take
+/// callers, each with its rank and stance.
+///
+/// ```
+/// use marjoram_core::tenure::{Stance, joins};
+/// let idle = |rank| (rank, Stance::Idle);
+/// assert!(joins(7, [idle(9), idle(8), idle(1)]));
+/// assert!(!joins(6, [idle(9), idle(8), idle(7)]));
+/// // One that cannot join keeps nobody from it.
+/// assert!(joins(6, [(9, Stance::Fails), idle(8), idle(7)]));
+/// assert!(!joins(9, [(1, Stance::Stands), (2, Stance::Stands), (3, Stance::Stands)]));
+/// ```
+pub fn joins(own: u64, others: impl IntoIterator<Item = (u64, Stance)>) -> bool {
+    let ahead = others.into_iter().filter(|(rank, stance)| match stance {
+        Stance::Idle => *rank > own,
+        Stance::Stands => true,
+        Stance::Fails => false,
+    });
+    ahead.count() < MEMBERS
+}
+
 /// Part of the lease at its end that is not used: an order takes a few
 /// milliseconds to arrive.
 const MARGIN: Duration = Duration::from_millis(400);
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use marjoram_core::rollout;
-use marjoram_core::tenure::{Dealt, Tenure};
+use marjoram_core::tenure::{Dealt, Stance, Tenure};
 use marjoram_core::upstream::{UpstreamId, Weights};
 use marjoram_platform::engine::{self, Ordered, UPSTREAM_HEADER, WeightsOrder};
 use marjoram_platform::store::{self, Call};
@@ -44,6 +44,14 @@
 /// fit into a lease, and it lapses less than twice in a hundred.
 const JOIN_ANSWER: Duration = Duration::from_millis(450);
 
+/// Time for a host that starts to hear the others' greetings, and between
+/// looks whether the group has too few members.
+const ACQUAINTED: Duration = Duration::from_millis(400);
+const JOIN_LOOK: Duration = Duration::from_millis(200);
+
+/// Ranks hosts for the group.
+const DUTY_KEY: u64 = 0;
+
 /// Pause after a renewal that was refused.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
 
@@ -111,14 +119,21 @@
     tracing::info!(target: "duty", outcome = ?left.map(|r| r.status), "left the group");
 }
 
-/// Joins the group and stays in it.
+/// Joins the group once it has too few members, and stays in it.
 async fn stand(duty: Rc<Duty>) {
     let site = &duty.site;
+    tokio::time::sleep(ACQUAINTED).await;
+    while !site.is_ready() || !site.peers.joins(DUTY_KEY) {
+        tokio::time::sleep(JOIN_LOOK).await;
+    }
+    let joined = site.now();
+    let mut confirmed = None;
     let mut generation = 0;
     let mut caller = Caller::new(site.settings.load().store.addr);
     let mut was_down = false;
     while site.stopping.get().is_none() {
         let settings = site.settings.load_full();
+        site.stance.set(Stance::new(Some(joined), confirmed, lease(site), site.now()));
         let join = store::join(GROUP, &settings.name, TOPIC, lease(site), generation);
         let asked = clock::now();
         let reply = caller.call(&join, &[], JOIN_ANSWER).await;
@@ -138,6 +153,8 @@
                     tracing::info!(target: "duty", "group regained");
                 }
                 generation = membership.generation;
+                confirmed = Some(site.now());
+                site.stance.set(Stance::Stands);
                 duty.dealt(membership.parts.contains(&DUTY), generation, asked);
             }
             Err(why) => {
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -18,6 +18,7 @@
 use marjoram_core::host::HostSettings;
 use marjoram_core::news::News;
 use marjoram_core::place;
+use marjoram_core::tenure::{self, Stance};
 use marjoram_core::upstream::UpstreamId;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -90,6 +91,8 @@
     named: Vec<(String, u64, u64)>,
     /// What caches have taken in and dropped lately.
     news: Vec<News>,
+    /// How it stands to the duty of ordering weights.
+    stance: Stance,
 }
 
 /// A change of an engine's weights.
@@ -110,6 +113,7 @@
     record: HostRecord,
     heard: Option<Duration>,
     open: bool,
+    stance: Stance,
     loads: Vec<(u64, Load)>,
 }
 
@@ -160,7 +164,13 @@
             Some(peer) if peer.record == record || peer.is_heard(now, quiet) => {}
             _ => {
                 tracing::info!(target: "peers", host = name, addr = %record.peers, source, "host entered");
-                let peer = Peer { record, heard: None, open: false, loads: Vec::new() };
+                let peer = Peer {
+                    record,
+                    heard: None,
+                    open: false,
+                    stance: Stance::Idle,
+                    loads: Vec::new(),
+                };
                 known.insert(name.to_string(), peer);
             }
         }
@@ -171,6 +181,15 @@
         self.known.borrow().len() + 1
     }
 
+    /// Whether this host is to join the group for the duty with `key`.
+    pub fn joins(&self, key: u64) -> bool {
+        let (now, patience) = (self.now.get(), self.patience());
+        let rank = |name: &str| place::rank(key, xxh3_64(name.as_bytes()));
+        let known = self.known.borrow();
+        let others = known.iter().filter(|(_, p)| p.open && p.is_heard(now, patience));
+        tenure::joins(rank(&self.name), others.map(|(name, p)| (rank(name), p.stance)))
+    }
+
     /// Whether this host is among the first `count` of all by rank for `key`.
     pub fn ranks_within(&self, key: u64, count: usize) -> bool {
         let rank = |name: &str| place::rank(key, xxh3_64(name.as_bytes()));
@@ -209,6 +228,7 @@
         }
         peer.heard = Some(now);
         peer.open = hello.open;
+        peer.stance = hello.stance;
         peer.loads = hello.loads;
     }
 
@@ -313,6 +333,7 @@
         loads,
         named: lately_named(site),
         news: site.news.borrow_mut().lately(span, now),
+        stance: site.stance.get(),
         config: site.catalog.load().as_ref().map_or(0, |c| c.version),
         weights: site.named.borrow().values().filter_map(|n| n.newest()).sum(),
         doubts: all.iter().filter(|u| u.health.borrow().is_lost(now)).map(|u| u.key).collect(),
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -14,6 +14,7 @@
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::Named;
 use marjoram_core::stop::Stop;
+use marjoram_core::tenure::Stance;
 use marjoram_core::upstream::Registry;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -55,6 +56,8 @@
     pub troubled: Cell<Option<Duration>>,
     /// Since when other hosts are known to know more.
     pub behind: Cell<Option<Duration>>,
+    /// How this host stands to the duty of ordering weights.
+    pub stance: Cell<Stance>,
     /// Told when the process stops taking connections.
     pub stop: Notify,
     /// Told when the store answers again, or has another address.
@@ -87,6 +90,7 @@
             listed: Cell::default(),
             troubled: Cell::default(),
             behind: Cell::default(),
+            stance: Cell::default(),
             stop: Notify::new(),
             regained: Notify::new(),
             duty: Notify::new(),
