--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -61,8 +61,6 @@
     pub timeout: Duration,
     /// Time within which an answer is on time.
     pub target: Duration,
-    /// Longest pause between events for which a stream is on time.
-    pub gap: Option<Duration>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services that take its requests.
@@ -243,7 +241,6 @@
     ///     kind: Kind::Idempotent,
     ///     timeout: std::time::Duration::from_secs(1),
     ///     target: std::time::Duration::from_millis(100),
-    ///     gap: None,
     ///     priority: 0,
     ///     shares: vec![],
     ///     attempts: 1,
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -48,11 +48,6 @@
         self.buf.is_empty()
     }
 
-    /// Bytes held back until their event is whole.
-    pub fn held(&self) -> usize {
-        self.buf.len()
-    }
-
     /// Forgets what is left over: the rest of it will not come.
     pub fn clear(&mut self) {
         self.buf.clear();
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -72,14 +72,8 @@
     pub ports: (u16, u16),
     /// The whole system starts for the first time.
     pub first_start: bool,
-    /// How often upstreams renew their entry in the registry.
-    pub heartbeat: Duration,
     /// Bounds to keep.
     pub bounds: Bounds,
     /// The platform's store.
     pub store: StoreSettings,
-    /// Memory the process may use.
-    pub memory_mb: Option<u64>,
-    /// Descriptors the process may use.
-    pub max_fds: Option<u64>,
 }
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -5,6 +5,7 @@
 //! State that requests read is swapped whole ([`arc_swap`]) or counted in
 //! cells of its owner; no lock is held across an await.
 
+mod answer;
 mod attempt;
 mod cachefeed;
 mod callers;
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -9,18 +9,16 @@
 use marjoram_platform::headers;
 use quick_error::quick_error;
 
+use super::answer::{self, ReadError};
 use super::conn::Conn;
 use super::fleet::Upstream;
-use super::http1::{self, Body, Piece, ResponseHead};
+use super::http1::{self, Body, ResponseHead};
 use super::site::Site;
 
 /// Longest time to connect. Within a region it takes a few milliseconds, so
 /// the upstream is down or its queue of new connections is full.
 const CONNECT: Duration = Duration::from_millis(300);
 
-/// Longest head of an answer.
-const HEAD_LIMIT: usize = 32 << 10;
-
 /// Answers to other requests that are skipped before the one that is due.
 const STRAY_ANSWERS: usize = 2;
 
@@ -108,7 +106,8 @@
     let mut link = Link::new(upstream.clone(), conn);
     link.sent = link.conn().send(request).await.map_err(|e| lost("send", e))?;
     for _ in 0..=STRAY_ANSWERS {
-        let head = read_head(link.conn()).await?;
+        let head =
+            answer::read_head(link.conn()).await.map_err(|e| Failure::from(("answer head", e)))?;
         let framing = http1::response_framing(method, &head)
             .map_err(|e| Failure::Broken("answer head", e.to_string()))?;
         let mark = headers::mark(head.status, |name| head.headers.get(name));
@@ -131,18 +130,11 @@
     Err(Failure::Broken("answer head", "answers another request".into()))
 }
 
-async fn read_head(conn: &mut Conn) -> Result<ResponseHead, Failure> {
-    let broken = |why: String| Failure::Broken("answer head", why);
-    loop {
-        match http1::response_head(&mut conn.buf, HEAD_LIMIT).map_err(|e| broken(e.to_string()))? {
-            Some(head) if (100..200).contains(&head.status) && head.status != 101 => continue,
-            Some(head) => return Ok(head),
-            None => {}
-        }
-        match conn.fill().await {
-            Ok(0) => return Err(broken("connection closed".into())),
-            Ok(_) => {}
-            Err(e) => return Err(lost("answer head", e)),
+impl From<(&'static str, ReadError)> for Failure {
+    fn from((step, error): (&'static str, ReadError)) -> Self {
+        match error {
+            ReadError::Io(error) => lost(step, error),
+            other => Self::Broken(step, other.to_string()),
         }
     }
 }
@@ -157,14 +149,7 @@
 }
 
 async fn next_piece(conn: &mut Conn, body: &mut Body) -> Result<Option<Bytes>, Failure> {
-    let broken = |why: String| Failure::Broken("answer body", why);
-    loop {
-        match body.next(&mut conn.buf, conn.ended).map_err(|e| broken(e.to_string()))? {
-            Piece::Data(data) => return Ok(Some(data)),
-            Piece::End => return Ok(None),
-            Piece::More => drop(conn.fill().await.map_err(|e| lost("answer body", e))?),
-        }
-    }
+    answer::next_piece(conn, body).await.map_err(|e| ("answer body", e).into())
 }
 
 impl Opened {
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -9,6 +9,10 @@
 //! platform's store. Nothing here is agreed on: a wrong view costs a caller
 //! one detour or a request a worse place.
 
+mod message;
+
+pub use message::{HostRecord, Notice};
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,17 +20,15 @@
 use std::time::Duration;
 
 use marjoram_core::host::HostSettings;
-use marjoram_core::news::News;
 use marjoram_core::place;
 use marjoram_core::tenure::{self, Stance};
-use marjoram_core::upstream::UpstreamId;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::fleet::{Load, Upstream};
 use super::site::Site;
 use super::{cachefeed, warm};
+use message::{Hello, Message};
 
 /// Time between greetings to the same few peers.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -54,60 +56,6 @@
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
 
-/// What a host keeps of itself in the platform's store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostRecord {
-    /// Where it takes callers.
-    pub callers: SocketAddr,
-    /// Where it takes datagrams of other hosts.
-    pub peers: SocketAddr,
-    /// One life of its process.
-    pub life: u64,
-}
-
-/// One datagram.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-enum Message {
-    /// How the sender is.
-    Hello(Hello),
-    /// An engine closes for a change of weights, or is open again.
-    Notice(Notice),
-}
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Hello {
-    name: String,
-    record: HostRecord,
-    /// It takes callers.
-    open: bool,
-    /// Requests it has at each upstream, by key.
-    loads: Vec<(u64, Load)>,
-    /// Upstreams it could not reach, by key.
-    doubts: Vec<u64>,
-    /// The version of its configuration, and those of its weights together.
-    config: u64,
-    weights: u64,
-    /// Weights named lately: model, version, milliseconds since.
-    named: Vec<(String, u64, u64)>,
-    /// What caches have taken in and dropped lately.
-    news: Vec<News>,
-    /// How it stands to the duty of ordering weights.
-    stance: Stance,
-}
-
-/// A change of an engine's weights.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Notice {
-    /// The engine.
-    pub upstream: UpstreamId,
-    /// The model.
-    pub model: String,
-    /// The version it changes to, or has changed to.
-    pub version: u64,
-    /// For how long it is closed, in milliseconds; `None` once it is open.
-    pub closed: Option<u64>,
-}
-
 #[derive(Debug, Clone)]
 struct Peer {
     record: HostRecord,
--- /dev/null
+++ b/crates/router/src/proxy/peers/message.rs
@@ -0,0 +1,68 @@
+//! What hosts say to each other, as `bincode` carries it.
+
+use std::net::SocketAddr;
+
+use marjoram_core::news::News;
+use marjoram_core::tenure::Stance;
+use marjoram_core::upstream::UpstreamId;
+use serde::{Deserialize, Serialize};
+
+use crate::proxy::fleet::Load;
+
+/// What a host keeps of itself in the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it takes datagrams of other hosts.
+    pub peers: SocketAddr,
+    /// One life of its process.
+    pub life: u64,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// How the sender is.
+    Hello(Hello),
+    /// An engine closes for a change of weights, or is open again.
+    Notice(Notice),
+}
+
+/// How a host is.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Hello {
+    /// Its name.
+    pub name: String,
+    /// Where it is.
+    pub record: HostRecord,
+    /// It takes callers.
+    pub open: bool,
+    /// Requests it has at each upstream, by key.
+    pub loads: Vec<(u64, Load)>,
+    /// Upstreams it could not reach, by key.
+    pub doubts: Vec<u64>,
+    /// The version of its configuration.
+    pub config: u64,
+    /// The versions of its weights together.
+    pub weights: u64,
+    /// Weights named lately: model, version, milliseconds since.
+    pub named: Vec<(String, u64, u64)>,
+    /// What caches have taken in and dropped lately.
+    pub news: Vec<News>,
+    /// How it stands to the duty of ordering weights.
+    pub stance: Stance,
+}
+
+/// A change of an engine's weights.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Notice {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The model.
+    pub model: String,
+    /// The version it changes to, or has changed to.
+    pub version: u64,
+    /// For how long it is closed, in milliseconds; `None` once it is open.
+    pub closed: Option<u64>,
+}
--- a/crates/router/src/proxy/storeclient.rs
+++ b/crates/router/src/proxy/storeclient.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use marjoram_platform::store::Call;
 use quick_error::quick_error;
 
+use super::answer::{self, ReadError};
 use super::conn::Conn;
-use super::http1::{self, Body, Piece, RequestWriter};
-
-/// Longest head of an answer.
-const HEAD_LIMIT: usize = 32 << 10;
+use super::http1::{self, Body, RequestWriter};
 
 /// Longest time to connect.
 const CONNECT: Duration = Duration::from_millis(700);
@@ -53,7 +51,7 @@
     }
 
     /// Makes `call` with further `headers`, within `limit`. A connection
-    /// that has been idle and turns out to be closed is replaced once.
+    /// that is no longer quiet is replaced before the call.
     pub async fn call(
         &mut self,
         call: &Call,
@@ -73,7 +71,7 @@
                 self.conn = keep.then_some(conn);
                 Ok(reply)
             }
-            Ok(Err(why)) => Err(CallError::Broken(self.peer, why)),
+            Ok(Err(why)) => Err(CallError::Broken(self.peer, why.to_string())),
             Err(_) => {
                 Err(CallError::Broken(self.peer, format!("no answer in {} ms", limit.as_millis())))
             }
@@ -96,29 +94,13 @@
     }
 }
 
-async fn exchange(conn: &mut Conn, bytes: &[u8], method: &str) -> Result<(Reply, bool), String> {
-    conn.write(bytes).await.map_err(|e| e.to_string())?;
-    let head = loop {
-        match http1::response_head(&mut conn.buf, HEAD_LIMIT).map_err(|e| e.to_string())? {
-            Some(head) if (100..200).contains(&head.status) => continue,
-            Some(head) => break head,
-            None => {}
-        }
-        match conn.fill().await {
-            Ok(0) => return Err("connection closed".into()),
-            Ok(_) => {}
-            Err(e) => return Err(e.to_string()),
-        }
-    };
-    let framing = http1::response_framing(method, &head).map_err(|e| e.to_string())?;
-    let mut body = Body::from(framing);
-    let mut whole = bytes::BytesMut::new();
-    loop {
-        match body.next(&mut conn.buf, conn.ended).map_err(|e| e.to_string())? {
-            Piece::Data(data) => whole.extend_from_slice(&data),
-            Piece::End => break,
-            Piece::More => drop(conn.fill().await.map_err(|e| e.to_string())?),
-        }
+async fn exchange(conn: &mut Conn, bytes: &[u8], method: &str) -> Result<(Reply, bool), ReadError> {
+    conn.write(bytes).await?;
+    let head = answer::read_head(conn).await?;
+    let mut body = Body::from(http1::response_framing(method, &head)?);
+    let mut whole = BytesMut::new();
+    while let Some(data) = answer::next_piece(conn, &mut body).await? {
+        whole.extend_from_slice(&data);
     }
     let keep = !head.headers.closes(head.minor) && conn.buf.is_empty() && !conn.ended;
     Ok((Reply { status: head.status, body: whole.freeze() }, keep))
