Duty: a host that starts joins the group once nothing is due to change

Change: all hosts are members again. One that starts while engines are due to change and another host stands waits until they have changed, ten seconds at most; if nobody else stands it joins at once. core::tenure::joins.

--- a/crates/core/src/tenure.rs
+++ b/crates/core/src/tenure.rs
@@ -20,11 +20,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Members of the group: each join may make the store move the duty, and the
-/// pause of its next holder leaves weights old for seconds, so hosts that
-/// start do not join while there are enough. One holds, two stand by: both
-/// are lost at once only with most hosts.
-const MEMBERS: usize = 3;
+/// Longest that a host which starts stays out of the group: each join may make
+/// the store move the duty, and the pause of its next holder leaves engines on
+/// replaced weights for seconds more.
+const STAYS_OUT: Duration = Duration::from_secs(10);
 
 /// How long a member may take to be confirmed for the first time.
 const FIRST_JOIN: Duration = Duration::from_secs(1);
@@ -59,25 +58,22 @@
     }
 }
 
-/// Whether an idle host of rank `own` is to join, beside `others` that take
-/// callers, each with its rank and stance.
+/// Whether a host that has been up for `up` is to join, beside `others` that
+/// take callers, while engines are due to change (`pending`) or not.
 ///
 /// ```
+/// use std::time::Duration;
 /// use marjoram_core::tenure::{Stance, joins};
-/// let idle = |rank| (rank, Stance::Idle);
-/// assert!(joins(7, [idle(9), idle(8), idle(1)]));
-/// assert!(!joins(6, [idle(9), idle(8), idle(7)]));
-/// // One that cannot join keeps nobody from it.
-/// assert!(joins(6, [(9, Stance::Fails), idle(8), idle(7)]));
-/// assert!(!joins(9, [(1, Stance::Stands), (2, Stance::Stands), (3, Stance::Stands)]));
+/// let up = Duration::from_secs(1);
+/// assert!(joins(up, false, [Stance::Stands]));
+/// assert!(!joins(up, true, [Stance::Fails, Stance::Stands]));
+/// // Nobody else would order.
+/// assert!(joins(up, true, [Stance::Idle, Stance::Fails]));
+/// assert!(joins(up * 10, true, [Stance::Stands]));
 /// ```
-pub fn joins(own: u64, others: impl IntoIterator<Item = (u64, Stance)>) -> bool {
-    let ahead = others.into_iter().filter(|(rank, stance)| match stance {
-        Stance::Idle => *rank > own,
-        Stance::Stands => true,
-        Stance::Fails => false,
-    });
-    ahead.count() < MEMBERS
+pub fn joins(up: Duration, pending: bool, others: impl IntoIterator<Item = Stance>) -> bool {
+    let stands = others.into_iter().any(|stance| stance == Stance::Stands);
+    !pending || !stands || up >= STAYS_OUT
 }
 
 /// Part of the lease at its end that is not used: an order takes a few
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -14,8 +14,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::rollout;
-use marjoram_core::tenure::{Dealt, Stance, Tenure};
+use marjoram_core::rollout::{self, Named};
+use marjoram_core::tenure::{self, Dealt, Stance, Tenure};
 use marjoram_core::upstream::{UpstreamId, Weights};
 use marjoram_platform::store;
 
@@ -44,13 +44,10 @@
 const JOIN_ANSWER: Duration = Duration::from_millis(450);
 
 /// Time for a host that starts to hear the others' greetings, and between
-/// looks whether the group has too few members.
+/// looks whether it may join.
 const ACQUAINTED: Duration = Duration::from_millis(400);
 const JOIN_LOOK: Duration = Duration::from_millis(200);
 
-/// Ranks hosts for the group.
-const DUTY_KEY: u64 = 0;
-
 /// Pause after a renewal that was refused.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
 
@@ -97,11 +94,25 @@
     tracing::info!(target: "duty", outcome = ?left.map(|r| r.status), "left the group");
 }
 
-/// Joins the group once it has too few members, and stays in it.
+/// Whether engines are due to change their weights.
+fn is_pending(site: &Site) -> bool {
+    let named = site.named.borrow();
+    let behind = |u: &Rc<Upstream>| {
+        let older = |(model, named): (&String, &Named)| {
+            u.weights(model).is_some_and(|version| Some(version) < named.newest())
+        };
+        named.iter().any(older)
+    };
+    site.fleet.all().iter().any(behind)
+}
+
+/// Joins the group, once that disturbs nobody, and stays in it.
 async fn stand(duty: Rc<Duty>) {
     let site = &duty.site;
-    tokio::time::sleep(ACQUAINTED).await;
-    while !site.is_ready() || !site.peers.joins(DUTY_KEY) {
+    if !site.settings.load().first_start {
+        tokio::time::sleep(ACQUAINTED).await;
+    }
+    while !tenure::joins(site.now(), is_pending(site), site.peers.stances()) {
         tokio::time::sleep(JOIN_LOOK).await;
     }
     let joined = site.now();
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -21,7 +21,7 @@
 
 use marjoram_core::host::HostSettings;
 use marjoram_core::place;
-use marjoram_core::tenure::{self, Stance};
+use marjoram_core::tenure::Stance;
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -129,13 +129,12 @@
         self.known.borrow().len() + 1
     }
 
-    /// Whether this host is to join the group for the duty with `key`.
-    pub fn joins(&self, key: u64) -> bool {
+    /// How the other hosts that take callers stand to the duty.
+    pub fn stances(&self) -> Vec<Stance> {
         let (now, patience) = (self.now.get(), self.patience());
-        let rank = |name: &str| place::rank(key, xxh3_64(name.as_bytes()));
         let known = self.known.borrow();
-        let others = known.iter().filter(|(_, p)| p.open && p.is_heard(now, patience));
-        tenure::joins(rank(&self.name), others.map(|(name, p)| (rank(name), p.stance)))
+        let others = known.values().filter(|p| p.open && p.is_heard(now, patience));
+        others.map(|p| p.stance).collect()
     }
 
     /// Whether this host is among the first `count` of all by rank for `key`.
