Weights: a bound that had passed before the store's trouble stays so; a stopping holder finishes

Hosts were stopped in turn from 1 to 17 s while weights were named; each holder of the duty gave it up as its stop began, the next paused 3 s and was stopped itself, so engines stayed on old weights. The bound had passed by 14.4 s; then the store was slow, and hosts, which looked only at how long the store had been sound since, took the old weights into use again.

Change: core::soundness remembers the stretches in which the store was sound; one that held the whole bound keeps weights out of use. A host that is bringing engines to new weights goes on with that while it stops, until 0.7 s before its end, and leaves the group then; the hosts that started again join once nothing is due, 30 s at most.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! - [`budget`]: how often requests may be sent again.
 //! - [`rollout`]: which engines change their weights next.
 //! - [`tenure`]: one host's tenure of a duty that the store deals.
+//! - [`soundness`]: how long the platform's store has been sound.
 //! - [`stop`]: which requests are still taken while a process stops.
 //! - [`events`]: cutting a stream into whole events.
 
@@ -57,6 +58,7 @@
 pub mod policy;
 pub mod prefix;
 pub mod rollout;
+pub mod soundness;
 pub mod stop;
 pub mod tenure;
 pub mod upstream;
--- a/crates/core/src/tenure.rs
+++ b/crates/core/src/tenure.rs
@@ -23,7 +23,7 @@
 /// Longest that a host which starts stays out of the group: each join may make
 /// the store move the duty, and the pause of its next holder leaves engines on
 /// replaced weights for seconds more.
-const STAYS_OUT: Duration = Duration::from_secs(10);
+const STAYS_OUT: Duration = Duration::from_secs(30);
 
 /// How long a member may take to be confirmed for the first time.
 const FIRST_JOIN: Duration = Duration::from_secs(1);
@@ -69,7 +69,7 @@
 /// assert!(!joins(up, true, [Stance::Fails, Stance::Stands]));
 /// // Nobody else would order.
 /// assert!(joins(up, true, [Stance::Idle, Stance::Fails]));
-/// assert!(joins(up * 10, true, [Stance::Stands]));
+/// assert!(joins(up * 30, true, [Stance::Stands]));
 /// ```
 pub fn joins(up: Duration, pending: bool, others: impl IntoIterator<Item = Stance>) -> bool {
     let stands = others.into_iter().any(|stance| stance == Stance::Stands);
--- /dev/null
+++ b/crates/core/tests/soundness.rs
@@ -0,0 +1,48 @@
+//! Load: hosts are stopped in turn while weights are named, so that one engine
+//! stays on the oldest; then the store is slow for some seconds. The bound on
+//! weights is eight seconds in one stretch.
+
+use std::time::Duration;
+
+use marjoram_core::soundness::Soundness;
+
+const BOUND: Duration = Duration::from_secs(8);
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Version 3 named at 6.4 s, version 4 at 10.8 s; the store slow from 18.5 to
+/// 25 s, told by answers each 0.9 s.
+fn day() -> Soundness {
+    let mut store = Soundness::new();
+    (0..=20).for_each(|n| store.good(at(n * 900)));
+    (21..28).for_each(|n| store.trouble(at(n * 900)));
+    store.good(at(28 * 900));
+    store
+}
+
+#[test]
+fn weights_overdue_before_the_trouble_stay_so_after_it() {
+    let (store, now) = (day(), at(27_600));
+    assert!(store.lasts(now) < BOUND, "the stretch that lasts says nothing");
+    assert!(store.past(now - at(6_400), now) >= BOUND, "version 2 was overdue at 14.4 s");
+    assert!(store.past(now - at(10_800), now) < BOUND, "version 3 was not yet");
+}
+
+#[test]
+fn weights_named_in_the_trouble_have_no_stretch_behind_them() {
+    let (store, now) = (day(), at(27_600));
+    assert_eq!(store.past(now - at(20_000), now), Duration::ZERO);
+}
+
+#[test]
+fn a_flapping_store_is_remembered_within_bounds() {
+    let mut store = Soundness::new();
+    for n in 0..1_000 {
+        store.good(at(n * 5_000 + 4_000));
+        store.trouble(at(n * 5_000 + 4_500));
+    }
+    let now = at(5_000_000);
+    assert!(store.past(now, now) <= at(4_500));
+}
--- a/crates/router/src/proxy/cachefeed.rs
+++ b/crates/router/src/proxy/cachefeed.rs
@@ -1,4 +1,4 @@
-//! Reading what engines and the cache store keep from their events.
+//! Reading what engines and cache stores keep from their events.
 //!
 //! An engine lets only so many callers wait for events at once. Where there
 //! are more hosts than that, the two that rank first for an engine by hashing
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -9,7 +9,7 @@
 
 mod change;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,6 +70,8 @@
     site: Rc<Site>,
     /// Whether and since when it is held, on the clock of [`clock::now`].
     tenure: RefCell<Tenure>,
+    /// The group has been left for good.
+    released: Cell<bool>,
     known: RefCell<HashMap<UpstreamId, Known>>,
 }
 
@@ -78,6 +80,7 @@
     let duty = Rc::new(Duty {
         site: site.clone(),
         tenure: RefCell::new(Tenure::new(lease(site))),
+        released: Cell::default(),
         known: RefCell::default(),
     });
     ntex::rt::spawn(stand(duty.clone()));
@@ -87,6 +90,9 @@
 
 /// Gives the duty up; nothing is ordered from here on.
 pub async fn release(duty: &Duty) {
+    if duty.released.replace(true) {
+        return;
+    }
     duty.tenure.borrow_mut().release();
     let settings = duty.site.settings.load_full();
     let leave = store::leave(GROUP, &settings.name);
@@ -114,13 +120,16 @@
     }
     while !tenure::joins(site.now(), is_pending(site), site.peers.stances()) {
         tokio::time::sleep(JOIN_LOOK).await;
+        if duty.released.get() {
+            return;
+        }
     }
     let joined = site.now();
     let mut confirmed = None;
     let mut generation = 0;
     let mut caller = Caller::new(site.settings.load().store.addr);
     let mut was_down = false;
-    while site.stopping.get().is_none() {
+    while !duty.released.get() {
         let settings = site.settings.load_full();
         site.stance.set(Stance::new(Some(joined), confirmed, lease(site), site.now()));
         let join = store::join(GROUP, &settings.name, TOPIC, lease(site), generation);
@@ -133,7 +142,7 @@
             Ok(reply) => Err(format!("status {}", reply.status)),
             Err(error) => Err(error.to_string()),
         };
-        if site.stopping.get().is_some() {
+        if duty.released.get() {
             return;
         }
         match membership {
@@ -150,7 +159,7 @@
                 if !std::mem::replace(&mut was_down, true) {
                     tracing::warn!(target: "duty", why, "group lost");
                 }
-                site.troubled.set(Some(site.now()));
+                site.trouble();
                 caller = Caller::new(settings.store.addr);
                 tokio::time::sleep(JOIN_PAUSE).await;
                 continue;
@@ -183,8 +192,13 @@
 
     /// The fencing token, while orders may be given.
     fn token(&self) -> Option<u64> {
-        let token = self.tenure.borrow().token(clock::now(), self.turns());
-        token.filter(|_| self.site.stopping.get().is_none())
+        self.tenure.borrow().token(clock::now(), self.turns())
+    }
+
+    /// Whether this host orders and has something to order: while it stops,
+    /// another would first let the bound on turns pass.
+    pub fn is_busy(&self) -> bool {
+        self.token().is_some() && is_pending(&self.site)
     }
 }
 
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -95,8 +95,10 @@
                 }
                 from = next;
                 let pause = S::pause(&site);
-                if pause.is_some() && site.now() - asked > SLOW {
-                    site.troubled.set(Some(site.now()));
+                match site.now() - asked > SLOW {
+                    _ if pause.is_none() => {}
+                    true => site.trouble(),
+                    false => site.soundness.borrow_mut().good(site.now()),
                 }
                 sink.read(&site);
                 if let Some(pause) = pause.filter(|_| from.is_some()) {
@@ -105,7 +107,7 @@
             }
             Err(why) => {
                 let pause = link.failed(&why);
-                site.troubled.set(Some(site.now()));
+                site.trouble();
                 sink.read(&site);
                 tokio::time::sleep(pause).await;
                 caller = Caller::new(site.settings.load().store.addr);
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -46,6 +46,10 @@
 /// a process that has ended comes while the new one greets.
 const QUIET: u32 = 2;
 
+/// Times as long after which a silent host's work is another's: one that only
+/// starts again is back before.
+const GONE: u32 = 2;
+
 /// How long hosts tell each other when weights were named: an engine that
 /// could not be reached may still be on weights that were replaced long ago.
 const NAMED_LATELY: Duration = Duration::from_secs(600);
@@ -59,6 +63,7 @@
 #[derive(Debug, Clone)]
 struct Peer {
     record: HostRecord,
+    entered: Duration,
     heard: Option<Duration>,
     open: bool,
     stance: Stance,
@@ -114,6 +119,7 @@
                 tracing::info!(target: "peers", host = name, addr = %record.peers, source, "host entered");
                 let peer = Peer {
                     record,
+                    entered: now,
                     heard: None,
                     open: false,
                     stance: Stance::Idle,
@@ -137,12 +143,15 @@
         others.map(|p| p.stance).collect()
     }
 
-    /// Whether this host is among the first `count` of all by rank for `key`.
+    /// Whether this host is among the first `count` by rank for `key` of all
+    /// that have not been gone for long.
     pub fn ranks_within(&self, key: u64, count: usize) -> bool {
+        let (now, gone) = (self.now.get(), self.patience() * GONE);
         let rank = |name: &str| place::rank(key, xxh3_64(name.as_bytes()));
         let own = rank(&self.name);
         let known = self.known.borrow();
-        known.keys().filter(|name| rank(name) > own).count() < count
+        let there = known.iter().filter(|(_, p)| now < p.heard.unwrap_or(p.entered) + gone);
+        there.filter(|(name, _)| rank(name) > own).count() < count
     }
 
     /// Where the other hosts that take callers do so.
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -13,6 +13,7 @@
 use marjoram_core::place::{self, Candidate, Copying, Need, WeightsAge};
 use marjoram_core::plain::{self, Plain};
 use marjoram_core::rollout::Named;
+use marjoram_core::soundness::Soundness;
 use marjoram_core::upstream::UpstreamId;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -106,9 +107,9 @@
     named: Named,
     /// When replaced weights are no longer used.
     bound: Duration,
-    /// How long the store has been sound: the bound does not run before, and
-    /// no orders can be given.
-    sound: Duration,
+    /// When the store has been sound: the bound runs in one stretch of that,
+    /// and no orders can be given else.
+    soundness: Soundness,
     now: Duration,
 }
 
@@ -117,14 +118,21 @@
         self.named.replaced(weights, self.now).unwrap_or_default()
     }
 
-    /// Whether `weights` may still be used.
+    /// The part of the bound that has run in the stretch that lasts.
+    fn run(&self, weights: u64) -> Duration {
+        self.replaced(weights).min(self.soundness.lasts(self.now))
+    }
+
+    /// Whether `weights` may still be used: their bound has not passed, nor
+    /// had it before the store's last trouble.
     fn allows(&self, weights: u64) -> bool {
-        self.replaced(weights).min(self.sound) < self.bound
+        let past = self.soundness.past(self.replaced(weights), self.now);
+        self.run(weights) < self.bound && past < self.bound + WEIGHTS_MARGIN
     }
 
     /// How long a request on `weights` may take to begin.
     fn begin(&self, weights: u64) -> Duration {
-        let gone = self.replaced(weights).min(self.sound) + WEIGHTS_END;
+        let gone = self.run(weights) + WEIGHTS_END;
         (self.bound + WEIGHTS_MARGIN).saturating_sub(gone)
     }
 }
@@ -246,7 +254,7 @@
         WeightsBound {
             named: self.site.named.borrow().get(model).cloned().unwrap_or_default(),
             bound: self.site.settings.load().bounds.weights.saturating_sub(WEIGHTS_MARGIN),
-            sound: self.site.sound(now),
+            soundness: self.site.soundness.borrow().clone(),
             now,
         }
     }
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -33,6 +33,9 @@
 /// Time kept back from what a stop may take.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time kept for giving up a duty that is still carried out.
+const STOP_LEAVE: Duration = Duration::from_millis(700);
+
 /// Runs the proxy until it is told to stop.
 pub async fn run(options: ProxyOptions) -> Result<(), Error> {
     let logs = logs::init();
@@ -88,26 +91,29 @@
     Ok(())
 }
 
-/// Stops without cutting a request: callers are sent elsewhere first.
+/// Stops without cutting a request: callers are sent elsewhere first. A host
+/// that is bringing engines to new weights goes on with that meanwhile.
 async fn stop(site: &Rc<Site>, duty: &Duty, logs: &Logs) {
     let begun = site.now();
     let end = begun + site.settings.load().bounds.grace.saturating_sub(STOP_MARGIN);
     site.stopping.set(Some(Stop { begun, end }));
     tracing::info!(target: "run", handled = site.handled.get(), "stopping");
     peers::greet(site);
-    duty::release(duty).await;
-    peers::greet(site);
     let mut quiet_since = site.now();
     let mut answered = site.counters.requests();
     loop {
         tokio::time::sleep(Duration::from_millis(50)).await;
         let now = site.now();
+        if !duty.is_busy() || now + STOP_LEAVE >= end {
+            duty::release(duty).await;
+        }
         let seen = site.counters.requests();
         if site.handled.get() > 0 || seen != answered {
             answered = seen;
             quiet_since = now;
         }
         let quiet = now - quiet_since >= STOP_QUIET && now - begun >= STOP_LEAST;
+        let quiet = quiet && !duty.is_busy();
         if quiet || now >= end {
             break;
         }
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -13,6 +13,7 @@
 use marjoram_core::news::Digest;
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::Named;
+use marjoram_core::soundness::Soundness;
 use marjoram_core::stop::Stop;
 use marjoram_core::tenure::Stance;
 use marjoram_core::upstream::Registry;
@@ -52,8 +53,8 @@
     pub stopping: Cell<Option<Stop>>,
     /// The upstreams have been listed once.
     pub listed: Cell<bool>,
-    /// When the store last failed a call or was slow to answer.
-    pub troubled: Cell<Option<Duration>>,
+    /// When the store has been sound.
+    pub soundness: RefCell<Soundness>,
     /// Since when other hosts are known to know more.
     pub behind: Cell<Option<Duration>>,
     /// How this host stands to the duty of ordering weights.
@@ -88,7 +89,7 @@
             counters: Counters::new(),
             stopping: Cell::default(),
             listed: Cell::default(),
-            troubled: Cell::default(),
+            soundness: RefCell::default(),
             behind: Cell::default(),
             stance: Cell::default(),
             stop: Notify::new(),
@@ -115,9 +116,9 @@
         self.stopping.get().is_none() && self.catalog.load().is_some() && self.listed.get()
     }
 
-    /// How long the store has been sound at `now`, as far as is known.
-    pub fn sound(&self, now: Duration) -> Duration {
-        self.troubled.get().map_or(Duration::MAX, |at| now.saturating_sub(at))
+    /// The store failed a call, or was slow.
+    pub fn trouble(&self) {
+        self.soundness.borrow_mut().trouble(self.now());
     }
 
     /// The configuration in force.
