--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -1,12 +1,12 @@
 //! What hosts tell each other: who takes callers, how much each has sent to
-//! which upstream, and which engines are changing their weights.
+//! which upstream, what caches keep, and which engines change their weights.
 //!
 //! Datagrams with `bincode`: each says everything again a moment later, so a
 //! lost one needs no repair, and a host that has gone costs its peers
 //! nothing. (An `h2` stream to each of eight peers costs a connection's
 //! memory and several system calls a message; nothing here needs order or
-//! delivery.) Hosts find each other by the records they keep in the
-//! platform's store. Nothing here is agreed on: a wrong view costs a caller
+//! delivery.) A host that starts finds the others by the records they
+//! keep in the platform's store; they learn of it when it greets them. Nothing here is agreed on: a wrong view costs a caller
 //! one detour or a request a worse place.
 
 mod message;
