--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -5,9 +5,10 @@
 //! lost one needs no repair, and a host that has gone costs its peers
 //! nothing. (An `h2` stream to each of eight peers costs a connection's
 //! memory and several system calls a message; nothing here needs order or
-//! delivery.) A host that starts finds the others by the records they
-//! keep in the platform's store; they learn of it when it greets them. Nothing here is agreed on: a wrong view costs a caller
-//! one detour or a request a worse place.
+//! delivery.) A host that starts finds the others by the records they keep in
+//! the platform's store; they learn of it when it greets them. Nothing here is
+//! agreed on: a wrong view costs a caller one detour or a request a worse
+//! place.
 
 mod message;
 
