Upstreams: lives told apart by their start; records of other writers passed over

Cause: an upstream may start again under the id it had. The id was taken for the life, so its statements, which count anew, were taken for old ones and the life before was used on: its address, cache, orders and load. And a record that another writer left was read leniently (an unknown state as leaving, missing fields as zero); one without a key stopped the reading of the whole topic, one that was no base64 that of the list.

Ruled out: keeping the upstream whose record somebody wrote over. A host that starts then finds the foreign record only, so hosts would differ; it states itself again within a second or so.

Change: Life (id and start) in the core; the registry orders statements by start, then number, so a late one of either life undoes nothing of the other; fleet, loads, cache news, notices, orders and doubts are keyed by life; a report of another life is no report; an engine that says itself that it serves older weights is believed (a late order after a restart). Records are strict and skipped one by one, logged when they change. Only services that the configuration names as engines are ordered.

--- a/crates/core/src/holdings.rs
+++ b/crates/core/src/holdings.rs
@@ -14,9 +14,10 @@
 
 use std::collections::HashMap;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::exchange::{Part, PartId};
+use crate::upstream::Born;
 
 /// Tokens by which a kept part may be shorter than the part: memory goes by
 /// blocks, the last of which is not kept unless it is full.
@@ -41,6 +42,22 @@
 /// dropped ones are forgotten.
 const MOST_HEARD: usize = 512;
 
+/// The number of one life of a cache: of its upstream, born at `born`, and of
+/// the cache itself, which counts its own restarts.
+///
+/// ```
+/// use marjoram_core::holdings::epoch;
+/// use marjoram_core::upstream::Born;
+/// assert_eq!(epoch(Born(0), 7), 7);
+/// assert_ne!(epoch(Born(1), 7), epoch(Born(2), 7));
+/// ```
+pub fn epoch(born: Born, restarts: u64) -> u64 {
+    match born {
+        Born(0) => restarts,
+        Born(born) => xxh3_64_with_seed(&restarts.to_le_bytes(), born),
+    }
+}
+
 /// One change of what is kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Event {
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -16,7 +16,7 @@
 
 use std::time::Duration;
 
-use crate::upstream::UpstreamId;
+use crate::upstream::Life;
 
 /// Engines that load at once, as a share of all.
 const SHARE: usize = 5;
@@ -144,8 +144,8 @@
 /// One engine, as far as its weights are concerned.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
-    /// Its life.
-    pub id: UpstreamId,
+    /// The engine.
+    pub life: Life,
     /// The version it serves.
     pub version: u64,
     /// The version it has been ordered to, with no outcome yet.
@@ -161,9 +161,8 @@
 /// ```
 /// use std::time::Duration;
 /// use marjoram_core::rollout::{Engine, next};
-/// use marjoram_core::upstream::UpstreamId;
 /// let engine = |id: &str, version, work| Engine {
-///     id: UpstreamId(id.into()),
+///     life: id.parse().unwrap(),
 ///     version,
 ///     changing: None,
 ///     pause: None,
@@ -171,10 +170,10 @@
 /// };
 /// let engines = [engine("a", 1, 9), engine("b", 1, 0), engine("c", 1, 3), engine("d", 2, 0)];
 /// let ids: Vec<String> =
-///     next(&engines, 2, Duration::ZERO).into_iter().map(|id| id.to_string()).collect();
+///     next(&engines, 2, Duration::ZERO).into_iter().map(|life| life.to_string()).collect();
 /// assert_eq!(ids, ["b", "c", "a"]);
 /// ```
-pub fn next(engines: &[Engine], version: u64, now: Duration) -> Vec<UpstreamId> {
+pub fn next(engines: &[Engine], version: u64, now: Duration) -> Vec<Life> {
     let changing = || engines.iter().filter(|e| e.changing.is_some());
     let loading = changing().filter(|e| e.work == 0).count();
     let room = (engines.len() / SHARE).max(FEWEST).saturating_sub(loading);
@@ -184,6 +183,6 @@
         .filter(|e| e.version < version && e.changing.is_none())
         .filter(|e| e.pause.is_none_or(|until| now >= until))
         .collect();
-    due.sort_by(|a, b| (a.version, a.work, &a.id).cmp(&(b.version, b.work, &b.id)));
-    due.into_iter().take(room.min(closed)).map(|e| e.id.clone()).collect()
+    due.sort_by(|a, b| (a.version, a.work, &a.life).cmp(&(b.version, b.work, &b.life)));
+    due.into_iter().take(room.min(closed)).map(|e| e.life.clone()).collect()
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -2,21 +2,24 @@
 //!
 //! [`Registry`] takes in what the upstreams wrote of themselves, in whatever
 //! order it arrives, and says which of them may get work. Each entry carries
-//! a number that grows with every statement of the upstream, so a statement
-//! that arrives late never undoes a newer one: an upstream that is leaving
-//! does not come back, and one that has left is not listed again by an old
-//! statement.
+//! when its upstream started and a number that grows with every statement of
+//! that life, so a statement that arrives late never undoes a newer one: an
+//! upstream that is leaving does not come back, one that has left is not
+//! listed again by an old statement, and one that started again under the id
+//! it had is not taken for the one before, whatever their numbers.
 
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::Error;
 use crate::host::DataCentre;
 
-/// One life of an upstream: a restart gets a new one.
+/// The id that an upstream gives itself; one that starts again may keep it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct UpstreamId(pub String);
@@ -27,6 +30,67 @@
     }
 }
 
+/// When an upstream started, in Unix milliseconds; zero where it does not say.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Born(pub u64);
+
+impl Born {
+    /// Whether both may be the same start: one that is not told is no proof.
+    pub fn agrees(self, other: Self) -> bool {
+        self == other || self == Self(0) || other == Self(0)
+    }
+}
+
+impl fmt::Display for Born {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// One life of an upstream, from its start to its end. What it keeps, counts
+/// and has promised ends with it.
+///
+/// ```
+/// use marjoram_core::upstream::Life;
+/// let life: Life = "i-7f3a91c2@1764720000000".parse().unwrap();
+/// assert_eq!((life.id.0.as_str(), life.born.0), ("i-7f3a91c2", 1_764_720_000_000));
+/// assert_eq!(life.to_string(), "i-7f3a91c2@1764720000000");
+/// assert_eq!("i-7f3a91c2".parse::<Life>().unwrap().born.0, 0);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// When it started.
+    pub born: Born,
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Born(0) => write!(f, "{}", self.id),
+            born => write!(f, "{}@{born}", self.id),
+        }
+    }
+}
+
+impl FromStr for Life {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let (id, born) = text.split_once('@').unwrap_or((text, "0"));
+        let wrong = |why| Error::Parse("life of an upstream", text.into(), why);
+        let born = born.parse().map_err(|_| wrong("its start is no whole number"))?;
+        match id {
+            "" => Err(wrong("no id")),
+            _ => Ok(Self { id: UpstreamId(id.into()), born: Born(born) }),
+        }
+    }
+}
+
 /// Weights of one model at an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Weights {
@@ -40,7 +104,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its life.
-    pub id: UpstreamId,
+    pub life: Life,
     /// The service it is part of.
     pub service: String,
     /// Where it takes requests.
@@ -53,7 +117,7 @@
     pub leaving: bool,
     /// The weights it serves.
     pub weights: Vec<Weights>,
-    /// Grows with every statement.
+    /// Grows with every statement of this life.
     pub beat: u64,
 }
 
@@ -61,7 +125,14 @@
 /// still come back. The upstreams write again within about two seconds.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// How long the last beat of an upstream that left is remembered, so that a
+impl Entry {
+    /// What tells which of two statements of an upstream is the newer one.
+    fn order(&self) -> (Born, u64) {
+        (self.life.born, self.beat)
+    }
+}
+
+/// How long the last statement of an upstream that left is remembered, so that a
 /// late statement of it is known to be old.
 const LEFT_MEMORY: Duration = Duration::from_secs(60);
 
@@ -74,6 +145,8 @@
     Joined,
     /// One changed what it says of itself.
     Changed,
+    /// One has started again under the id it had.
+    Reborn,
     /// One is gone.
     Left,
     /// One vanished while the store was away; it is kept until it is surely gone.
@@ -84,9 +157,9 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use marjoram_core::upstream::{Change, Entry, Registry, UpstreamId};
+/// use marjoram_core::upstream::{Change, Entry, Registry};
 /// let entry = Entry {
-///     id: UpstreamId("i-1".into()),
+///     life: "i-1@1000".parse().unwrap(),
 ///     service: "s".into(),
 ///     addr: "10.0.0.1:80".parse().unwrap(),
 ///     dc: String::from("dc").into(),
@@ -98,16 +171,21 @@
 /// let mut registry = Registry::new();
 /// let now = Duration::ZERO;
 /// assert_eq!(registry.state(entry.clone(), now), Change::Joined);
-/// let old = Entry { leaving: false, beat: 6, ..entry };
+/// let old = Entry { leaving: false, beat: 6, ..entry.clone() };
 /// assert_eq!(registry.state(old, now), Change::None);
+/// // It starts again: its numbers start anew, and it is not leaving.
+/// let life = "i-1@2000".parse().unwrap();
+/// let again = Entry { life, leaving: false, beat: 1, ..entry.clone() };
+/// assert_eq!(registry.state(again, now), Change::Reborn);
+/// assert_eq!(registry.state(Entry { beat: 9, ..entry }, now), Change::None);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     entries: HashMap<UpstreamId, Entry>,
     /// Entries that vanished during an outage, and until when they are kept.
     missing: HashMap<UpstreamId, Duration>,
-    /// Last beats of upstreams that left, and when.
-    left: HashMap<UpstreamId, (u64, Duration)>,
+    /// Last statements of upstreams that left, and when they did.
+    left: HashMap<UpstreamId, ((Born, u64), Duration)>,
     /// When the store last came back.
     returned: Option<Duration>,
 }
@@ -120,32 +198,47 @@
 
     /// Takes in a statement at `now`.
     pub fn state(&mut self, entry: Entry, now: Duration) -> Change {
-        let left = self.left.get(&entry.id).is_some_and(|(beat, _)| entry.beat <= *beat);
+        let id = entry.life.id.clone();
+        let left = self.left.get(&id).is_some_and(|(last, _)| entry.order() <= *last);
         if left {
             return Change::None;
         }
-        match self.entries.get_mut(&entry.id) {
-            Some(known) if entry.beat < known.beat => Change::None,
-            Some(known) if entry.beat == known.beat => {
+        match self.entries.get_mut(&id) {
+            Some(known) if entry.order() < known.order() => Change::None,
+            Some(known) if entry.order() == known.order() => {
                 // The same statement again: it is there after all.
-                self.missing.remove(&entry.id);
+                self.missing.remove(&id);
                 Change::None
             }
+            Some(known) if entry.life != known.life => {
+                self.missing.remove(&id);
+                *known = entry;
+                Change::Reborn
+            }
             Some(known) => {
                 let entry = Entry { leaving: entry.leaving || known.leaving, ..entry };
                 let same = Entry { beat: known.beat, ..entry.clone() } == *known;
-                self.missing.remove(&entry.id);
+                self.missing.remove(&id);
                 *known = entry;
                 if same { Change::None } else { Change::Changed }
             }
             None => {
                 self.left.retain(|_, (_, since)| now < *since + LEFT_MEMORY);
-                self.entries.insert(entry.id.clone(), entry);
+                self.entries.insert(id, entry);
                 Change::Joined
             }
         }
     }
 
+    /// Takes in at `now` that what is stored under the key of `id` cannot be
+    /// understood: somebody else wrote it. It names no upstream to use, so the
+    /// one that was listed is left out until it states itself again, which it
+    /// does every second or so. A host that starts now finds no more than that
+    /// record: so all hosts hold the same, whenever they started.
+    pub fn spoil(&mut self, id: &UpstreamId, now: Duration) -> Change {
+        self.remove(id, now)
+    }
+
     /// Takes in at `now` that the entry of `id` is no longer listed.
     pub fn unlist(&mut self, id: &UpstreamId, now: Duration) -> Change {
         let grace = self.returned.map(|at| at + RETURN_TIME).filter(|until| now < *until);
@@ -194,7 +287,7 @@
         self.missing.remove(id);
         match self.entries.remove(id) {
             Some(entry) => {
-                self.left.insert(id.clone(), (entry.beat, now));
+                self.left.insert(id.clone(), (entry.order(), now));
                 Change::Left
             }
             None => Change::None,
--- a/crates/core/tests/registry_model.rs
+++ b/crates/core/tests/registry_model.rs
@@ -1,10 +1,12 @@
 //! Fuzzing of the registry against a simple oracle: statements arrive late,
-//! twice and out of order, and entries vanish with and without an outage.
+//! twice and out of order, upstreams start again under the id they had,
+//! somebody else writes over their records, and entries vanish with and
+//! without an outage.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use marjoram_core::upstream::{Entry, RETURN_TIME, Registry, UpstreamId};
+use marjoram_core::upstream::{Born, Entry, Life, RETURN_TIME, Registry, UpstreamId};
 use proptest::prelude::*;
 
 #[derive(Debug, Clone)]
@@ -13,6 +15,10 @@
     State { who: usize, leaving: bool },
     /// An old statement of it arrives again.
     Again { who: usize, back: u64 },
+    /// It starts again under its id, and says so.
+    Reborn { who: usize, leaving: bool },
+    /// Somebody else writes over its record.
+    Spoilt { who: usize },
     /// Its entry is gone.
     Gone { who: usize },
     /// The store answers again after an outage.
@@ -24,7 +30,9 @@
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
         4 => (0..3usize, any::<bool>()).prop_map(|(who, leaving)| Step::State { who, leaving }),
-        3 => (0..3usize, 1..5u64).prop_map(|(who, back)| Step::Again { who, back }),
+        3 => (0..3usize, 1..8u64).prop_map(|(who, back)| Step::Again { who, back }),
+        2 => (0..3usize, any::<bool>()).prop_map(|(who, leaving)| Step::Reborn { who, leaving }),
+        1 => (0..3usize).prop_map(|who| Step::Spoilt { who }),
         2 => (0..3usize).prop_map(|who| Step::Gone { who }),
         1 => Just(Step::Returned),
         2 => (1..3_000u64).prop_map(|ms| Step::Wait { ms }),
@@ -32,9 +40,10 @@
     proptest::collection::vec(step, 1..40)
 }
 
-fn entry(who: usize, beat: u64, leaving: bool) -> Entry {
+fn entry(who: usize, said: Said) -> Entry {
+    let Said { born, beat, leaving } = said;
     Entry {
-        id: UpstreamId(format!("i-{who}")),
+        life: Life { id: id(who), born: Born(born) },
         service: "s".into(),
         addr: ([10, 0, 0, who as u8], 80).into(),
         dc: String::from("dc").into(),
@@ -45,11 +54,25 @@
     }
 }
 
+fn id(who: usize) -> UpstreamId {
+    UpstreamId(format!("i-{who}"))
+}
+
+/// One statement.
+#[derive(Debug, Clone, Copy)]
+struct Said {
+    /// When the life that made it started.
+    born: u64,
+    /// Its number in that life.
+    beat: u64,
+    leaving: bool,
+}
+
 /// What must hold of one upstream.
 #[derive(Debug, Clone, Default)]
 struct Truth {
-    /// Statements made: whether each said that it is leaving.
-    said: Vec<bool>,
+    /// Statements made, by all of its lives.
+    said: Vec<Said>,
     /// It has once said that it is leaving, in a statement that was taken in.
     leaving: bool,
     /// Until when it must be kept; gone once that has passed.
@@ -68,8 +91,10 @@
             match step {
                 Step::State { who, leaving } => {
                     let truth = truths.entry(who).or_default();
-                    truth.said.push(leaving);
-                    registry.state(entry(who, truth.said.len() as u64, leaving), now);
+                    let (born, beat) = truth.said.last().map_or((1, 0), |s| (s.born, s.beat));
+                    let said = Said { born, beat: beat + 1, leaving };
+                    truth.said.push(said);
+                    registry.state(entry(who, said), now);
                     truth.leaving |= leaving && truth.gone.is_none_or(|until| now < until);
                     if truth.gone.is_some_and(|until| now >= until) {
                         // It had left; a new statement lists it afresh.
@@ -77,20 +102,35 @@
                     }
                     truth.gone = None;
                 }
+                Step::Reborn { who, leaving } => {
+                    let truth = truths.entry(who).or_default();
+                    let born = truth.said.last().map_or(1, |s| s.born + 1);
+                    let said = Said { born, beat: 1, leaving };
+                    truth.said.push(said);
+                    registry.state(entry(who, said), now);
+                    (truth.leaving, truth.gone) = (leaving, None);
+                }
                 Step::Again { who, back } => {
                     let truth = truths.entry(who).or_default();
-                    let beat = (truth.said.len() as u64).saturating_sub(back);
-                    if beat > 0 {
-                        let leaving = truth.said[beat as usize - 1];
-                        registry.state(entry(who, beat, leaving), now);
+                    let at = (truth.said.len() as u64).checked_sub(back);
+                    if let Some(said) = at.map(|at| truth.said[at as usize]) {
+                        registry.state(entry(who, said), now);
+                        // The newest one shows that it is there after all.
+                        let shows = back == 1 && truth.gone.is_some_and(|until| now < until);
+                        truth.gone = truth.gone.filter(|_| !shows);
                     }
                 }
+                Step::Spoilt { who } => {
+                    let truth = truths.entry(who).or_default();
+                    truth.gone = Some(now);
+                    registry.spoil(&id(who), now);
+                }
                 Step::Gone { who } => {
                     let truth = truths.entry(who).or_default();
                     let grace = returned.map(|at| at + RETURN_TIME).filter(|until| now < *until);
                     let kept = grace.filter(|_| !truth.leaving);
                     truth.gone = Some(truth.gone.filter(|_| kept.is_some()).or(kept).unwrap_or(now));
-                    registry.unlist(&entry(who, 0, false).id, now);
+                    registry.unlist(&id(who), now);
                 }
                 Step::Returned => {
                     returned = Some(now);
@@ -100,7 +140,7 @@
             }
             registry.expire(now);
             for (who, truth) in &truths {
-                let listed = registry.get(&entry(*who, 0, false).id);
+                let listed = registry.get(&id(*who));
                 let there = !truth.said.is_empty() && truth.gone.is_none_or(|until| now < until);
                 prop_assert_eq!(listed.is_some(), there, "upstream {} at {:?}", who, now);
                 if let Some(listed) = listed {
--- a/crates/core/tests/weights_rollout.rs
+++ b/crates/core/tests/weights_rollout.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use marjoram_core::rollout::{Engine, Named, next};
-use marjoram_core::upstream::UpstreamId;
 use test_case::test_case;
 
 /// Time to load, where no more than a fifth of the engines, or two, load at
@@ -17,7 +16,7 @@
 /// were replaced, and the loads made.
 fn play(engines: usize, named_at: &[f64], seconds: f64) -> (f64, u32) {
     let engine = |n| Engine {
-        id: UpstreamId(format!("e{n:02}")),
+        life: format!("e{n:02}").parse().unwrap(),
         version: 1,
         changing: None,
         pause: None,
@@ -52,8 +51,8 @@
                 None => {}
             }
         }
-        for id in next(&all, newest, clock) {
-            let index = all.iter().position(|e| e.id == id).unwrap();
+        for life in next(&all, newest, clock) {
+            let index = all.iter().position(|e| e.life == life).unwrap();
             all[index].changing = Some(newest);
             left[index] = Some(LOAD + FINISH);
             loads += 1;
@@ -95,7 +94,7 @@
 #[test]
 fn no_more_than_a_fifth_of_the_engines_changes_at_once() {
     let engine = |n| Engine {
-        id: UpstreamId(format!("e{n}")),
+        life: format!("e{n}").parse().unwrap(),
         version: 1,
         changing: (n < 10).then_some(2),
         pause: None,
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -120,7 +120,7 @@
             return Ok(Opened { upstream: upstream.clone(), head, mark, link, body });
         }
         site.counters.count("upstream.stray_answers");
-        tracing::warn!(target: "attempt", upstream = %upstream.id, ours = attempt,
+        tracing::warn!(target: "attempt", upstream = %upstream.life, ours = attempt,
             theirs = mark.attempt, "answer to another request skipped");
         if framing == http1::Framing::Close {
             break;
--- a/crates/router/src/proxy/cachefeed.rs
+++ b/crates/router/src/proxy/cachefeed.rs
@@ -123,7 +123,7 @@
 async fn follow_engine(site: Rc<Site>, upstream: Rc<Upstream>, source: Source) {
     let addr = source.addr;
     let mut caller = Caller::new(addr);
-    while site.fleet.get(&upstream.id).is_some() && source.is_due(&site) {
+    while site.fleet.get(&upstream.life).is_some() && source.is_due(&site) {
         let since = upstream.kept.borrow().next();
         match read(&mut caller, since).await {
             Ok(page) => {
@@ -131,7 +131,7 @@
                 upstream.kept.borrow_mut().apply(&page);
             }
             Err(why) => {
-                tracing::debug!(target: "cachefeed", upstream = %upstream.id, why, "events not read");
+                tracing::debug!(target: "cachefeed", upstream = %upstream.life, why, "events not read");
                 tokio::time::sleep(PAUSE).await;
                 caller = Caller::new(addr);
             }
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -141,7 +141,7 @@
 /// Writes down how a request ended.
 fn report(site: &Site, id: &str, exchange: Option<&Exchange>, outcome: &Outcome, took: Duration) {
     let route = exchange.map(|e| e.route.name.as_str());
-    let upstream = exchange.and_then(|e| e.last.as_ref()).map(|id| id.0.as_str());
+    let upstream = exchange.and_then(|e| e.last.as_ref()).map(ToString::to_string);
     let sends = exchange.map_or(0, |e| e.sends);
     let config = site.catalog.load().as_ref().map(|c| c.version);
     let ms = took.as_millis() as u64;
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -16,7 +16,7 @@
 
 use marjoram_core::rollout::{self, Named};
 use marjoram_core::tenure::{self, Dealt, Stance, Tenure};
-use marjoram_core::upstream::{UpstreamId, Weights};
+use marjoram_core::upstream::{Life, Weights};
 use marjoram_platform::store;
 
 use super::fleet::Upstream;
@@ -72,7 +72,7 @@
     tenure: RefCell<Tenure>,
     /// The group has been left for good.
     released: Cell<bool>,
-    known: RefCell<HashMap<UpstreamId, Known>>,
+    known: RefCell<HashMap<Life, Known>>,
 }
 
 /// Starts to stand for the duty and to carry it out while it is held.
@@ -109,7 +109,15 @@
         };
         named.iter().any(older)
     };
-    site.fleet.all().iter().any(behind)
+    engines(site).iter().any(behind)
+}
+
+/// The upstreams that the configuration knows as engines: an entry with a
+/// service that it does not name may be anybody's.
+fn engines(site: &Site) -> Vec<Rc<Upstream>> {
+    let Some(catalog) = site.catalog() else { return Vec::new() };
+    let all = site.fleet.all().into_iter();
+    all.filter(|u| catalog.engine(&u.entry.borrow().service).is_some()).collect()
 }
 
 /// Joins the group, once that disturbs nobody, and stays in it.
@@ -222,9 +230,7 @@
     let named: Vec<(String, u64)> =
         site.named.borrow().iter().filter_map(|(m, n)| Some((m.clone(), n.newest()?))).collect();
     for (model, version) in named {
-        let listed: Vec<Rc<Upstream>> = site
-            .fleet
-            .all()
+        let listed: Vec<Rc<Upstream>> = engines(site)
             .into_iter()
             .filter(|u| !u.entry.borrow().leaving && u.weights(&model).is_some())
             .collect();
@@ -232,9 +238,9 @@
         let engines: Vec<rollout::Engine> = listed
             .iter()
             .map(|u| {
-                let state = known.get(&u.id).cloned().unwrap_or_default();
+                let state = known.get(&u.life).cloned().unwrap_or_default();
                 rollout::Engine {
-                    id: u.id.clone(),
+                    life: u.life.clone(),
                     version: u.weights(&model).unwrap_or_default(),
                     changing: state.changing,
                     pause: state.pause,
@@ -243,9 +249,9 @@
             })
             .collect();
         drop(known);
-        for id in rollout::next(&engines, version, site.now()) {
-            let Some(upstream) = listed.iter().find(|u| u.id == id) else { continue };
-            duty.known.borrow_mut().entry(id).or_default().changing = Some(version);
+        for life in rollout::next(&engines, version, site.now()) {
+            let Some(upstream) = listed.iter().find(|u| u.life == life) else { continue };
+            duty.known.borrow_mut().entry(life).or_default().changing = Some(version);
             let weights = Weights { model: model.clone(), version };
             ntex::rt::spawn(change::change(duty.clone(), upstream.clone(), weights));
         }
--- a/crates/router/src/proxy/duty/change.rs
+++ b/crates/router/src/proxy/duty/change.rs
@@ -51,18 +51,18 @@
     let ms = (now - begun).as_millis() as u64;
     {
         let mut known = duty.known.borrow_mut();
-        let state = known.entry(upstream.id.clone()).or_default();
+        let state = known.entry(upstream.life.clone()).or_default();
         state.changing = None;
         match &end {
             End::Changed => {
                 upstream.serves(&weights.model, weights.version);
-                tracing::info!(target: "weights", upstream = %upstream.id, version = weights.version,
+                tracing::info!(target: "weights", upstream = %upstream.life, version = weights.version,
                     ms, "engine changed");
             }
             End::Failed(why) => {
                 state.pause = Some(now + ORDER_PAUSE);
                 state.orders = None;
-                tracing::warn!(target: "weights", upstream = %upstream.id, version = weights.version,
+                tracing::warn!(target: "weights", upstream = %upstream.life, version = weights.version,
                     ms, why, "engine not changed");
             }
         }
@@ -76,7 +76,7 @@
 /// Tells all hosts, this one included, that `upstream` closes or opens.
 fn announce(duty: &Duty, upstream: &Upstream, weights: &Weights, closed: Option<Duration>) {
     let notice = Notice {
-        upstream: upstream.id.clone(),
+        upstream: upstream.life.clone(),
         model: weights.model.clone(),
         version: weights.version,
         closed: closed.map(|c| c.as_millis() as u64),
@@ -88,7 +88,7 @@
 async fn order(duty: &Duty, upstream: &Rc<Upstream>, weights: &Weights) -> End {
     let addr: SocketAddr = upstream.entry.borrow().addr;
     let mut caller = Caller::new(addr);
-    let count = duty.known.borrow().get(&upstream.id).and_then(|k| k.orders);
+    let count = duty.known.borrow().get(&upstream.life).and_then(|k| k.orders);
     let orders = match count {
         Some(orders) => orders,
         None => match report(&mut caller, upstream).await {
@@ -99,35 +99,35 @@
     };
     let Some(token) = duty.token() else { return End::Failed("duty no longer held".into()) };
     let order = WeightsOrder {
-        upstream: upstream.id.clone(),
+        upstream: upstream.life.clone(),
         weights: weights.clone(),
         holder: duty.site.settings.load().name.clone(),
         token,
         orders,
     };
-    let headers = [(UPSTREAM_HEADER, upstream.id.0.as_str())];
+    let headers = [(UPSTREAM_HEADER, upstream.life.id.0.as_str())];
     let reply = caller.call(&Call::from(&order), &headers, ENGINE_ANSWER).await;
-    tracing::info!(target: "weights", upstream = %upstream.id, version = weights.version, token, orders,
+    tracing::info!(target: "weights", upstream = %upstream.life, version = weights.version, token, orders,
         outcome = ?reply.as_ref().map(|r| r.status).map_err(|e| e.to_string()), "order sent");
     match reply.as_ref().map(|r| Ordered::from(r.status)) {
         Ok(Ordered::Holds) => return End::Changed,
         Ok(Ordered::Accepted) => {
-            duty.known.borrow_mut().entry(upstream.id.clone()).or_default().orders =
+            duty.known.borrow_mut().entry(upstream.life.clone()).or_default().orders =
                 Some(orders + 1);
         }
         Ok(Ordered::Misdirected) => {
-            duty.site.fleet.remove(&upstream.id);
+            duty.site.fleet.remove(&upstream.life);
             return End::Failed("another upstream has its address".into());
         }
         Ok(Ordered::Conflict) => {
             // Another order is under way or was accepted unseen; what the
             // engine reports next is the truth.
-            duty.known.borrow_mut().entry(upstream.id.clone()).or_default().orders = None;
+            duty.known.borrow_mut().entry(upstream.life.clone()).or_default().orders = None;
         }
         Ok(outcome) => return End::Failed(format!("{outcome:?}")),
         // It may have been accepted.
         Err(_) => {
-            duty.known.borrow_mut().entry(upstream.id.clone()).or_default().orders = None;
+            duty.known.borrow_mut().entry(upstream.life.clone()).or_default().orders = None;
             caller = Caller::new(addr);
         }
     }
@@ -178,10 +178,14 @@
 }
 
 async fn report(caller: &mut Caller, upstream: &Upstream) -> Result<engine::Report, String> {
-    let headers = [(UPSTREAM_HEADER, upstream.id.0.as_str())];
+    let headers = [(UPSTREAM_HEADER, upstream.life.id.0.as_str())];
     match caller.call(&engine::report(), &headers, ENGINE_ANSWER).await {
         Ok(reply) if reply.status == 200 => {
-            engine::parse_report(&reply.body).map_err(|e| e.to_string())
+            let report = engine::parse_report(&reply.body).map_err(|e| e.to_string())?;
+            match report.born.agrees(upstream.life.born) {
+                true => Ok(report),
+                false => Err(format!("report of another life, born {}", report.born)),
+            }
         }
         Ok(reply) => Err(format!("report: status {}", reply.status)),
         Err(error) => Err(error.to_string()),
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -134,7 +134,7 @@
             let entry = u.entry.borrow();
             let health = u.health.borrow();
             serde_json::json!({
-                "id": u.id, "service": entry.service, "addr": entry.addr, "dc": entry.dc,
+                "id": u.life.id, "born": u.life.born, "service": entry.service, "addr": entry.addr, "dc": entry.dc,
                 "leaving": entry.leaving, "weights": entry.weights,
                 "closed": u.is_closed(now), "paused": health.is_paused(now),
                 "silent_ms": health.silent(now).as_millis() as u64,
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -9,7 +9,7 @@
 use marjoram_core::health::Health;
 use marjoram_core::holdings::{CacheId, Holdings};
 use marjoram_core::host::DataCentre;
-use marjoram_core::upstream::{Entry, UpstreamId};
+use marjoram_core::upstream::{Entry, Life, UpstreamId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -53,7 +53,7 @@
 /// One upstream.
 pub struct Upstream {
     /// Its life.
-    pub id: UpstreamId,
+    pub life: Life,
     /// Short name of its life between hosts.
     pub key: u64,
     /// Hash of its address: its place in the ranks.
@@ -82,8 +82,8 @@
 impl Upstream {
     fn new(entry: Entry) -> Self {
         Self {
-            id: entry.id.clone(),
-            key: xxh3_64(entry.id.0.as_bytes()),
+            life: entry.life.clone(),
+            key: xxh3_64(entry.life.to_string().as_bytes()),
             place: xxh3_64(entry.addr.to_string().as_bytes()),
             entry: RefCell::new(entry),
             closed: Cell::default(),
@@ -138,6 +138,19 @@
         self.entry.borrow().weights.iter().find(|w| w.model == model).map(|w| w.version)
     }
 
+    /// Takes in that it said itself, just now, that it serves `version` of
+    /// `model`. That may be an older one than was thought: an order that comes
+    /// late, after a restart, brings back replaced weights.
+    pub fn states(&self, model: &str, version: u64) {
+        let mut entry = self.entry.borrow_mut();
+        let known = entry.weights.iter_mut().find(|w| w.model == model);
+        if let Some(weights) = known.filter(|w| w.version > version) {
+            weights.version = version;
+        }
+        drop(entry);
+        self.serves(model, version);
+    }
+
     /// Takes in that it serves `version` of `model`. Versions only rise.
     pub fn serves(&self, model: &str, version: u64) {
         let mut entry = self.entry.borrow_mut();
@@ -230,7 +243,7 @@
     }
 }
 
-/// All upstreams, by life and by service.
+/// All upstreams, by id and by service: the newest life of each.
 #[derive(Default)]
 pub struct Fleet {
     all: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
@@ -238,49 +251,62 @@
 }
 
 impl Fleet {
-    /// Enters or renews an upstream.
+    /// Enters or renews an upstream. One that has started again takes the
+    /// place of its former life, of which nothing is kept.
     pub fn enter(&self, entry: &Entry) {
-        let known = self.all.borrow().get(&entry.id).cloned();
+        let known = self.all.borrow().get(&entry.life.id).cloned();
         match known {
-            Some(upstream) => {
-                let newer: Vec<_> = entry.weights.clone();
+            Some(upstream) if entry.life.born < upstream.life.born => {}
+            Some(upstream) if entry.life == upstream.life => {
                 {
                     let mut own = upstream.entry.borrow_mut();
                     own.leaving = entry.leaving;
                     own.addr = entry.addr;
                     own.slots = entry.slots;
                 }
-                for weights in newer {
+                for weights in &entry.weights {
                     upstream.serves(&weights.model, weights.version);
                 }
             }
-            None => {
+            former => {
+                if let Some(former) = former {
+                    self.remove(&former.life);
+                }
                 let upstream = Rc::new(Upstream::new(entry.clone()));
-                self.all.borrow_mut().insert(entry.id.clone(), upstream.clone());
+                self.all.borrow_mut().insert(entry.life.id.clone(), upstream.clone());
                 let mut services = self.services.borrow_mut();
                 services.entry(entry.service.clone()).or_default().push(upstream);
             }
         }
     }
 
-    /// Removes an upstream and closes its idle connections.
-    pub fn remove(&self, id: &UpstreamId) {
-        if let Some(upstream) = self.all.borrow_mut().remove(id) {
+    /// Removes one life of an upstream and closes its idle connections.
+    pub fn remove(&self, life: &Life) {
+        if let Some(upstream) = self.get(life) {
+            self.all.borrow_mut().remove(&life.id);
             upstream.pool.clear();
             for list in self.services.borrow_mut().values_mut() {
-                list.retain(|u| u.id != *id);
+                list.retain(|u| u.life != *life);
             }
         }
     }
 
+    /// Removes the upstream `id`, whichever of its lives is known.
+    pub fn remove_id(&self, id: &UpstreamId) {
+        let known = self.all.borrow().get(id).cloned();
+        if let Some(upstream) = known {
+            self.remove(&upstream.life);
+        }
+    }
+
     /// The upstreams of `service`.
     pub fn service(&self, service: &str) -> Vec<Rc<Upstream>> {
         self.services.borrow().get(service).cloned().unwrap_or_default()
     }
 
-    /// The upstream `id`.
-    pub fn get(&self, id: &UpstreamId) -> Option<Rc<Upstream>> {
-        self.all.borrow().get(id).cloned()
+    /// The upstream in this life, unless it has ended.
+    pub fn get(&self, life: &Life) -> Option<Rc<Upstream>> {
+        self.all.borrow().get(&life.id).filter(|u| u.life == *life).cloned()
     }
 
     /// All upstreams.
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -8,6 +8,7 @@
 //! waiting for them had every start of one host read by all others, half of
 //! all calls on days with many restarts.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use marjoram_core::upstream::{Change, UpstreamId};
 use marjoram_platform::store::{self, Call, Record};
 use marjoram_platform::{catalog, registry};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::peers::HostRecord;
 use super::site::Site;
@@ -161,6 +163,7 @@
             return Err(format!("list of {}: status {}", S::TOPIC, reply.status));
         }
         let page = store::parse_newest(&reply.body).map_err(|e| e.to_string())?;
+        note_strange(S::TOPIC, &page.strange);
         for record in &page.records {
             keys.push(record.key.clone());
             sink.record(site, record);
@@ -189,6 +192,7 @@
     match reply.status {
         200 => {
             let page = store::page(from, &reply.body).map_err(|e| e.to_string())?;
+            note_strange(S::TOPIC, &page.strange);
             page.records.iter().for_each(|record| sink.record(site, record));
             Ok(Some(page.next))
         }
@@ -200,6 +204,13 @@
     }
 }
 
+/// Logs records that cannot be read as such; they are passed over.
+fn note_strange(topic: &str, strange: &[String]) {
+    for why in strange {
+        tracing::error!(target: "store", topic, why, "record not understood, passed over");
+    }
+}
+
 /// The operators' records.
 #[derive(Default)]
 struct Operators {
@@ -276,15 +287,15 @@
 pub fn upstream_changed(site: &Site, id: &UpstreamId, change: &Change) {
     match change {
         Change::None => return,
-        Change::Joined | Change::Changed => {
+        Change::Joined | Change::Changed | Change::Reborn => {
             if let Some(entry) = site.registry.borrow().get(id) {
                 site.fleet.enter(entry);
-                tracing::info!(target: "registry", upstream = %id, ?change, beat = entry.beat,
+                tracing::info!(target: "registry", upstream = %entry.life, ?change, beat = entry.beat,
                     leaving = entry.leaving, service = entry.service, "upstream stated");
             }
         }
         Change::Left => {
-            site.fleet.remove(id);
+            site.fleet.remove_id(id);
             tracing::info!(target: "registry", upstream = %id, "upstream left");
         }
         Change::Missing => {
@@ -295,7 +306,12 @@
 }
 
 /// The upstreams' entries.
-struct Upstreams;
+#[derive(Default)]
+struct Upstreams {
+    /// Hash of the last record of each key that names no upstream: it is
+    /// logged once, not at each read.
+    strange: HashMap<UpstreamId, u64>,
+}
 
 impl Sink for Upstreams {
     const TOPIC: &'static str = store::UPSTREAMS;
@@ -309,10 +325,17 @@
         let change = match &record.value {
             None => site.registry.borrow_mut().unlist(&id, site.now()),
             Some(value) => match registry::parse(&record.key, value) {
-                Ok(entry) => site.registry.borrow_mut().state(entry, site.now()),
+                Ok(entry) => {
+                    self.strange.remove(&id);
+                    site.registry.borrow_mut().state(entry, site.now())
+                }
                 Err(error) => {
-                    tracing::error!(target: "registry", upstream = %id, %error, "entry not understood");
-                    return;
+                    let hash = xxh3_64(value);
+                    if self.strange.insert(id.clone(), hash) != Some(hash) {
+                        tracing::error!(target: "registry", upstream = %id, %error,
+                            "entry not understood, no upstream by it");
+                    }
+                    site.registry.borrow_mut().spoil(&id, site.now())
                 }
             },
         };
@@ -388,7 +411,7 @@
 /// Starts following the store.
 pub fn start(site: &Rc<Site>) {
     ntex::rt::spawn(follow(site.clone(), Operators::default()));
-    ntex::rt::spawn(follow(site.clone(), Upstreams));
+    ntex::rt::spawn(follow(site.clone(), Upstreams::default()));
     let (site, registered) = (site.clone(), ntex::rt::spawn(register(site.clone())));
     ntex::rt::spawn(async move {
         // Not written in time, it is written later; the others are read now.
--- a/crates/router/src/proxy/peers/message.rs
+++ b/crates/router/src/proxy/peers/message.rs
@@ -4,7 +4,7 @@
 
 use marjoram_core::news::News;
 use marjoram_core::tenure::Stance;
-use marjoram_core::upstream::UpstreamId;
+use marjoram_core::upstream::Life;
 use serde::{Deserialize, Serialize};
 
 use crate::proxy::fleet::Load;
@@ -58,7 +58,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Notice {
     /// The engine.
-    pub upstream: UpstreamId,
+    pub upstream: Life,
     /// The model.
     pub model: String,
     /// The version it changes to, or has changed to.
--- a/crates/router/src/proxy/relay.rs
+++ b/crates/router/src/proxy/relay.rs
@@ -216,7 +216,7 @@
                 Ok(Answer::Open(next, counted)) if is_stream(&next) => {
                     self.site.counters.count("stream.resumed");
                     tracing::info!(target: "stream", id = self.exchange.id(), passed = self.passed,
-                        upstream = %next.upstream.id, after = %failure, "stream taken up again");
+                        upstream = %next.upstream.life, after = %failure, "stream taken up again");
                     if !self.begun {
                         self.head = Some(head(&next, self.last).chunked());
                     }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -12,7 +12,7 @@
 use marjoram_core::catalog::{Catalog, Kind, Route, Workspace};
 use marjoram_core::exchange::Asked;
 use marjoram_core::place;
-use marjoram_core::upstream::UpstreamId;
+use marjoram_core::upstream::Life;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::{Failure, Opened};
@@ -92,8 +92,8 @@
     /// When its answer is due at the latest.
     pub expires: Duration,
     /// Upstreams it was sent to, and those that could not be reached.
-    tried: Vec<UpstreamId>,
-    avoided: Vec<UpstreamId>,
+    tried: Vec<Life>,
+    avoided: Vec<Life>,
     /// It may have run.
     ran: bool,
     /// Sends so far.
@@ -101,7 +101,7 @@
     connects: u32,
     waited: Duration,
     /// The last upstream it was sent to.
-    pub last: Option<UpstreamId>,
+    pub last: Option<Life>,
 }
 
 impl Exchange {
@@ -190,7 +190,7 @@
         let upstream = &opened.upstream;
         upstream.failed(failure, self.site.now());
         self.site.counters.count("upstream.broken");
-        tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.id, %failure,
+        tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %failure,
             sends = self.sends, "answer broke off");
     }
 
@@ -219,7 +219,7 @@
                 Sent::OtherWeights if weights_tries < WEIGHTS_TRIES => {
                     // The same upstream again: this sends to no further one.
                     weights_tries += 1;
-                    self.tried.retain(|id| *id != chosen.upstream.id);
+                    self.tried.retain(|life| *life != chosen.upstream.life);
                 }
                 Sent::OtherWeights | Sent::Nothing => {}
             }
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -14,7 +14,7 @@
 use marjoram_core::plain::{self, Plain};
 use marjoram_core::rollout::Named;
 use marjoram_core::soundness::Soundness;
-use marjoram_core::upstream::UpstreamId;
+use marjoram_core::upstream::Life;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -66,7 +66,7 @@
 /// Where shared parts can be copied from.
 struct Keeper {
     /// The engine; `None` for the cache store.
-    id: Option<UpstreamId>,
+    life: Option<Life>,
     addr: SocketAddr,
     dc: DataCentre,
     /// The weights they were made by.
@@ -83,14 +83,14 @@
     }
 }
 
-/// The keeper from which the engine `id` in `dc`, on `weights`, copies best.
+/// The keeper from which the engine `life` in `dc`, on `weights`, copies best.
 fn best_keeper<'a>(
     keepers: &'a [Keeper],
     weights: u64,
-    id: &UpstreamId,
+    life: &Life,
     dc: &DataCentre,
 ) -> Option<&'a Keeper> {
-    let others = keepers.iter().filter(|k| k.weights == weights && k.id.as_ref() != Some(id));
+    let others = keepers.iter().filter(|k| k.weights == weights && k.life.as_ref() != Some(life));
     others.min_by(|a, b| {
         let (a, b) = (a.copying(dc), b.copying(dc));
         b.held.cmp(&a.held).then(a.token_ms.total_cmp(&b.token_ms))
@@ -155,7 +155,7 @@
         let share = self.connection_share();
         let open = |u: &Rc<Upstream>| {
             let listed = !u.entry.borrow().leaving && !u.is_closed(now);
-            let fresh = !self.tried.contains(&u.id) && !self.avoided.contains(&u.id);
+            let fresh = !self.tried.contains(&u.life) && !self.avoided.contains(&u.life);
             listed && fresh && u.pool.in_use() < share
         };
         let well = |u: &&Rc<Upstream>| {
@@ -231,9 +231,9 @@
         let upstream = allowed[choice.engine].clone();
         let weights = weights(&upstream);
         let large = need.shared >= LARGE;
-        let keeper = best_keeper(&keepers, weights, &upstream.id, &upstream.entry.borrow().dc);
+        let keeper = best_keeper(&keepers, weights, &upstream.life, &upstream.entry.borrow().dc);
         let fetch = keeper.filter(|_| choice.copies && large).map(|k| k.addr);
-        let kept = keepers.iter().any(|k| k.id.is_none() && k.weights == weights);
+        let kept = keepers.iter().any(|k| k.life.is_none() && k.weights == weights);
         let first = shared.first().map_or(0, |p| p.id.0);
         let store = self.catalog.cache_stores().filter(|_| large && !kept);
         let store = store.max_by_key(|s| place::rank(first, self.site.stores.at(s.addr).key));
@@ -279,7 +279,7 @@
         let view = |((u, lane), drawn): ((&&Rc<Upstream>, bool), bool)| {
             let (load, health, entry) = (u.load(), u.health.borrow(), u.entry.borrow());
             let weights = u.weights(&prompt.model).unwrap_or_default();
-            let keeper = best_keeper(keepers, weights, &u.id, &entry.dc);
+            let keeper = best_keeper(keepers, weights, &u.life, &entry.dc);
             Candidate {
                 rank: place::rank(part, u.place),
                 unread: load.unread,
@@ -319,9 +319,9 @@
             }
             let held = engine.held(self.cache(weights), shared, now);
             if held >= tokens / 2 && !engine.is_closed(now) {
-                let (id, entry) = (Some(engine.id.clone()), engine.entry.borrow());
+                let (life, entry) = (Some(engine.life.clone()), engine.entry.borrow());
                 let (addr, dc) = (entry.addr, entry.dc.clone());
-                keepers.push(Keeper { id, addr, dc, weights, held, token_ms });
+                keepers.push(Keeper { life, addr, dc, weights, held, token_ms });
             }
         }
         for store in self.catalog.cache_stores() {
@@ -331,7 +331,7 @@
                 let held = known.kept.borrow().held(self.cache(weights), shared);
                 if held >= tokens / 2 {
                     let (addr, dc) = (store.addr, store.dc.clone());
-                    keepers.push(Keeper { id: None, addr, dc, weights, held, token_ms });
+                    keepers.push(Keeper { life: None, addr, dc, weights, held, token_ms });
                 }
             }
         }
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -46,7 +46,7 @@
         let engine = self.request.asked.prompt.is_some();
         Envelope {
             left: self.left(),
-            upstream: Some(chosen.upstream.id.clone()),
+            upstream: Some(chosen.upstream.life.id.clone()),
             workspace: self.workspace.as_ref().map(|w| w.name.clone()),
             rank: engine.then(|| priority.unwrap_or(self.route.priority)),
             weights: chosen.weights,
@@ -81,14 +81,14 @@
         let envelope = self.envelope(chosen, resumed);
         let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
-        tracing::info!(target: "place", id = self.id(), upstream = %upstream.id,
+        tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
             part = chosen.part.map(|(_, part)| part.0), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
             salt = envelope.salt, fetch = envelope.fetch, unread = chosen.unread, ahead,
             running = upstream.load().running, wait_ms = chosen.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
-        self.last = Some(upstream.id.clone());
-        self.tried.push(upstream.id.clone());
+        self.last = Some(upstream.life.clone());
+        self.tried.push(upstream.life.clone());
         let begun = site.now();
         let deadline = site.at(begun + self.patience(chosen.wait).min(chosen.begin));
         let id = self.request.asked.attempt.clone();
@@ -109,17 +109,17 @@
                 self.sends -= 1;
                 self.connects += 1;
                 self.tried.pop();
-                self.avoided.push(upstream.id.clone());
+                self.avoided.push(upstream.life.clone());
                 upstream.doubt(now);
                 site.counters.count("upstream.unreachable");
-                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.id, %why,
+                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %why,
                     "upstream unreachable");
                 Sent::Nothing
             }
             Err(failure) => {
                 upstream.failed(&failure, now);
                 site.counters.count("upstream.broken");
-                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.id,
+                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life,
                     %failure, sends = self.sends, "send brought no answer");
                 Sent::Nothing
             }
@@ -129,7 +129,7 @@
             }
             Ok(opened) => {
                 upstream.health.borrow_mut().alive(now);
-                tracing::info!(target: "attempt", id = self.id(), upstream = %upstream.id,
+                tracing::info!(target: "attempt", id = self.id(), upstream = %upstream.life,
                     status = opened.head.status, weights = opened.mark.weights,
                     ms = self.waited.as_millis() as u64,
                     expected_ms = chosen.wait.as_millis() as u64, "answer begun");
@@ -158,14 +158,14 @@
     async fn refused(&mut self, opened: Opened, now: Duration) -> Sent {
         let upstream = opened.upstream.clone();
         let status = opened.head.status;
-        let other = opened.mark.upstream.as_ref().is_some_and(|id| *id != upstream.id);
+        let other = opened.mark.upstream.as_ref().is_some_and(|id| *id != upstream.life.id);
         self.site.counters.count("upstream.refused");
-        tracing::info!(target: "attempt", id = self.id(), upstream = %upstream.id, status,
+        tracing::info!(target: "attempt", id = self.id(), upstream = %upstream.life, status,
             weights = opened.mark.weights, sends = self.sends, "upstream refused, not run");
         match status {
             421 if other => {
                 // Another upstream has the address: this one is gone.
-                self.site.fleet.remove(&upstream.id);
+                self.site.fleet.remove(&upstream.life);
                 Sent::Nothing
             }
             421 => {
@@ -176,8 +176,8 @@
                 let now_at = opened.mark.weights.or(newest);
                 opened.finish(now);
                 match (model, now_at) {
-                    (Some(model), Some(version)) if before < Some(version) => {
-                        upstream.serves(&model, version);
+                    (Some(model), Some(version)) if before != Some(version) => {
+                        upstream.states(&model, version);
                         Sent::OtherWeights
                     }
                     _ => Sent::Nothing,
@@ -209,7 +209,7 @@
         match status {
             200..=299 if !opened.mark.sealed => {
                 upstream.health.borrow_mut().answered(false);
-                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.id, status,
+                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, status,
                     "success without a seal dropped");
                 Sent::Nothing
             }
--- a/crates/router/src/proxy/warm.rs
+++ b/crates/router/src/proxy/warm.rs
@@ -105,7 +105,7 @@
     // Once the store has listed the upstreams, what it says is newer.
     if !site.listed.get() {
         for entry in knowledge.upstreams {
-            let id = entry.id.clone();
+            let id = entry.life.id.clone();
             let change = site.registry.borrow_mut().state(entry, site.now());
             follow::upstream_changed(site, &id, &change);
         }
