--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::Error;
 use crate::upstream::UpstreamId;
@@ -62,10 +62,34 @@
 }
 
 impl Prompt {
+    /// The parts that other requests may share, the outermost first.
+    pub fn shared_parts(&self) -> &[Part] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
     /// Tokens of the parts that other requests may share.
     pub fn shared(&self) -> u64 {
-        let count = self.parts.len().saturating_sub(1);
-        self.parts[..count].iter().map(|p| p.tokens).sum()
+        self.shared_parts().iter().map(|p| p.tokens).sum()
+    }
+
+    /// Key of the whole chain of shared parts: prompts that differ in any of
+    /// them have another one, however much of the chain they share.
+    ///
+    /// ```
+    /// use marjoram_core::exchange::{Part, PartId, Prompt};
+    /// let part = |id| Part { id: PartId(id), tokens: 500 };
+    /// let prompt = |ids: [u64; 3]| Prompt {
+    ///     model: "m".into(),
+    ///     parts: ids.map(part).to_vec(),
+    ///     input: 1_500,
+    ///     output: 20,
+    /// };
+    /// assert_eq!(prompt([1, 2, 3]).chain(), prompt([1, 2, 4]).chain());
+    /// assert_ne!(prompt([1, 2, 3]).chain(), prompt([1, 5, 3]).chain());
+    /// ```
+    pub fn chain(&self) -> u64 {
+        let parts = self.shared_parts().iter();
+        parts.fold(0, |chain, part| xxh3_64_with_seed(&part.id.0.to_le_bytes(), chain))
     }
 }
 
--- a/crates/core/src/holdings.rs
+++ b/crates/core/src/holdings.rs
@@ -220,9 +220,28 @@
 
     /// Leading tokens of `parts` that are kept in `cache`.
     pub fn held(&self, cache: CacheId, parts: &[Part]) -> u64 {
+        self.held_or(cache, parts, |_| false)
+    }
+
+    /// Leading tokens of `parts` that are kept in `cache`, where those that
+    /// `surely` names are kept whole, whatever the events have told so far.
+    ///
+    /// ```
+    /// use marjoram_core::exchange::{Part, PartId};
+    /// use marjoram_core::holdings::{CacheId, Holdings};
+    /// let part = |id| Part { id: PartId(id), tokens: 500 };
+    /// let (cache, holdings) = (CacheId::new("3"), Holdings::new());
+    /// // The outer part was just read there, which says nothing of the inner one.
+    /// let held = holdings.held_or(cache, &[part(1), part(2)], |p| p.id == PartId(1));
+    /// assert_eq!(held, 500);
+    /// ```
+    pub fn held_or(&self, cache: CacheId, parts: &[Part], surely: impl Fn(&Part) -> bool) -> u64 {
         let mut held = 0;
         for part in parts {
-            let kept = self.kept.get(&(cache, part.id)).map_or(0, |k| k.tokens);
+            let kept = match surely(part) {
+                true => part.tokens,
+                false => self.kept.get(&(cache, part.id)).map_or(0, |k| k.tokens),
+            };
             held += kept.min(part.tokens);
             if kept + BLOCK_SLACK < part.tokens {
                 break;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -7,8 +7,10 @@
 //! another engine tens, finding it in place none; waiting behind other
 //! prompts costs what they take to be read.
 //!
-//! Each shared part has a home among the engines on the same weights: the one
-//! that ranks first for it by hashing. All hosts compute the same ranks, so
+//! Each chain of shared parts has a home among the engines on the same weights:
+//! the one that ranks first for it by hashing. (Were it the outermost part that
+//! ranks, three roots of 500 tokens under 194 parts of 4,900 would give all of
+//! these three homes.) All hosts compute the same ranks, so
 //! they agree on homes without telling each other anything, at any number of
 //! engines, and an engine that leaves moves only its own parts. A part that no
 //! engine keeps is read at its home; later it is found or copied where it is.
@@ -142,7 +144,7 @@
 /// An engine that may read it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
-    /// Rank by hash for the prompt's first shared part; the highest is home.
+    /// Rank by hash for the prompt's chain of shared parts; the highest is home.
     pub rank: u64,
     /// Prompt tokens sent there by all hosts and not yet read.
     pub unread: u64,
@@ -263,10 +265,10 @@
     drawn
 }
 
-/// The rank of the engine with `key` for the shared part `part`.
-pub fn rank(part: u64, key: u64) -> u64 {
+/// The rank of the engine with `key` for the chain of shared parts `chain`.
+pub fn rank(chain: u64, key: u64) -> u64 {
     let mut hash = Xxh3Default::new();
-    hash.write_u64(part);
+    hash.write_u64(chain);
     hash.write_u64(key);
     hash.finish()
 }
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -180,20 +180,18 @@
         let span = self.held_span();
         let known = self.held.borrow();
         let read = |p: &Part| known.get(&(cache, p.id)).is_some_and(|at| now < *at + span);
-        match shared.first() {
-            Some(part) if read(part) => shared.iter().map(|p| p.tokens).sum(),
-            _ => self.kept.borrow().held(cache, shared),
-        }
+        self.kept.borrow().held_or(cache, shared, read)
     }
 
-    /// A prompt with the shared part `part` was read there into `cache` at `now`.
-    pub fn hold(&self, cache: CacheId, part: PartId, now: Duration) {
+    /// A prompt with the shared parts `shared` was read there into `cache` at
+    /// `now`.
+    pub fn hold(&self, cache: CacheId, shared: &[Part], now: Duration) {
         let span = self.held_span();
         let mut held = self.held.borrow_mut();
         if held.len() >= HELD_PARTS {
             held.retain(|_, at| now < *at + span);
         }
-        held.insert((cache, part), now);
+        held.extend(shared.iter().map(|part| ((cache, part.id), now)));
     }
 
     fn held_span(&self) -> Duration {
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use marjoram_core::catalog::EngineSpec;
-use marjoram_core::exchange::{Part, PartId, Prompt};
+use marjoram_core::exchange::{Part, Prompt};
 use marjoram_core::health::SILENCE;
 use marjoram_core::holdings::{CacheId, LARGE};
 use marjoram_core::host::DataCentre;
@@ -59,8 +59,8 @@
     pub fetch: Option<SocketAddr>,
     /// Where shared parts are sent to once they are read.
     pub save: Option<SocketAddr>,
-    /// The first shared part, and the cache it is kept in there.
-    pub part: Option<(CacheId, PartId)>,
+    /// The cache that its shared parts are kept in there.
+    pub cache: CacheId,
 }
 
 /// Where shared parts can be copied from.
@@ -196,7 +196,7 @@
                 begin: Duration::MAX,
                 fetch: None,
                 save: None,
-                part: None,
+                cache: CacheId::new(""),
             }),
             _ => Err(self.give_up("too much waits")),
         }
@@ -212,7 +212,7 @@
         let bound = self.weights_bound(&prompt.model);
         let weights = |u: &Upstream| u.weights(&prompt.model).unwrap_or_default();
         let allowed: Vec<&Rc<Upstream>> = all.iter().filter(|u| bound.allows(weights(u))).collect();
-        let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
+        let shared = prompt.shared_parts();
         let keepers = self.keepers(prompt, shared, spec);
         let views = self.views(prompt, shared, spec, &allowed, &keepers, &bound);
         let need = Need {
@@ -234,9 +234,9 @@
         let keeper = best_keeper(&keepers, weights, &upstream.life, &upstream.entry.borrow().dc);
         let fetch = keeper.filter(|_| choice.copies && large).map(|k| k.addr);
         let kept = keepers.iter().any(|k| k.life.is_none() && k.weights == weights);
-        let first = shared.first().map_or(0, |p| p.id.0);
         let store = self.catalog.cache_stores().filter(|_| large && !kept);
-        let store = store.max_by_key(|s| place::rank(first, self.site.stores.at(s.addr).key));
+        let store =
+            store.max_by_key(|s| place::rank(prompt.chain(), self.site.stores.at(s.addr).key));
         Ok(Chosen {
             weights: upstream.weights(&prompt.model),
             begin: bound.begin(weights),
@@ -245,7 +245,7 @@
             wait: millis(choice.wait),
             fetch,
             save: store.map(|s| s.addr),
-            part: shared.first().map(|p| (self.cache(weights), p.id)),
+            cache: self.cache(weights),
         })
     }
 
@@ -271,7 +271,7 @@
     ) -> Vec<Candidate> {
         let now = self.site.now();
         let here = &self.site.settings.load().dc;
-        let part = shared.first().map(|p| p.id.0).unwrap_or_default();
+        let chain = prompt.chain();
         let places: Vec<u64> = engines.iter().map(|u| u.place).collect();
         let lanes = place::lane(&places, SMALL_SHARE, prompt.input >= place::LARGE);
         let request = xxh3_64(self.id().as_bytes());
@@ -281,7 +281,7 @@
             let weights = u.weights(&prompt.model).unwrap_or_default();
             let keeper = best_keeper(keepers, weights, &u.life, &entry.dc);
             Candidate {
-                rank: place::rank(part, u.place),
+                rank: place::rank(chain, u.place),
                 unread: load.unread,
                 running: load.running,
                 slots: entry.slots,
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use marjoram_core::exchange::Envelope;
+use marjoram_core::exchange::{Envelope, Part};
 use marjoram_core::holdings::CacheId;
 use marjoram_platform::headers;
 
@@ -82,7 +82,7 @@
         let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
-            part = chosen.part.map(|(_, part)| part.0), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
+            chain = prompt.map(|p| p.chain()), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
             salt = envelope.salt, fetch = envelope.fetch, unread = chosen.unread, ahead,
             running = upstream.load().running, wait_ms = chosen.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
@@ -136,7 +136,8 @@
                 if let (Some(version), Some(prompt)) = (opened.mark.weights, prompt) {
                     upstream.serves(&prompt.model, version);
                 }
-                note_read(&mut flight, chosen, ahead, begun, now);
+                let shared = prompt.map(|p| p.shared_parts()).unwrap_or_default();
+                note_read(&mut flight, chosen, shared, ahead, begun, now);
                 self.answered(opened, flight).await
             }
         }
@@ -226,11 +227,16 @@
 }
 
 /// Notes that a prompt sent at `begun` was read by `now`.
-fn note_read(flight: &mut Flight, chosen: &Chosen, ahead: u64, begun: Duration, now: Duration) {
+fn note_read(
+    flight: &mut Flight,
+    chosen: &Chosen,
+    shared: &[Part],
+    ahead: u64,
+    begun: Duration,
+    now: Duration,
+) {
     flight.read();
-    if let Some((cache, part)) = chosen.part {
-        chosen.upstream.hold(cache, part, now);
-    }
+    chosen.upstream.hold(chosen.cache, shared, now);
     // Only prompts read alone tell the pace: others' are not known exactly.
     if chosen.unread >= PACE_SAMPLE && ahead == chosen.unread {
         chosen.upstream.health.borrow_mut().read(ahead, now - begun);
