--- a/crates/core/src/holdings.rs
+++ b/crates/core/src/holdings.rs
@@ -21,7 +21,7 @@
 
 /// Tokens by which a kept part may be shorter than the part: memory goes by
 /// blocks, the last of which is not kept unless it is full.
-const BLOCK_SLACK: u64 = 16;
+pub const BLOCK_SLACK: u64 = 16;
 
 /// Name of a cache, hashed: parts are found only under the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -71,6 +71,10 @@
 /// Fixed milliseconds of a copy between engines.
 const COPY_MS: f64 = 6.0;
 
+/// Part of the target time by which a copy may take longer than reading: it
+/// takes nothing of the engine's pace, which all that run there share.
+const COPY_PATIENCE: f64 = 0.02;
+
 /// Milliseconds added by each request that runs beside it.
 const RUNNING_MS: f64 = 1.0;
 
@@ -359,7 +363,7 @@
     let missing = need.shared.saturating_sub(c.held);
     let copied = c.copy.map_or(0, |copy| copy.held.saturating_sub(c.held).min(missing));
     let copy_ms = c.copy.map_or(0.0, |copy| copied as f64 * copy.token_ms + COPY_MS);
-    let copies = copied > 0 && copy_ms < copied as f64 / pace;
+    let copies = copied > 0 && copy_ms < copied as f64 / pace + COPY_PATIENCE * need.target;
     let read = if copies { missing - copied } else { missing };
     let shared_ms = read as f64 / pace + if copies { copy_ms } else { 0.0 };
     // Nobody keeps what cannot be copied: it is read for the first time, and
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -8,7 +8,7 @@
 use marjoram_core::catalog::EngineSpec;
 use marjoram_core::exchange::{Part, Prompt};
 use marjoram_core::health::SILENCE;
-use marjoram_core::holdings::{CacheId, LARGE};
+use marjoram_core::holdings::{BLOCK_SLACK, CacheId};
 use marjoram_core::host::DataCentre;
 use marjoram_core::place::{self, Candidate, Copying, Need, WeightsAge};
 use marjoram_core::plain::{self, Plain};
@@ -230,11 +230,11 @@
         }
         let upstream = allowed[choice.engine].clone();
         let weights = weights(&upstream);
-        let large = need.shared >= LARGE;
         let keeper = best_keeper(&keepers, weights, &upstream.life, &upstream.entry.borrow().dc);
-        let fetch = keeper.filter(|_| choice.copies && large).map(|k| k.addr);
-        let kept = keepers.iter().any(|k| k.life.is_none() && k.weights == weights);
-        let store = self.catalog.cache_stores().filter(|_| large && !kept);
+        let fetch = keeper.filter(|_| choice.copies).map(|k| k.addr);
+        let stored = |k: &Keeper| k.life.is_none() && k.weights == weights;
+        let kept = keepers.iter().any(|k| stored(k) && k.held + BLOCK_SLACK >= need.shared);
+        let store = self.catalog.cache_stores().filter(|_| need.shared > 0 && !kept);
         let store =
             store.max_by_key(|s| place::rank(prompt.chain(), self.site.stores.at(s.addr).key));
         Ok(Chosen {
@@ -301,10 +301,10 @@
         engines.iter().zip(lanes).zip(drawn).map(view).collect()
     }
 
-    /// Where large shared parts of the prompt can be copied from.
+    /// Where shared parts of the prompt can be copied from.
     fn keepers(&self, prompt: &Prompt, shared: &[Part], spec: &EngineSpec) -> Vec<Keeper> {
         let tokens: u64 = shared.iter().map(|p| p.tokens).sum();
-        if tokens < LARGE {
+        if tokens == 0 {
             return Vec::new();
         }
         let now = self.site.now();
@@ -318,7 +318,7 @@
                 versions.push(weights);
             }
             let held = engine.held(self.cache(weights), shared, now);
-            if held >= tokens / 2 && !engine.is_closed(now) {
+            if held > 0 && !engine.is_closed(now) {
                 let (life, entry) = (Some(engine.life.clone()), engine.entry.borrow());
                 let (addr, dc) = (entry.addr, entry.dc.clone());
                 keepers.push(Keeper { life, addr, dc, weights, held, token_ms });
@@ -329,7 +329,7 @@
             let token_ms = STORE_FACTOR * copy_ms(spec.token_bytes, store.link_mbps);
             for &weights in &versions {
                 let held = known.kept.borrow().held(self.cache(weights), shared);
-                if held >= tokens / 2 {
+                if held > 0 {
                     let (addr, dc) = (store.addr, store.dc.clone());
                     keepers.push(Keeper { life: None, addr, dc, weights, held, token_ms });
                 }
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -83,7 +83,8 @@
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
             chain = prompt.map(|p| p.chain()), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
-            salt = envelope.salt, fetch = envelope.fetch, unread = chosen.unread, ahead,
+            salt = envelope.salt, fetch = envelope.fetch, save = envelope.save,
+            input = prompt.map(|p| p.input), unread = chosen.unread, ahead,
             running = upstream.load().running, wait_ms = chosen.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
