--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -234,7 +234,7 @@
         let fetch = keeper.filter(|_| choice.copies).map(|k| k.addr);
         let stored = |k: &Keeper| k.life.is_none() && k.weights == weights;
         let kept = keepers.iter().any(|k| stored(k) && k.held + BLOCK_SLACK >= need.shared);
-        let store = self.catalog.cache_stores().filter(|_| need.shared > 0 && !kept);
+        let store = self.catalog.cache_stores().filter(|_| need.shared * 2 >= need.input && !kept);
         let store =
             store.max_by_key(|s| place::rank(prompt.chain(), self.site.stores.at(s.addr).key));
         Ok(Chosen {
@@ -318,7 +318,7 @@
                 versions.push(weights);
             }
             let held = engine.held(self.cache(weights), shared, now);
-            if held > 0 && !engine.is_closed(now) {
+            if held > 0 {
                 let (life, entry) = (Some(engine.life.clone()), engine.entry.borrow());
                 let (addr, dc) = (entry.addr, entry.dc.clone());
                 keepers.push(Keeper { life, addr, dc, weights, held, token_ms });
