An engine that refuses for its weights is asked which it serves

Cause: a refusal for other weights does not say which the engine serves. Each host then guessed the newest and kept the guess, since versions only rise.

Ruled out: the guess without memory (each request pays a refusal); waiting for the registry (up to two seconds, and its statement lags behind answers).

Change: the host asks the engine for its report, once for all its requests, goes on with what that says, and asks again when the report can no longer be of before the refusal. What an engine says itself also lowers the belief.

--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -141,6 +141,21 @@
     }
 }
 
+/// The version that an engine is taken to serve after it refused a request
+/// meant for version `asked`, where it then `reported` one, and `newest` is
+/// named. A report that tells of what it has just refused is an old one: most
+/// likely it has changed to the newest since.
+///
+/// ```
+/// use marjoram_core::rollout::after_refusal;
+/// assert_eq!(after_refusal(2, Some(3), Some(4)), 3);
+/// assert_eq!(after_refusal(2, Some(2), Some(4)), 4);
+/// assert_eq!(after_refusal(2, None, None), 2);
+/// ```
+pub fn after_refusal(asked: u64, reported: Option<u64>, newest: Option<u64>) -> u64 {
+    reported.filter(|reported| *reported != asked).or(newest).unwrap_or(asked)
+}
+
 /// One engine, as far as its weights are concerned.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod pool;
 mod relay;
+mod reports;
 mod request;
 mod run;
 mod site;
--- a/crates/router/src/proxy/duty/change.rs
+++ b/crates/router/src/proxy/duty/change.rs
@@ -11,11 +11,9 @@
 use super::Duty;
 use crate::proxy::fleet::Upstream;
 use crate::proxy::peers::{self, Notice};
+use crate::proxy::reports::{self, ANSWER};
 use crate::proxy::storeclient::Caller;
 
-/// Time for an engine's answer: it takes a few milliseconds.
-const ENGINE_ANSWER: Duration = Duration::from_millis(300);
-
 /// Time between the announcement that an engine closes and its order: what
 /// was sent there before has begun by then. The engine refuses what has not.
 const ORDER_DELAY: Duration = Duration::from_millis(120);
@@ -91,7 +89,7 @@
     let count = duty.known.borrow().get(&upstream.life).and_then(|k| k.orders);
     let orders = match count {
         Some(orders) => orders,
-        None => match report(&mut caller, upstream).await {
+        None => match reports::ask(&mut caller, upstream).await {
             Ok(report) if serves(&report, weights) => return End::Changed,
             Ok(report) => report.orders,
             Err(why) => return End::Failed(why),
@@ -106,7 +104,7 @@
         orders,
     };
     let headers = [(UPSTREAM_HEADER, upstream.life.id.0.as_str())];
-    let reply = caller.call(&Call::from(&order), &headers, ENGINE_ANSWER).await;
+    let reply = caller.call(&Call::from(&order), &headers, ANSWER).await;
     tracing::info!(target: "weights", upstream = %upstream.life, version = weights.version, token, orders,
         outcome = ?reply.as_ref().map(|r| r.status).map_err(|e| e.to_string()), "order sent");
     match reply.as_ref().map(|r| Ordered::from(r.status)) {
@@ -159,7 +157,7 @@
             announced = now;
             announce(duty, upstream, weights, Some(CLOSED));
         }
-        match report(caller, upstream).await {
+        match reports::ask(caller, upstream).await {
             Ok(report) if serves(&report, weights) => return End::Changed,
             Ok(report) if report.busy => idle = 0,
             Ok(_) if !accepted && idle >= 1 => return End::Failed("not accepted".into()),
@@ -176,18 +174,3 @@
 fn serves(report: &engine::Report, weights: &Weights) -> bool {
     report.weights.iter().any(|w| w.model == weights.model && w.version >= weights.version)
 }
-
-async fn report(caller: &mut Caller, upstream: &Upstream) -> Result<engine::Report, String> {
-    let headers = [(UPSTREAM_HEADER, upstream.life.id.0.as_str())];
-    match caller.call(&engine::report(), &headers, ENGINE_ANSWER).await {
-        Ok(reply) if reply.status == 200 => {
-            let report = engine::parse_report(&reply.body).map_err(|e| e.to_string())?;
-            match report.born.agrees(upstream.life.born) {
-                true => Ok(report),
-                false => Err(format!("report of another life, born {}", report.born)),
-            }
-        }
-        Ok(reply) => Err(format!("report: status {}", reply.status)),
-        Err(error) => Err(error.to_string()),
-    }
-}
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -76,6 +76,8 @@
     pub kept: RefCell<Holdings>,
     /// Its events are being read.
     pub followed: Cell<bool>,
+    /// It is being asked which weights it serves.
+    pub asking: Cell<bool>,
     held: RefCell<HashMap<(CacheId, PartId), Duration>>,
 }
 
@@ -94,6 +96,7 @@
             doubted: Cell::default(),
             kept: RefCell::default(),
             followed: Cell::default(),
+            asking: Cell::default(),
             held: RefCell::default(),
         }
     }
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -13,6 +13,7 @@
 use crate::proxy::attempt::{self, Failure, Opened};
 use crate::proxy::fleet::Flight;
 use crate::proxy::http1::RequestWriter;
+use crate::proxy::reports;
 
 /// How long an upstream that refuses a request is left alone.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(120);
@@ -126,7 +127,7 @@
             }
             Ok(opened) if opened.mark.not_run => {
                 self.ran = ran_before;
-                self.refused(opened, now).await
+                self.refused(opened, chosen.weights, now).await
             }
             Ok(opened) => {
                 upstream.health.borrow_mut().alive(now);
@@ -156,10 +157,11 @@
         expected.min(self.left())
     }
 
-    /// An upstream refused the request without running it.
-    async fn refused(&mut self, opened: Opened, now: Duration) -> Sent {
+    /// An upstream refused the request, meant for the version `asked` of its
+    /// weights, without running it.
+    async fn refused(&mut self, opened: Opened, asked: Option<u64>, now: Duration) -> Sent {
         let upstream = opened.upstream.clone();
-        let status = opened.head.status;
+        let (status, told) = (opened.head.status, opened.mark.weights);
         let other = opened.mark.upstream.as_ref().is_some_and(|id| *id != upstream.life.id);
         self.site.counters.count("upstream.refused");
         tracing::info!(target: "attempt", id = self.id(), upstream = %upstream.life, status,
@@ -171,17 +173,15 @@
                 Sent::Nothing
             }
             421 => {
-                let model = self.request.asked.prompt.as_ref().map(|p| p.model.clone());
-                let before = model.as_deref().and_then(|m| upstream.weights(m));
-                let named = self.site.named.borrow();
-                let newest = model.as_deref().and_then(|m| named.get(m)?.newest());
-                let now_at = opened.mark.weights.or(newest);
                 opened.finish(now);
-                match (model, now_at) {
-                    (Some(model), Some(version)) if before != Some(version) => {
-                        upstream.states(&model, version);
-                        Sent::OtherWeights
-                    }
+                let prompt = self.request.asked.prompt.as_ref();
+                let (Some(prompt), Some(asked)) = (prompt, asked) else { return Sent::Nothing };
+                match told {
+                    Some(version) => upstream.states(&prompt.model, version),
+                    None => reports::refused(&self.site, &upstream, &prompt.model, asked).await,
+                }
+                match upstream.weights(&prompt.model) {
+                    Some(version) if version != asked => Sent::OtherWeights,
                     _ => Sent::Nothing,
                 }
             }
