Streams put back are waited for; mechanisms can be switched off to be measured

After 1.2 s of silence the host left it and wanted to go on elsewhere; the route's two sends were used up, or the repeat budget was, so the caller's connection was reset in the middle of the answer. Before the first byte the same way led to an early 502.

Ruled out: trying elsewhere before the first engine is left: both would then work on one request for more than is allowed.

Change: the upstream of a silent stream is asked whether it is there, and only left if it does not answer; a silent send is left only if there is another upstream and room in the budget.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -68,16 +68,32 @@
     /// Whether a request may be sent once more at `now`, with `hosts` up;
     /// if so it is counted.
     pub fn repeat(&mut self, now: Duration, hosts: usize) -> bool {
+        let may = self.has_room(now, hosts);
+        if may {
+            self.slot(now).repeats += 1;
+        }
+        may
+    }
+
+    /// Whether a request might be sent once more at `now`, with `hosts` up.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use marjoram_core::budget::{Allowance, Budget};
+    /// let allowance = Allowance { ratio: 0.0, slack: 2.0, window: Duration::from_secs(10) };
+    /// let mut budget = Budget::new(allowance);
+    /// let now = Duration::from_secs(100);
+    /// assert!(budget.has_room(now, 1) && budget.has_room(now, 1));
+    /// assert!(budget.repeat(now, 1));
+    /// assert!(!budget.has_room(now, 1));
+    /// ```
+    pub fn has_room(&mut self, now: Duration, hosts: usize) -> bool {
         self.slot(now);
         let requests: u32 = self.slots.iter().map(|s| s.requests).sum();
         let repeats: u32 = self.slots.iter().map(|s| s.repeats).sum();
         let share = self.allowance.slack / hosts.max(1) as f64;
         let allowed = MARGIN * (self.allowance.ratio * f64::from(requests) + share);
-        let may = f64::from(repeats + 1) <= allowed + 1e-9;
-        if may {
-            self.slot(now).repeats += 1;
-        }
-        may
+        f64::from(repeats + 1) <= allowed + 1e-9
     }
 
     fn slot(&mut self, now: Duration) -> &mut Slot {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 //! - [`tenure`]: one host's tenure of a duty that the store deals.
 //! - [`soundness`]: how long the platform's store has been sound.
 //! - [`stop`]: which requests are still taken while a process stops.
+//! - [`switches`]: which mechanisms of the decisions are in use.
 //! - [`events`]: cutting a stream into whole events.
 
 pub mod admission;
@@ -60,6 +61,7 @@
 pub mod rollout;
 pub mod soundness;
 pub mod stop;
+pub mod switches;
 pub mod tenure;
 pub mod upstream;
 pub mod wire;
--- a/crates/router/src/proxy/cachefeed.rs
+++ b/crates/router/src/proxy/cachefeed.rs
@@ -12,6 +12,7 @@
 use marjoram_core::catalog::Role;
 use marjoram_core::holdings::{Holdings, Page};
 use marjoram_core::news::News;
+use marjoram_core::switches::Mechanism;
 use marjoram_platform::engine::{self, EVENTS_WAIT_MS, WAIT_HEADER};
 
 use super::fleet::Upstream;
@@ -65,7 +66,7 @@
 pub async fn run(site: Rc<Site>) {
     loop {
         tokio::time::sleep(LOOK).await;
-        let Some(catalog) = site.catalog() else { continue };
+        let Some(catalog) = site.catalog().filter(|_| site.has(Mechanism::News)) else { continue };
         let services = catalog.services.values();
         let engines = services.filter_map(|s| match &s.role {
             Role::Engine(spec) => Some((s.name.clone(), spec.listeners as usize)),
--- a/crates/router/src/proxy/options.rs
+++ b/crates/router/src/proxy/options.rs
@@ -5,6 +5,7 @@
 
 use getopts::{Matches, Options};
 use marjoram_core::policy::PolicyName;
+use marjoram_core::switches::Switches;
 use marjoram_platform::settings;
 
 use crate::error::Error;
@@ -21,6 +22,8 @@
     pub metrics_port: u16,
     /// How engines are chosen.
     pub policy: PolicyName,
+    /// What is switched off to measure its worth.
+    pub without: Switches,
 }
 
 /// What the command line asks for.
@@ -45,6 +48,12 @@
         "how engines are chosen: prefix-aware, maglev, least-load or round-robin [prefix-aware]",
         "NAME",
     );
+    opts.optopt(
+        "",
+        "without",
+        "mechanisms switched off, to measure what they are worth (see docs/DECISIONS.md) [none]",
+        "NAME,...",
+    );
     let m = opts.parse(args).map_err(|e| Error::Usage(e.to_string()))?;
     if m.opt_present("help") {
         return Ok(Parsed::Help(opts.usage("Usage: marjoram proxy [OPTIONS]")));
@@ -53,6 +62,7 @@
         settings: m.opt_str("settings").unwrap_or(path),
         metrics_port: option(&m, "metrics-port", METRICS_PORT)?,
         policy: option(&m, "policy", PolicyName::PrefixAware)?,
+        without: option(&m, "without", Switches::default())?,
     }))
 }
 
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -22,6 +22,7 @@
 
 use marjoram_core::host::HostSettings;
 use marjoram_core::place;
+use marjoram_core::switches::Mechanism;
 use marjoram_core::tenure::Stance;
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
@@ -320,7 +321,10 @@
 }
 
 fn share_loads(site: &Site) {
-    let sums = site.peers.loads();
+    let sums = match site.has(Mechanism::Loads) {
+        true => site.peers.loads(),
+        false => HashMap::new(),
+    };
     for upstream in site.fleet.all() {
         upstream.others.set(sums.get(&upstream.key).copied().unwrap_or_default());
     }
@@ -337,7 +341,8 @@
         let config = bincode::config::standard();
         match bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config) {
             Ok((Message::Hello(hello), _)) => {
-                let doubts = |u: &Rc<Upstream>| hello.doubts.contains(&u.key);
+                let told = site.has(Mechanism::Doubts);
+                let doubts = |u: &Rc<Upstream>| told && hello.doubts.contains(&u.key);
                 site.fleet
                     .all()
                     .iter()
--- a/crates/router/src/proxy/relay.rs
+++ b/crates/router/src/proxy/relay.rs
@@ -9,11 +9,15 @@
 use super::conn::Conn;
 use super::fleet::Flight;
 use super::http1::{LAST_CHUNK, ResponseWriter, write_chunk};
+use super::reports;
 use super::request::{Answer, Exchange, Refusal};
 use super::site::Site;
 
-/// Silence inside a stream after which it is taken up elsewhere, where that
-/// is allowed. Callers give up after two seconds.
+/// Silence inside a stream after which its upstream is asked whether it is
+/// there; the stream is taken up elsewhere only if it is not. An engine that
+/// lacks memory puts back a stream for seconds, and one that was left for that
+/// had nobody else to go on with it twice in ten days of 60 engines. Callers
+/// give up after two seconds.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Bytes of a caller's next request that are read ahead of their turn.
@@ -250,6 +254,7 @@
         };
         match data {
             Err(_) if self.site.now() >= self.exchange.expires => return Step::Expired,
+            Err(_) if reports::answers(&opened.upstream).await => return Step::Go,
             Err(_) => return Step::Broken(Failure::Silent(silence)),
             Ok(Err(failure)) => return Step::Broken(failure),
             Ok(Ok(None)) => return Step::Ended,
--- a/crates/router/src/proxy/reports.rs
+++ b/crates/router/src/proxy/reports.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use marjoram_core::rollout;
+use marjoram_core::switches::Mechanism;
 use marjoram_platform::engine::{self, Report, UPSTREAM_HEADER};
 
 use super::fleet::Upstream;
@@ -44,12 +45,19 @@
     if upstream.asking.replace(true) {
         return;
     }
-    let reported = served(upstream, model).await;
+    let reported = match site.has(Mechanism::Reports) {
+        true => served(upstream, model).await,
+        false => None,
+    };
     let newest = site.named.borrow().get(model).and_then(|n| n.newest());
     let version = rollout::after_refusal(asked, reported, newest);
     tracing::info!(target: "weights", upstream = %upstream.life, asked, reported, version,
         "refused for its weights");
     upstream.states(model, version);
+    if !site.has(Mechanism::Reports) {
+        upstream.asking.set(false);
+        return;
+    }
     let (upstream, model, site) = (upstream.clone(), model.to_string(), site.clone());
     ntex::rt::spawn(async move {
         tokio::time::sleep(LAG).await;
@@ -61,6 +69,14 @@
     });
 }
 
+/// Whether `upstream` still answers when it is asked. One whose stream is
+/// silent may have put that back behind others.
+pub async fn answers(upstream: &Upstream) -> bool {
+    let addr = upstream.entry.borrow().addr;
+    let headers = [(UPSTREAM_HEADER, upstream.life.id.0.as_str())];
+    Caller::new(addr).call(&engine::report(), &headers, ANSWER).await.is_ok()
+}
+
 /// The version of `model` that `upstream` reports.
 async fn served(upstream: &Upstream, model: &str) -> Option<u64> {
     let addr = upstream.entry.borrow().addr;
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -12,6 +12,7 @@
 use marjoram_core::catalog::{Catalog, Kind, Route, Workspace};
 use marjoram_core::exchange::Asked;
 use marjoram_core::place;
+use marjoram_core::switches::Mechanism;
 use marjoram_core::upstream::Life;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -257,7 +258,10 @@
         let held = self.site.now().saturating_sub(self.request.started);
         let limit = self.expires.saturating_sub(self.request.started);
         let prompt = self.request.asked.prompt.as_ref();
-        prompt.is_some_and(|p| place::waits(p.input, chosen.upstream.load().unread, held, limit))
+        let waits = self.site.has(Mechanism::Waiting);
+        waits
+            && prompt
+                .is_some_and(|p| place::waits(p.input, chosen.upstream.load().unread, held, limit))
     }
 
     fn give_up(&self, why: &'static str) -> Refusal {
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::catalog::EngineSpec;
+use marjoram_core::catalog::{CacheStore, EngineSpec};
 use marjoram_core::exchange::{Part, Prompt};
 use marjoram_core::health::SILENCE;
 use marjoram_core::holdings::{BLOCK_SLACK, CacheId};
@@ -14,6 +14,7 @@
 use marjoram_core::plain::{self, Plain};
 use marjoram_core::rollout::Named;
 use marjoram_core::soundness::Soundness;
+use marjoram_core::switches::Mechanism;
 use marjoram_core::upstream::Life;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -150,7 +151,7 @@
 
     /// Upstreams that may get the request; those in doubt only if all are,
     /// since the doubt then says little.
-    fn candidates(&self) -> Vec<Rc<Upstream>> {
+    pub(super) fn candidates(&self) -> Vec<Rc<Upstream>> {
         let now = self.site.now();
         let share = self.connection_share();
         let open = |u: &Rc<Upstream>| {
@@ -234,7 +235,7 @@
         let fetch = keeper.filter(|_| choice.copies).map(|k| k.addr);
         let stored = |k: &Keeper| k.life.is_none() && k.weights == weights;
         let kept = keepers.iter().any(|k| stored(k) && k.held + BLOCK_SLACK >= need.shared);
-        let store = self.catalog.cache_stores().filter(|_| need.shared * 2 >= need.input && !kept);
+        let store = self.stores().filter(|_| need.shared * 2 >= need.input && !kept);
         let store =
             store.max_by_key(|s| place::rank(prompt.chain(), self.site.stores.at(s.addr).key));
         Ok(Chosen {
@@ -271,11 +272,14 @@
     ) -> Vec<Candidate> {
         let now = self.site.now();
         let here = &self.site.settings.load().dc;
-        let chain = prompt.chain();
-        let places: Vec<u64> = engines.iter().map(|u| u.place).collect();
-        let lanes = place::lane(&places, SMALL_SHARE, prompt.input >= place::LARGE);
+        let has = |mechanism| self.site.has(mechanism);
         let request = xxh3_64(self.id().as_bytes());
-        let drawn = place::draw(request, &places, &lanes, self.site.peers.count());
+        let chain = if has(Mechanism::Homes) { prompt.chain() } else { request };
+        let places: Vec<u64> = engines.iter().map(|u| u.place).collect();
+        let small_share = if has(Mechanism::Lanes) { SMALL_SHARE } else { 0.0 };
+        let lanes = place::lane(&places, small_share, prompt.input >= place::LARGE);
+        let hosts = if has(Mechanism::Drawing) { self.site.peers.count() } else { 1 };
+        let drawn = place::draw(request, &places, &lanes, hosts);
         let view = |((u, lane), drawn): ((&&Rc<Upstream>, bool), bool)| {
             let (load, health, entry) = (u.load(), u.health.borrow(), u.entry.borrow());
             let weights = u.weights(&prompt.model).unwrap_or_default();
@@ -301,10 +305,16 @@
         engines.iter().zip(lanes).zip(drawn).map(view).collect()
     }
 
+    /// The cache stores in use.
+    fn stores(&self) -> impl Iterator<Item = &CacheStore> {
+        let used = self.site.has(Mechanism::Stores);
+        self.catalog.cache_stores().filter(move |_| used)
+    }
+
     /// Where shared parts of the prompt can be copied from.
     fn keepers(&self, prompt: &Prompt, shared: &[Part], spec: &EngineSpec) -> Vec<Keeper> {
         let tokens: u64 = shared.iter().map(|p| p.tokens).sum();
-        if tokens == 0 {
+        if tokens == 0 || !self.site.has(Mechanism::Copies) {
             return Vec::new();
         }
         let now = self.site.now();
@@ -324,7 +334,7 @@
                 keepers.push(Keeper { life, addr, dc, weights, held, token_ms });
             }
         }
-        for store in self.catalog.cache_stores() {
+        for store in self.stores() {
             let known = self.site.stores.at(store.addr);
             let token_ms = STORE_FACTOR * copy_ms(spec.token_bytes, store.link_mbps);
             for &weights in &versions {
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -1,6 +1,7 @@
 //! One send of a request, and what its outcome means for the request and for
 //! what this host thinks of the upstream.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -99,10 +100,14 @@
         // this is dropped.
         let ran_before = std::mem::replace(&mut self.ran, true);
         let sent = attempt::send(&site, upstream, &method, id.as_deref(), &encoded);
-        let result = match tokio::time::timeout_at(deadline, sent).await {
-            Ok(result) => result,
-            Err(_) => Err(Failure::Silent(site.now() - begun)),
-        };
+        let mut sent = pin!(sent);
+        let mut result = tokio::time::timeout_at(deadline, &mut sent).await;
+        if result.is_err() && !self.has_elsewhere(chosen, site.now() - begun) {
+            // Nobody else could answer: this one still may.
+            let end = site.at(begun + chosen.begin.min(self.expires.saturating_sub(begun)));
+            result = tokio::time::timeout_at(end, &mut sent).await;
+        }
+        let result = result.unwrap_or_else(|_| Err(Failure::Silent(site.now() - begun)));
         let now = site.now();
         self.waited = now - begun;
         match result {
@@ -157,6 +162,14 @@
         expected.min(self.left())
     }
 
+    /// Whether a send that has been silent for `silent` may be given up for
+    /// another upstream: its weights are out of use, or there is one, and room
+    /// in the repeat budget.
+    fn has_elsewhere(&self, chosen: &Chosen, silent: Duration) -> bool {
+        let others = self.candidates().iter().any(|u| u.life != chosen.upstream.life);
+        silent >= chosen.begin || (others && self.site.might_repeat(&self.service))
+    }
+
     /// An upstream refused the request, meant for the version `asked` of its
     /// weights, without running it.
     async fn refused(&mut self, opened: Opened, asked: Option<u64>, now: Duration) -> Sent {
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -42,8 +42,9 @@
     let path = options.settings;
     let host = settings::load(&path).map_err(|e| Error::Settings(path.clone(), e.to_string()))?;
     tracing::info!(target: "run", host = host.name, dc = %host.dc, callers = %host.callers,
-        store = %host.store.addr, policy = %options.policy, first_start = host.first_start, "starting");
-    let site = Site::new(host, options.policy);
+        store = %host.store.addr, policy = %options.policy, without = %options.without,
+        first_start = host.first_start, "starting");
+    let site = Site::new(host, options.policy, options.without);
     let listening = site.settings.load_full();
     let callers_listener = listen(listening.callers)?;
     let mut questions = Vec::new();
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -15,6 +15,7 @@
 use marjoram_core::rollout::Named;
 use marjoram_core::soundness::Soundness;
 use marjoram_core::stop::Stop;
+use marjoram_core::switches::{Mechanism, Switches};
 use marjoram_core::tenure::Stance;
 use marjoram_core::upstream::Registry;
 use tokio::sync::Notify;
@@ -31,6 +32,8 @@
     pub settings: ArcSwap<HostSettings>,
     /// How engines are chosen.
     pub policy: PolicyName,
+    /// Which mechanisms of the decisions are in use.
+    pub switches: Switches,
     /// Counts choices, for policies that take turns.
     pub turn: Cell<u64>,
     /// The configuration in force.
@@ -73,11 +76,12 @@
 
 impl Site {
     /// State for `settings`, before anything is known.
-    pub fn new(settings: HostSettings, policy: PolicyName) -> Rc<Self> {
+    pub fn new(settings: HostSettings, policy: PolicyName, switches: Switches) -> Rc<Self> {
         let peers = Peers::new(&settings);
         Rc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             policy,
+            switches,
             turn: Cell::default(),
             catalog: ArcSwapOption::empty(),
             registry: RefCell::default(),
@@ -101,6 +105,11 @@
         })
     }
 
+    /// Whether `mechanism` is in use.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        self.switches.has(mechanism)
+    }
+
     /// Time since the process started, on the steady clock.
     pub fn now(&self) -> Duration {
         self.start.elapsed()
@@ -138,6 +147,12 @@
         self.with_budget(service, |budget| budget.repeat(now, hosts))
     }
 
+    /// Whether a request for `service` might be sent once more.
+    pub fn might_repeat(&self, service: &str) -> bool {
+        let (now, hosts) = (self.now(), self.peers.count());
+        self.with_budget(service, |budget| budget.has_room(now, hosts))
+    }
+
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         if !budgets.contains_key(service) {
