--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -30,6 +30,7 @@
 
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::holdings;
 use crate::policy::PolicyName;
 
 /// Worth of an answer on replaced weights, and on ones that ought to be out
@@ -335,18 +336,13 @@
     let homes = homes(candidates);
     let judged = candidates.iter().enumerate().filter_map(|(index, c)| {
         let home = homes.iter().any(|(_, home)| *home == index);
-        let sought = need.shared > 0 && (home || c.held > 0);
+        let sought = need.shared >= holdings::LARGE && (home || c.held > 0);
         (c.drawn || sought).then(|| judge(need, c, index, home))
     });
     judged.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
 }
 
-/// The engine that is home to the prompt's chain among those on `weights`.
-pub fn home(candidates: &[Candidate], weights: u64) -> Option<usize> {
-    homes(candidates).into_iter().find(|(version, _)| *version == weights).map(|(_, home)| home)
-}
-
-/// For each version of the weights, the engine that is home to the chain: one
+/// For each version of the weights, the engine that is home to the part: one
 /// in the lane of the prompt. There are few versions at a time.
 fn homes(candidates: &[Candidate]) -> Vec<(u64, usize)> {
     let mut homes: Vec<(u64, usize)> = Vec::new();
--- a/crates/core/tests/chains.rs
+++ b/crates/core/tests/chains.rs
@@ -4,7 +4,7 @@
 
 use marjoram_core::exchange::{Part, PartId, Prompt};
 use marjoram_core::holdings::{CacheId, Event, Holdings, Page};
-use marjoram_core::place::{self, Candidate, Need, WeightsAge};
+use marjoram_core::place;
 
 const ENGINES: u64 = 12;
 const ROOTS: u64 = 3;
@@ -46,40 +46,3 @@
     assert_eq!(holdings.held_or(cache, one.shared_parts(), read), 5_382);
     assert_eq!(holdings.held_or(cache, other.shared_parts(), read), 512);
 }
-
-#[test]
-fn small_prompts_are_compared_over_their_home_too_where_few_engines_are_drawn() {
-    let engines = 60u64;
-    let places: Vec<u64> = (0..engines).map(|engine| engine * 7_919).collect();
-    let lanes = place::lane(&places, 0.3, false);
-    let mut home = 0;
-    for request in 0..200u64 {
-        let chain = request % 40;
-        let drawn = place::draw(request, &places, &lanes, 87);
-        let views: Vec<Candidate> = (0..places.len())
-            .map(|at| Candidate {
-                rank: place::rank(chain, places[at]),
-                unread: 0,
-                running: 0,
-                slots: 64,
-                memory: 0,
-                capacity: 155_599,
-                pace: 66.0,
-                // No host hears of parts of under 1,000 tokens at this size.
-                held: 0,
-                copy: None,
-                failures: 0.0,
-                far: false,
-                weights: 1,
-                age: WeightsAge::Good,
-                lane: lanes[at],
-                drawn: drawn[at],
-            })
-            .collect();
-        let need = Need { input: 2_368, shared: 568, output: 20, target: 500.0 };
-        let chosen = place::place(need, &views).unwrap().engine;
-        home += usize::from(Some(chosen) == place::home(&views, 1));
-    }
-    // Idle engines are all alike but for what their caches are likely to keep.
-    assert_eq!(home, 200);
-}
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -172,6 +172,11 @@
         self.closed.get().is_some_and(|until| now < until)
     }
 
+    /// Whether `entry` is a statement of this life in its service.
+    fn is_stated_by(&self, entry: &Entry) -> bool {
+        entry.life == self.life && entry.service == self.entry.borrow().service
+    }
+
     /// Whether its data centre is `dc`.
     pub fn is_in(&self, dc: &DataCentre) -> bool {
         self.entry.borrow().dc == *dc
@@ -253,12 +258,13 @@
 
 impl Fleet {
     /// Enters or renews an upstream. One that has started again takes the
-    /// place of its former life, of which nothing is kept.
+    /// place of its former life, of which nothing is kept; so does a statement
+    /// for another service, which may be of another writer.
     pub fn enter(&self, entry: &Entry) {
         let known = self.all.borrow().get(&entry.life.id).cloned();
         match known {
             Some(upstream) if entry.life.born < upstream.life.born => {}
-            Some(upstream) if entry.life == upstream.life => {
+            Some(upstream) if upstream.is_stated_by(entry) => {
                 {
                     let mut own = upstream.entry.borrow_mut();
                     own.leaving = entry.leaving;
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -232,14 +232,7 @@
         let upstream = allowed[choice.engine].clone();
         let weights = weights(&upstream);
         let keeper = best_keeper(&keepers, weights, &upstream.life, &upstream.entry.borrow().dc);
-        let known = keeper.filter(|_| choice.copies).map(|k| k.addr);
-        let lacks = choice.unread > need.input - need.shared;
-        let unknown = || {
-            let home = allowed[place::home(&views, weights)?];
-            let asked = lacks && !home.followed.get() && home.life != upstream.life;
-            asked.then(|| home.entry.borrow().addr)
-        };
-        let fetch = known.or_else(unknown);
+        let fetch = keeper.filter(|_| choice.copies).map(|k| k.addr);
         let stored = |k: &Keeper| k.life.is_none() && k.weights == weights;
         let kept = keepers.iter().any(|k| stored(k) && k.held + BLOCK_SLACK >= need.shared);
         let store = self.stores().filter(|_| need.shared * 2 >= need.input && !kept);
