--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -299,7 +299,7 @@
         doubts: all.iter().filter(|u| u.health.borrow().is_lost(now)).map(|u| u.key).collect(),
     };
     let Some(socket) = site.peers.socket.borrow().clone() else { return };
-    send(&socket, &Message::Hello(hello), &site.peers.targets(FANOUT));
+    send(&socket, &Message::Hello(Box::new(hello)), &site.peers.targets(FANOUT));
 }
 
 fn send(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
@@ -368,7 +368,7 @@
                 notices::take(&site, &hello.notices);
                 cachefeed::hear(&site, &hello.news);
                 warm::compare(&site, from, hello.config, hello.weights);
-                site.peers.hear(hello, site.now());
+                site.peers.hear(*hello, site.now());
             }
             Ok((Message::Notices(told), _)) => notices::take(&site, &told),
             Err(error) => tracing::warn!(target: "peers", %from, %error, "datagram not understood"),
--- a/crates/router/src/proxy/peers/message.rs
+++ b/crates/router/src/proxy/peers/message.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
     /// How the sender is.
-    Hello(Hello),
+    Hello(Box<Hello>),
     /// Engines close for a change of weights, or are open again.
     Notices(Vec<Notice>),
 }
--- a/crates/router/src/proxy/reports.rs
+++ b/crates/router/src/proxy/reports.rs
@@ -130,7 +130,8 @@
         upstream.closed.set(upstream.closed.get().max(Some(own)));
         tokio::time::sleep(pause).await;
         looks += 1;
-        match ask(&mut Caller::new(upstream.entry.borrow().addr), upstream).await {
+        let addr = upstream.entry.borrow().addr;
+        match ask(&mut Caller::new(addr), upstream).await {
             // The holder of the duty has told meanwhile.
             _ if upstream.closed.get().is_none() => break "told open",
             Ok(report) if report.busy && site.now() - begun < WATCHED => {
