Weights: trouble is the store's once a share of the hosts have met it

Cause, from the log of the one host that sent them (front-hall-oysterbay-41): a single read of the registry got no answer in 1.5 s at 7.9 s, the store being sound; the host took that for trouble of the store and began the bound on replaced weights anew, so that version 1, replaced at 2.2 s, was still in use at 12.0 s. Ruled out: a host that started lately and did not know the age (it started before the traffic).

Change: hosts tell each other when they last met trouble; it is the store's once a fifth of those heard met it within three seconds, two at least (core::soundness::agreed).

--- a/crates/core/src/soundness.rs
+++ b/crates/core/src/soundness.rs
@@ -7,6 +7,11 @@
 //! stretch that lasts now takes weights into use again whose bound had passed
 //! before the trouble.
 //!
+//! A host may also meet trouble that is its own: its link or its processor is
+//! loaded, one connection has fallen silent. Taken for the store's, that keeps
+//! replaced weights in use past their bound, at that host alone. So trouble is
+//! the store's once a share of the hosts have met it.
+//!
 //! Limits: a stretch ends with the last good answer before the trouble, so it
 //! is never taken to be longer than it was; short ones and old ones, which
 //! cannot reach a bound, are forgotten.
@@ -20,6 +25,35 @@
 /// Stretches remembered.
 const MOST: usize = 16;
 
+/// Share of the hosts that meet trouble of the store's: it may turn away a
+/// third of them and serve the others. Two of them at least, so that no host
+/// stands alone.
+const WITNESSES: f64 = 0.2;
+const FEWEST: usize = 2;
+
+/// Time within which these meet it: a host calls the store every second or so.
+const TOGETHER: Duration = Duration::from_secs(3);
+
+/// How long ago the store itself was last in trouble, where `met` says how long
+/// ago those of `hosts` hosts that met any last did.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::soundness::agreed;
+/// let secs = Duration::from_secs;
+/// // One host of nine says little, two make it the store's.
+/// assert_eq!(agreed([secs(0)], 9), None);
+/// assert_eq!(agreed([secs(0), secs(1)], 9), Some(secs(1)));
+/// assert_eq!(agreed([secs(0)], 1), Some(secs(0)));
+/// ```
+pub fn agreed(met: impl IntoIterator<Item = Duration>, hosts: usize) -> Option<Duration> {
+    let share = (hosts as f64 * WITNESSES).ceil() as usize;
+    let needed = share.max(FEWEST).min(hosts.max(1));
+    let mut met: Vec<Duration> = met.into_iter().filter(|age| *age <= TOGETHER).collect();
+    met.sort_unstable();
+    met.get(needed - 1).copied()
+}
+
 /// A stretch in which the store was sound.
 #[derive(Debug, Clone, Copy)]
 struct Stretch {
@@ -61,8 +95,11 @@
         self.good = now;
     }
 
-    /// The store failed a call, or was slow, at `now`.
+    /// The store was in trouble at `now`; an earlier moment is no news.
     pub fn trouble(&mut self, now: Duration) {
+        if self.troubled.is_some_and(|at| now <= at) {
+            return;
+        }
         let stretch = Stretch { begun: self.troubled, end: self.good };
         let length = self.good.saturating_sub(self.troubled.unwrap_or_default());
         if length >= SHORTEST {
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -172,7 +172,7 @@
                 if !std::mem::replace(&mut was_down, true) {
                     tracing::warn!(target: "duty", why, "group lost");
                 }
-                site.trouble();
+                site.meet_trouble();
                 caller = Caller::new(settings.store.addr);
                 tokio::time::sleep(JOIN_PAUSE).await;
                 continue;
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -99,7 +99,7 @@
                 let pause = S::pause(&site);
                 match site.now() - asked > SLOW {
                     _ if pause.is_none() => {}
-                    true => site.trouble(),
+                    true => site.meet_trouble(),
                     false => site.soundness.borrow_mut().good(site.now()),
                 }
                 sink.read(&site);
@@ -109,7 +109,7 @@
             }
             Err(why) => {
                 let pause = link.failed(&why);
-                site.trouble();
+                site.meet_trouble();
                 sink.read(&site);
                 tokio::time::sleep(pause).await;
                 caller = Caller::new(site.settings.load().store.addr);
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -74,6 +74,7 @@
     heard: Option<Duration>,
     open: bool,
     stance: Stance,
+    trouble: Option<Duration>,
     loads: Vec<(u64, Load)>,
 }
 
@@ -130,6 +131,7 @@
                     heard: None,
                     open: false,
                     stance: Stance::Idle,
+                    trouble: None,
                     loads: Vec::new(),
                 };
                 known.insert(name.to_string(), peer);
@@ -150,6 +152,15 @@
         others.map(|p| p.stance).collect()
     }
 
+    /// How long ago at `now` the other hosts last met trouble of the store, and
+    /// how many others are heard.
+    pub fn troubles(&self, now: Duration) -> (Vec<Duration>, usize) {
+        let (patience, known) = (self.patience(), self.known.borrow());
+        let heard = known.values().filter(|p| p.is_heard(now, patience));
+        let ages = heard.clone().filter_map(|p| p.trouble).map(|at| now.saturating_sub(at));
+        (ages.collect(), heard.count())
+    }
+
     /// Whether this host is among the first `count` by rank for `key` of all
     /// that have not been gone for long.
     pub fn ranks_within(&self, key: u64, count: usize) -> bool {
@@ -192,6 +203,7 @@
         peer.heard = Some(now);
         peer.open = hello.open;
         peer.stance = hello.stance;
+        peer.trouble = hello.trouble.map(|ms| now.saturating_sub(Duration::from_millis(ms)));
         peer.loads = hello.loads;
     }
 
@@ -273,6 +285,7 @@
     ntex::rt::spawn(listen(site.clone(), socket));
     loop {
         site.peers.now.set(site.now());
+        site.judge_store();
         greet(&site);
         share_loads(&site);
         tokio::time::sleep(PERIOD).await;
@@ -294,6 +307,7 @@
         news: site.news.borrow_mut().lately(span, now),
         stance: site.stance.get(),
         notices: site.notices.lately(span, now),
+        trouble: site.trouble.get().map(|at| now.saturating_sub(at).as_millis() as u64),
         config: site.catalog.load().as_ref().map_or(0, |c| c.version),
         weights: site.named.borrow().values().filter_map(|n| n.newest()).sum(),
         doubts: all.iter().filter(|u| u.health.borrow().is_lost(now)).map(|u| u.key).collect(),
--- a/crates/router/src/proxy/peers/message.rs
+++ b/crates/router/src/proxy/peers/message.rs
@@ -51,6 +51,8 @@
     pub news: Vec<News>,
     /// How it stands to the duty of ordering weights.
     pub stance: Stance,
+    /// Milliseconds since it last met trouble of the store.
+    pub trouble: Option<u64>,
     /// What it tells of engines that change their weights.
     pub notices: Vec<Notice>,
 }
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -13,7 +13,7 @@
 use marjoram_core::news::Digest;
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::Named;
-use marjoram_core::soundness::Soundness;
+use marjoram_core::soundness::{self, Soundness};
 use marjoram_core::stop::Stop;
 use marjoram_core::switches::{Mechanism, Switches};
 use marjoram_core::tenure::Stance;
@@ -59,7 +59,9 @@
     pub stopping: Cell<Option<Stop>>,
     /// The upstreams have been listed once.
     pub listed: Cell<bool>,
-    /// When the store has been sound.
+    /// When this host last met trouble of the store.
+    pub trouble: Cell<Option<Duration>>,
+    /// When the store has been sound, by what all hosts met.
     pub soundness: RefCell<Soundness>,
     /// Since when other hosts are known to know more.
     pub behind: Cell<Option<Duration>>,
@@ -97,6 +99,7 @@
             counters: Counters::new(),
             stopping: Cell::default(),
             listed: Cell::default(),
+            trouble: Cell::default(),
             soundness: RefCell::default(),
             behind: Cell::default(),
             stance: Cell::default(),
@@ -129,9 +132,20 @@
         self.stopping.get().is_none() && self.catalog.load().is_some() && self.listed.get()
     }
 
-    /// The store failed a call, or was slow.
-    pub fn trouble(&self) {
-        self.soundness.borrow_mut().trouble(self.now());
+    /// The store failed a call of this host, or was slow.
+    pub fn meet_trouble(&self) {
+        self.trouble.set(Some(self.now()));
+        self.judge_store();
+    }
+
+    /// Takes in what all hosts have met of the store.
+    pub fn judge_store(&self) {
+        let now = self.now();
+        let own = self.trouble.get().map(|at| now.saturating_sub(at));
+        let (others, hosts) = self.peers.troubles(now);
+        if let Some(age) = soundness::agreed(others.into_iter().chain(own), hosts + 1) {
+            self.soundness.borrow_mut().trouble(now.saturating_sub(age));
+        }
     }
 
     /// The configuration in force.
