--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -298,7 +298,7 @@
         }
         PolicyName::Maglev => open.into_iter().max_by_key(|&i| candidates[i].rank)?,
     };
-    let home = homes(candidates).iter().any(|(_, home)| *home == index);
+    let home = home(candidates, candidates[index].weights) == Some(index);
     Some(judge(need, &candidates[index], index, home).1)
 }
 
@@ -342,6 +342,11 @@
     judged.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
 }
 
+/// Which of `candidates` on `weights` is home to the prompt's chain.
+pub fn home(candidates: &[Candidate], weights: u64) -> Option<usize> {
+    homes(candidates).into_iter().find(|(version, _)| *version == weights).map(|(_, home)| home)
+}
+
 /// For each version of the weights, the engine that is home to the part: one
 /// in the lane of the prompt. There are few versions at a time.
 fn homes(candidates: &[Candidate]) -> Vec<(u64, usize)> {
@@ -366,11 +371,11 @@
     let copies = copied > 0 && copy_ms < copied as f64 / pace + COPY_PATIENCE * need.target;
     let read = if copies { missing - copied } else { missing };
     let shared_ms = read as f64 / pace + if copies { copy_ms } else { 0.0 };
-    // Nobody keeps what cannot be copied: it is read for the first time, and
-    // at home, where others will look for it.
-    let again = match c.copy {
-        None if home => 0,
-        _ => read,
+    // At home only what is known to be kept elsewhere is read again: the rest
+    // is read for the first time, where others will look for it, or is there.
+    let again = match home {
+        true => copied.min(read),
+        false => read,
     };
     let own = need.input.saturating_sub(need.shared);
     let running = f64::from(c.running) * RUNNING_MS;
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -8,9 +8,9 @@
 use marjoram_core::catalog::{CacheStore, EngineSpec};
 use marjoram_core::exchange::{Part, Prompt};
 use marjoram_core::health::SILENCE;
-use marjoram_core::holdings::{BLOCK_SLACK, CacheId};
+use marjoram_core::holdings::{self, BLOCK_SLACK, CacheId};
 use marjoram_core::host::DataCentre;
-use marjoram_core::place::{self, Candidate, Copying, Need, WeightsAge};
+use marjoram_core::place::{self, Candidate, Choice, Copying, Need, WeightsAge};
 use marjoram_core::plain::{self, Plain};
 use marjoram_core::rollout::Named;
 use marjoram_core::soundness::Soundness;
@@ -232,12 +232,13 @@
         let upstream = allowed[choice.engine].clone();
         let weights = weights(&upstream);
         let keeper = best_keeper(&keepers, weights, &upstream.life, &upstream.entry.borrow().dc);
-        let fetch = keeper.filter(|_| choice.copies).map(|k| k.addr);
+        let fetch = match keeper.filter(|_| choice.copies) {
+            Some(keeper) => Some(keeper.addr),
+            None => self.guess(prompt, &views, &choice, &allowed),
+        };
         let stored = |k: &Keeper| k.life.is_none() && k.weights == weights;
         let kept = keepers.iter().any(|k| stored(k) && k.held + BLOCK_SLACK >= need.shared);
-        let store = self.stores().filter(|_| need.shared * 2 >= need.input && !kept);
-        let store =
-            store.max_by_key(|s| place::rank(prompt.chain(), self.site.stores.at(s.addr).key));
+        let saved = need.shared * 2 >= need.input && !kept;
         Ok(Chosen {
             weights: upstream.weights(&prompt.model),
             begin: bound.begin(weights),
@@ -245,11 +246,37 @@
             unread: choice.unread,
             wait: millis(choice.wait),
             fetch,
-            save: store.map(|s| s.addr),
+            save: self.store_of(prompt).filter(|_| saved),
             cache: self.cache(weights),
         })
     }
 
+    /// Where to look for shared parts that nobody is known to keep: at their
+    /// home, and from there in the cache store that they are saved to.
+    fn guess(
+        &self,
+        prompt: &Prompt,
+        views: &[Candidate],
+        choice: &Choice,
+        engines: &[&Rc<Upstream>],
+    ) -> Option<SocketAddr> {
+        let own = prompt.input.saturating_sub(prompt.shared());
+        let missing = choice.unread.saturating_sub(own);
+        if missing < holdings::LARGE || !self.site.has(Mechanism::Copies) {
+            return None;
+        }
+        match place::home(views, views[choice.engine].weights) {
+            Some(home) if home != choice.engine => Some(engines[home].entry.borrow().addr),
+            _ => self.store_of(prompt),
+        }
+    }
+
+    /// The cache store that the prompt's shared parts are saved to.
+    fn store_of(&self, prompt: &Prompt) -> Option<SocketAddr> {
+        let rank = |s: &&CacheStore| place::rank(prompt.chain(), self.site.stores.at(s.addr).key);
+        self.stores().max_by_key(rank).map(|s| s.addr)
+    }
+
     fn weights_bound(&self, model: &str) -> WeightsBound {
         let now = self.site.now();
         WeightsBound {
