--- a/crates/core/src/holdings.rs
+++ b/crates/core/src/holdings.rs
@@ -245,6 +245,7 @@
         };
         let whole = parts.iter().rposition(|p| kept(p) + BLOCK_SLACK >= p.tokens);
         let (before, after) = parts.split_at(whole.map_or(0, |last| last + 1));
-        before.iter().map(|p| p.tokens).sum::<u64>() + after.first().map_or(0, kept)
+        let untold = |part: &Part| Some(kept(part)).filter(|k| *k > 0).unwrap_or(part.tokens);
+        before.iter().map(untold).sum::<u64>() + after.first().map_or(0, kept)
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! - [`budget`]: how often requests may be sent again.
 //! - [`rollout`]: which engines change their weights next.
 //! - [`tenure`]: one host's tenure of a duty that the store deals.
+//! - [`relay`]: where a host stands in a log that a few hosts read for all.
 //! - [`soundness`]: how long the platform's store has been sound.
 //! - [`stop`]: which requests are still taken while a process stops.
 //! - [`switches`]: which mechanisms of the decisions are in use.
@@ -58,6 +59,7 @@
 pub mod plain;
 pub mod policy;
 pub mod prefix;
+pub mod relay;
 pub mod rollout;
 pub mod soundness;
 pub mod stop;
--- /dev/null
+++ b/crates/core/src/relay.rs
@@ -0,0 +1,81 @@
+//! Where a host stands in a log that a few hosts read for all.
+//!
+//! Load pattern: datagrams of several readers that overlap, come late, twice,
+//! or not at all. Offsets tell which of their records a host has not seen.
+//!
+//! Limits: a host never counts as having read what it may have missed; a relay
+//! confirms that nothing newer was there when its reader asked, no later.
+
+use std::time::Duration;
+
+/// The offsets from `from` up to `next`, which is not in it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    /// The first.
+    pub from: u64,
+    /// The one after the last.
+    pub next: u64,
+}
+
+/// What a relay means to a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It tells less than the host knows.
+    Old,
+    /// Records before it have been missed.
+    Gap,
+    /// Its records from the offset `after` on are new; there may be none.
+    New {
+        /// Where the host had left off.
+        after: u64,
+    },
+}
+
+/// How far a host has read or been told, and when that was all there was.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::relay::{Position, Span, Taken};
+/// let secs = Duration::from_secs;
+/// let mut position = Position::new(40, secs(1));
+/// let taken = position.take(Span { from: 30, next: 50 }, secs(2));
+/// assert_eq!((taken, position.at()), (Taken::New { after: 40 }, 50));
+/// assert_eq!(position.take(Span { from: 30, next: 45 }, secs(3)), Taken::Old);
+/// assert_eq!(position.take(Span { from: 51, next: 60 }, secs(3)), Taken::Gap);
+/// assert_eq!(position.due(secs(1)), secs(3));
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct Position {
+    at: u64,
+    confirmed: Duration,
+}
+
+impl Position {
+    /// A host that has read up to `at`, having asked at `asked`.
+    pub fn new(at: u64, asked: Duration) -> Self {
+        Self { at, confirmed: asked }
+    }
+
+    /// Takes in that another host, which asked at `asked`, has read `span`.
+    pub fn take(&mut self, span: Span, asked: Duration) -> Taken {
+        match self.at {
+            at if span.next < at => Taken::Old,
+            at if span.from > at => Taken::Gap,
+            after => {
+                self.at = span.next;
+                self.confirmed = self.confirmed.max(asked);
+                Taken::New { after }
+            }
+        }
+    }
+
+    /// Where to read on.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// When the host is to read for itself, if it may be `pause` behind.
+    pub fn due(&self, pause: Duration) -> Duration {
+        self.confirmed + pause
+    }
+}
--- a/crates/core/src/soundness.rs
+++ b/crates/core/src/soundness.rs
@@ -92,7 +92,7 @@
 
     /// The store answered in time at `now`.
     pub fn good(&mut self, now: Duration) {
-        self.good = now;
+        self.good = self.good.max(now);
     }
 
     /// The store was in trouble at `now`; an earlier moment is no news.
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -269,6 +269,11 @@
             .collect()
     }
 
+    /// Whether the entry of `id` vanished lately, and is kept for now.
+    pub fn is_missing(&self, id: &UpstreamId) -> bool {
+        self.missing.contains_key(id)
+    }
+
     /// Removes what has been missing for too long at `now`.
     pub fn expire(&mut self, now: Duration) -> Vec<UpstreamId> {
         let due: Vec<UpstreamId> = self
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -20,6 +20,7 @@
 use marjoram_platform::store;
 
 use super::fleet::Upstream;
+use super::follow::SLOW;
 use super::notices;
 use super::site::Site;
 use super::storeclient::Caller;
@@ -165,6 +166,9 @@
                 }
                 generation = membership.generation;
                 confirmed = Some(site.now());
+                if clock::now().saturating_sub(asked) > SLOW {
+                    site.meet_trouble();
+                }
                 site.stance.set(Stance::Stands);
                 duty.dealt(membership.parts.contains(&DUTY), generation, asked);
             }
--- /dev/null
+++ b/crates/router/src/proxy/follow/hosts.rs
@@ -0,0 +1,60 @@
+//! The hosts' records, which name the first hosts to greet. Hosts learn of each
+//! other from their greetings; waiting for the records had every start of one
+//! host read by all others, half of all calls on days with many restarts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_platform::store::{self, Record};
+
+use super::{ANSWER, FIRST_PAUSE, Link, Sink, call};
+use crate::proxy::peers::{HostRecord, MANY_HOSTS};
+use crate::proxy::site::Site;
+use crate::proxy::storeclient::Caller;
+
+/// Time between reads of the hosts' records; longer the more hosts there are,
+/// any of which tells the others of one that it finds.
+const HOSTS_POLL: Duration = Duration::from_secs(5);
+
+/// The hosts' records.
+pub(super) struct Hosts;
+
+impl Sink for Hosts {
+    const TOPIC: &'static str = store::HOSTS;
+
+    fn pause(site: &Site) -> Option<Duration> {
+        let many = site.peers.count().div_ceil(MANY_HOSTS);
+        Some(HOSTS_POLL * many as u32)
+    }
+
+    fn record(&mut self, site: &Site, record: &Record, _offset: Option<u64>) {
+        let parsed = record.value.as_deref().map(serde_json::from_slice::<HostRecord>);
+        match parsed {
+            None => site.peers.list(&record.key, None),
+            Some(Ok(host)) => site.peers.list(&record.key, Some(host)),
+            Some(Err(error)) => {
+                tracing::debug!(target: "peers", key = record.key, %error, "record of no host");
+            }
+        }
+    }
+}
+
+/// Writes this host's record until the store has it.
+pub(super) async fn register(site: Rc<Site>) {
+    let value = serde_json::to_vec(&site.peers.record).expect("a plain structure");
+    let key = site.settings.load().name.clone();
+    let write = store::write(store::HOSTS, &Record { key, value: Some(value) });
+    let mut link = Link { topic: store::HOSTS, down: false, pause: FIRST_PAUSE };
+    loop {
+        let mut caller = Caller::new(site.settings.load().store.addr);
+        let why = match call(&mut caller, &write, ANSWER).await {
+            Ok(reply) if reply.status == 200 => {
+                link.up();
+                return;
+            }
+            Ok(reply) => format!("write: status {}", reply.status),
+            Err(why) => why,
+        };
+        tokio::time::sleep(link.failed(&why)).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/follow/upstreams.rs
@@ -0,0 +1,197 @@
+//! The upstreams' entries. Upstreams write all the time, and are read twice
+//! within the time in which a leaving one must get no more work: by every host,
+//! or, where there are many, by a few that tell the others.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_core::relay::{Position, Taken};
+use marjoram_core::upstream::{Change, Entry, UpstreamId};
+use marjoram_platform::registry;
+use marjoram_platform::store::{self, Record};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::relay::{self, News, Relay};
+use super::{Read, Sink};
+use crate::proxy::site::Site;
+
+/// Part of the bound on leaving upstreams that passes between two reads of
+/// their entries: a read may take as long again as that leaves.
+const POLL_SHARE: f64 = 0.45;
+
+/// The same for those that read for all: the others hear in time before they
+/// would read for themselves, also if these all read at the same moment.
+const READER_SHARE: f64 = 0.3;
+
+/// What a record says of an upstream.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Statement {
+    /// It states itself.
+    Stated(Entry),
+    /// Its entry is gone.
+    Gone(UpstreamId),
+    /// Somebody else wrote under its key.
+    Foreign(UpstreamId),
+}
+
+impl Statement {
+    fn id(&self) -> &UpstreamId {
+        match self {
+            Self::Stated(entry) => &entry.life.id,
+            Self::Gone(id) | Self::Foreign(id) => id,
+        }
+    }
+
+    /// Takes it in at this host; whether it was news.
+    fn apply(&self, site: &Site) -> bool {
+        let (id, now) = (self.id(), site.now());
+        let change = {
+            let mut registry = site.registry.borrow_mut();
+            let missing = registry.is_missing(id);
+            let change = match self {
+                Self::Stated(entry) => registry.state(entry.clone(), now),
+                Self::Gone(id) => registry.unlist(id, now),
+                Self::Foreign(id) => registry.spoil(id, now),
+            };
+            // One that comes back unchanged is news to those that miss it too.
+            (change, missing)
+        };
+        upstream_changed(site, id, &change.0);
+        change != (Change::None, false)
+    }
+}
+
+/// Takes in at this host that the upstream `id` changed as `change` says.
+pub fn upstream_changed(site: &Site, id: &UpstreamId, change: &Change) {
+    match change {
+        Change::None => return,
+        Change::Joined | Change::Changed | Change::Reborn => {
+            if let Some(entry) = site.registry.borrow().get(id) {
+                site.fleet.enter(entry);
+                tracing::info!(target: "registry", upstream = %entry.life, ?change, beat = entry.beat,
+                    leaving = entry.leaving, service = entry.service, "upstream stated");
+            }
+        }
+        Change::Left => {
+            site.fleet.remove_id(id);
+            tracing::info!(target: "registry", upstream = %id, "upstream left");
+        }
+        Change::Missing => {
+            tracing::info!(target: "registry", upstream = %id, "upstream missing, kept for now");
+        }
+    }
+    site.duty.notify_one();
+}
+
+/// The upstreams' entries.
+#[derive(Default)]
+pub(super) struct Upstreams {
+    /// Hash of the last record of each key that names no upstream: it is
+    /// logged once, not at each read.
+    strange: HashMap<UpstreamId, u64>,
+    /// What was news in the records just read, with their offsets.
+    news: News,
+}
+
+impl Upstreams {
+    /// What `record` says; one that cannot be understood is logged once.
+    fn parse(&mut self, record: &Record) -> Statement {
+        let id = UpstreamId(record.key.clone());
+        let Some(value) = &record.value else { return Statement::Gone(id) };
+        match registry::parse(&record.key, value) {
+            Ok(entry) => {
+                self.strange.remove(&id);
+                Statement::Stated(entry)
+            }
+            Err(error) => {
+                let hash = xxh3_64(value);
+                if self.strange.insert(id.clone(), hash) != Some(hash) {
+                    tracing::error!(target: "registry", upstream = %id, %error,
+                        "entry not understood, no upstream by it");
+                }
+                Statement::Foreign(id)
+            }
+        }
+    }
+
+    /// Takes in what another host tells of a span of records.
+    fn hear(&self, site: &Site, relay: &Relay, after: u64) {
+        for (_, statement) in relay.news.iter().filter(|(offset, _)| *offset >= after) {
+            statement.apply(site);
+        }
+        expire(site);
+    }
+}
+
+/// Removes upstreams that have been missing for too long, and connections that
+/// have been idle so.
+fn expire(site: &Site) {
+    let gone = site.registry.borrow_mut().expire(site.now());
+    for id in gone {
+        upstream_changed(site, &id, &Change::Left);
+    }
+    for upstream in site.fleet.all() {
+        upstream.pool.sweep(site.now());
+    }
+}
+
+impl Sink for Upstreams {
+    const TOPIC: &'static str = store::UPSTREAMS;
+
+    fn pause(site: &Site) -> Option<Duration> {
+        Some(site.settings.load().bounds.drain.mul_f64(POLL_SHARE))
+    }
+
+    fn record(&mut self, site: &Site, record: &Record, offset: Option<u64>) {
+        let statement = self.parse(record);
+        let news = statement.apply(site);
+        self.news.extend(offset.filter(|_| news).map(|offset| (offset, statement)));
+    }
+
+    fn complete(&mut self, site: &Site, keys: &[String]) {
+        let ids: Vec<UpstreamId> = keys.iter().cloned().map(UpstreamId).collect();
+        let changes = site.registry.borrow_mut().retain(&ids, site.now());
+        for (id, change) in changes {
+            upstream_changed(site, &id, &change);
+        }
+        site.listed.set(true);
+    }
+
+    fn done(&mut self, site: &Rc<Site>, read: Option<Read>) {
+        let news = std::mem::take(&mut self.news);
+        if let Some(read) = read {
+            relay::tell(site, read, news);
+        }
+        expire(site);
+    }
+
+    async fn rest(&mut self, site: &Rc<Site>, read: Read) -> u64 {
+        let pause = Self::pause(site).unwrap_or_default();
+        if relay::is_reader(site) {
+            let often = if relay::is_relayed(site) { READER_SHARE / POLL_SHARE } else { 1.0 };
+            tokio::time::sleep(pause.mul_f64(often)).await;
+            return read.span.next;
+        }
+        let mut position = Position::new(read.span.next, read.asked);
+        loop {
+            let left = position.due(pause).saturating_sub(site.now());
+            let Ok(heard) = tokio::time::timeout(left, site.relays.next()).await else {
+                return position.at();
+            };
+            match position.take(heard.relay.span, heard.asked) {
+                Taken::Old => {}
+                Taken::Gap => return position.at(),
+                Taken::New { after } => {
+                    self.hear(site, &heard.relay, after);
+                    site.soundness.borrow_mut().good(heard.asked);
+                }
+            }
+        }
+    }
+
+    fn returned(&mut self, site: &Site) {
+        site.registry.borrow_mut().returned(site.now());
+    }
+}
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -30,7 +30,8 @@
 use super::fleet::{Load, Upstream};
 use super::site::Site;
 use super::{cachefeed, notices, warm};
-use message::{Hello, Message};
+use message::Hello;
+pub use message::Message;
 
 /// Time between greetings to the same few peers.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -59,10 +60,14 @@
 /// Times each peer is told of an event: a datagram may be lost.
 const TELLINGS: u32 = 2;
 
-/// Hosts told of engines at once, and the pause before the next few: some
-/// 40 KB fill a link of 10 Mbit/s for 30 ms.
-const NOTIFIED: usize = 48;
-const NOTIFY_PAUSE: Duration = Duration::from_millis(8);
+/// Hosts told the same at once, and the pause before the next few: some 10 KB
+/// fill a link of 10 Mbit/s for 8 ms.
+const SPREAD: usize = 48;
+const SPREAD_PAUSE: Duration = Duration::from_millis(8);
+
+/// Hosts from which on a few do for all what each does for itself where there
+/// are fewer: all others are then greeted in more than one turn.
+pub const MANY_HOSTS: usize = FANOUT + 1;
 
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
@@ -248,17 +253,21 @@
     }
 
     /// Tells all hosts of engines that change their weights, each of them
-    /// twice: before the engines are ordered to, and a few hosts at a time, so
-    /// that no link is full.
+    /// twice, before the engines are ordered to.
     pub fn notify(&self, notices: Vec<Notice>) {
+        self.spread(TELLINGS, move || Message::Notices(notices.clone()));
+    }
+
+    /// Sends all hosts what `message` makes, `times` times, a few hosts at a
+    /// time, so that no link is full.
+    pub fn spread(&self, times: u32, message: impl Fn() -> Message + 'static) {
         let Some(socket) = self.socket.borrow().clone() else { return };
         let all: Vec<SocketAddr> = self.known.borrow().values().map(|p| p.record.peers).collect();
         ntex::rt::spawn(async move {
-            let message = Message::Notices(notices);
-            for _ in 0..TELLINGS {
-                for some in all.chunks(NOTIFIED) {
-                    send(&socket, &message, some);
-                    tokio::time::sleep(NOTIFY_PAUSE).await;
+            for _ in 0..times {
+                for some in all.chunks(SPREAD) {
+                    send(&socket, &message(), some);
+                    tokio::time::sleep(SPREAD_PAUSE).await;
                 }
             }
         });
@@ -385,6 +394,7 @@
                 site.peers.hear(*hello, site.now());
             }
             Ok((Message::Notices(told), _)) => notices::take(&site, &told),
+            Ok((Message::Relay(relay), _)) => site.relays.hear(relay, site.now()),
             Err(error) => tracing::warn!(target: "peers", %from, %error, "datagram not understood"),
         }
     }
--- a/crates/router/src/proxy/peers/message.rs
+++ b/crates/router/src/proxy/peers/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::proxy::fleet::Load;
+use crate::proxy::follow::Relay;
 
 /// What a host keeps of itself in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +27,8 @@
     Hello(Box<Hello>),
     /// Engines close for a change of weights, or are open again.
     Notices(Vec<Notice>),
+    /// What the sender has read of the registry.
+    Relay(Relay),
 }
 
 /// How a host is.
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -23,6 +23,7 @@
 
 use super::counters::Counters;
 use super::fleet::Fleet;
+use super::follow::Relays;
 use super::notices::Notices;
 use super::peers::Peers;
 use super::stores::Stores;
@@ -51,6 +52,8 @@
     pub stores: Stores,
     /// Events of caches to be told to other hosts.
     pub news: RefCell<Digest>,
+    /// What hosts read of the registry for each other.
+    pub relays: Relays,
     /// What this host tells of engines that change their weights.
     pub notices: Notices,
     /// Counters and histograms.
@@ -95,6 +98,7 @@
             named: RefCell::default(),
             stores: Stores::default(),
             news: RefCell::default(),
+            relays: Relays::default(),
             notices: Notices::default(),
             counters: Counters::new(),
             stopping: Cell::default(),
