--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -25,6 +25,9 @@
 //! request is compared over a few engines drawn for it by hashing, beside
 //! those that keep its parts or are home to them.
 
+mod lane;
+mod worth;
+
 use std::hash::Hasher;
 use std::time::Duration;
 
@@ -32,74 +35,12 @@
 
 use crate::holdings;
 use crate::policy::PolicyName;
-
-/// Worth of an answer on replaced weights, and on ones that ought to be out
-/// of use.
-const OLD_WORTH: f64 = 0.8;
-const OVERDUE_WORTH: f64 = 0.1;
+pub use lane::{draw, lane};
+use worth::judge;
 
 /// How long replaced weights are as good as the newest.
 const WEIGHTS_GRACE: Duration = Duration::from_millis(1_200);
 
-/// Worth lost by an answer that comes late.
-const LATE_LOSS: f64 = 0.7;
-
-/// The wait, as a share of the target time, at which half of the answers are
-/// late: the first event needs several steps after the prompt is read, and
-/// other hosts' requests are known with a delay.
-const LATE_MIDDLE: f64 = 0.5;
-
-/// How sharply lateness sets in around that wait.
-const LATE_WIDTH: f64 = 0.12;
-
-/// Worth lost by waiting for the whole target time, late or not: of two
-/// engines that would both be on time the quicker is taken.
-const WAIT_LOSS: f64 = 0.2;
-
-/// Worth lost by reading shared parts again, were they the whole of a large
-/// prompt: those of small ones are read within a few milliseconds.
-const AGAIN_LOSS: f64 = 1.0;
-
-/// Worth lost where the memory would be overfull by as much as it holds:
-/// running requests are interrupted and read again.
-const OVERFULL_LOSS: f64 = 4.0;
-
-/// Share of an engine's memory that is planned to be used by running
-/// requests; caches need the rest.
-const MEMORY_SHARE: f64 = 0.8;
-
-/// Fixed milliseconds of a copy between engines.
-const COPY_MS: f64 = 6.0;
-
-/// Part of the target time by which a copy may take longer than reading: it
-/// takes nothing of the engine's pace, which all that run there share.
-const COPY_PATIENCE: f64 = 0.02;
-
-/// Milliseconds added by each request that runs beside it.
-const RUNNING_MS: f64 = 1.0;
-
-/// Hosts up to which loads are told often enough to compare all engines: each
-/// greets all others every 100 ms.
-const FRESH_HOSTS: usize = 17;
-
-/// Engines drawn in each lane where there are more hosts. In the replay of
-/// `tests/herd.rs`, with loads told every 400 ms, 0.026 of the prompts find all
-/// slots taken (three drawn: 0.050, all compared: 0.149).
-const DRAWN: usize = 2;
-
-/// Milliseconds that a request keeps its slot while an engine is full: one
-/// that finds all slots taken waits for as many to end as stand before it.
-const SLOT_MS: f64 = 150.0;
-
-/// Worth lost by a small prompt outside its lane, and by a large one in the
-/// lane of the small ones: while it is read, each step takes as long as a
-/// piece of it, and a small answer needs several steps before its first event.
-const LANE_LOSS: f64 = 0.2;
-const LARGE_LANE_LOSS: f64 = 0.5;
-
-/// Worth lost by sending to another data centre: latency and bytes.
-const FAR_LOSS: f64 = 0.005;
-
 /// What a prompt needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Need {
@@ -221,54 +162,6 @@
     input >= LARGE && unread > LARGE_AHEAD && held < limit / WAIT_SHARE
 }
 
-/// Which of `places`, the engines' places in the ranks, are the lane of
-/// prompts of a size: a share of the engines takes the small ones, so that
-/// their many short answers are not held up by the reading of large prompts.
-/// The lanes only tip the scales: an engine outside is taken when it is
-/// worth more.
-///
-/// ```
-/// use marjoram_core::place::lane;
-/// let small = lane(&[5, 1, 9], 0.34, false);
-/// assert_eq!(small, [false, true, false]);
-/// assert_eq!(lane(&[5, 1, 9], 0.34, true), [true, false, true]);
-/// ```
-pub fn lane(places: &[u64], small_share: f64, large: bool) -> Vec<bool> {
-    let mut order: Vec<usize> = (0..places.len()).collect();
-    order.sort_by_key(|&i| places[i]);
-    let small = (places.len() as f64 * small_share).floor() as usize;
-    let mut lane = vec![large; places.len()];
-    order.into_iter().take(small).for_each(|i| lane[i] = !large);
-    lane
-}
-
-/// Which engines a request with the key `request` is compared over, at
-/// `hosts` hosts: a few of those in its lane and a few others.
-///
-/// ```
-/// use marjoram_core::place::draw;
-/// let (places, lanes) = ([1, 2, 3, 4, 5, 6, 7, 8], [true; 8]);
-/// assert_eq!(draw(7, &places, &lanes, 9), [true; 8]);
-/// let drawn = draw(7, &places, &lanes, 64);
-/// assert_eq!(drawn.iter().filter(|d| **d).count(), 2);
-/// assert_ne!(drawn, draw(8, &places, &lanes, 64));
-/// ```
-pub fn draw(request: u64, places: &[u64], lanes: &[bool], hosts: usize) -> Vec<bool> {
-    if hosts <= FRESH_HOSTS {
-        return vec![true; places.len()];
-    }
-    let mut drawn = vec![false; places.len()];
-    for lane in [true, false] {
-        let mut order: Vec<(u64, usize)> = (0..places.len())
-            .filter(|&i| lanes[i] == lane)
-            .map(|i| (rank(request, places[i]), i))
-            .collect();
-        order.sort_unstable();
-        order.into_iter().take(DRAWN).for_each(|(_, i)| drawn[i] = true);
-    }
-    drawn
-}
-
 /// The rank of the engine with `key` for the chain of shared parts `chain`.
 pub fn rank(chain: u64, key: u64) -> u64 {
     let mut hash = Xxh3Default::new();
@@ -360,48 +253,3 @@
     }
     homes
 }
-
-/// What an answer from the engine `c` is expected to be worth, and what
-/// choosing it means.
-fn judge(need: Need, c: &Candidate, index: usize, home: bool) -> (f64, Choice) {
-    let pace = c.pace.max(f64::MIN_POSITIVE);
-    let missing = need.shared.saturating_sub(c.held);
-    let copied = c.copy.map_or(0, |copy| copy.held.saturating_sub(c.held).min(missing));
-    let copy_ms = c.copy.map_or(0.0, |copy| copied as f64 * copy.token_ms + COPY_MS);
-    let copies = copied > 0 && copy_ms < copied as f64 / pace + COPY_PATIENCE * need.target;
-    let read = if copies { missing - copied } else { missing };
-    let shared_ms = read as f64 / pace + if copies { copy_ms } else { 0.0 };
-    // At home only what is known to be kept elsewhere is read again: the rest
-    // is read for the first time, where others will look for it, or is there.
-    let again = match home {
-        true if copies => 0,
-        true => copied,
-        false => read,
-    };
-    let own = need.input.saturating_sub(need.shared);
-    let running = f64::from(c.running) * RUNNING_MS;
-    let before = f64::from((c.running + 1).saturating_sub(c.slots));
-    let slot = before * SLOT_MS / f64::from(c.slots.max(1));
-    let wait = (c.unread + own) as f64 / pace + shared_ms + running + slot;
-    let memory = (c.memory + need.input + need.output) as f64;
-    let capacity = (c.capacity as f64).max(1.0);
-    let overfull = (memory / capacity - MEMORY_SHARE).max(0.0);
-    let late = 1.0 / (1.0 + ((LATE_MIDDLE - wait / need.target) / LATE_WIDTH).exp());
-    let weights = match c.age {
-        WeightsAge::Good => 1.0,
-        WeightsAge::Old => OLD_WORTH,
-        WeightsAge::Overdue => OVERDUE_WORTH,
-    };
-    let lane_loss = match c.lane {
-        true => 0.0,
-        false if need.input >= LARGE => LARGE_LANE_LOSS,
-        false => LANE_LOSS,
-    };
-    let worth = weights * (1.0 - LATE_LOSS * late) * (1.0 - c.failures)
-        - WAIT_LOSS * wait / need.target
-        - AGAIN_LOSS * again as f64 / need.input.max(LARGE) as f64
-        - OVERFULL_LOSS * overfull
-        - lane_loss
-        - if c.far { FAR_LOSS } else { 0.0 };
-    (worth, Choice { engine: index, copies, wait, unread: own + read })
-}
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -10,6 +10,7 @@
 //! agreed on: a wrong view costs a caller one detour or a request a worse
 //! place.
 
+mod greeting;
 mod message;
 
 pub use message::{HostRecord, Notice};
@@ -30,6 +31,8 @@
 use super::fleet::{Load, Upstream};
 use super::site::Site;
 use super::{cachefeed, notices, warm};
+pub use greeting::greet;
+use greeting::take_ages;
 use message::Hello;
 pub use message::Message;
 
@@ -53,10 +56,6 @@
 /// starts again is back before.
 const GONE: u32 = 2;
 
-/// How long hosts tell each other when weights were named: an engine that
-/// could not be reached may still be on weights that were replaced long ago.
-const NAMED_LATELY: Duration = Duration::from_secs(600);
-
 /// Times each peer is told of an event: a datagram may be lost.
 const TELLINGS: u32 = 2;
 
@@ -301,30 +300,6 @@
     }
 }
 
-/// Tells a few hosts how this one is.
-pub fn greet(site: &Site) {
-    let own = |u: &Rc<Upstream>| (u.key, u.own.get());
-    let (now, all) = (site.now(), site.fleet.all());
-    let span = site.peers.round() * TELLINGS;
-    let loads = all.iter().map(own).filter(|(_, l)| l.running > 0).collect();
-    let hello = Hello {
-        name: site.peers.name.clone(),
-        record: site.peers.record.clone(),
-        open: site.is_ready(),
-        loads,
-        named: lately_named(site),
-        news: site.news.borrow_mut().lately(span, now),
-        stance: site.stance.get(),
-        notices: site.notices.lately(span, now),
-        trouble: site.trouble.get().map(|at| now.saturating_sub(at).as_millis() as u64),
-        config: site.catalog.load().as_ref().map_or(0, |c| c.version),
-        weights: site.named.borrow().values().filter_map(|n| n.newest()).sum(),
-        doubts: all.iter().filter(|u| u.health.borrow().is_lost(now)).map(|u| u.key).collect(),
-    };
-    let Some(socket) = site.peers.socket.borrow().clone() else { return };
-    send(&socket, &Message::Hello(Box::new(hello)), &site.peers.targets(FANOUT));
-}
-
 fn send(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
     match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
         Ok(bytes) => {
@@ -339,26 +314,6 @@
     }
 }
 
-/// Weights named so lately that it matters when.
-fn lately_named(site: &Site) -> Vec<(String, u64, u64)> {
-    let (now, named) = (site.now(), site.named.borrow());
-    let ages = named.iter().flat_map(|(model, n)| {
-        let ages = n.ages(now, NAMED_LATELY).into_iter();
-        ages.map(|(version, age)| (model.clone(), version, age.as_millis() as u64))
-    });
-    ages.collect()
-}
-
-/// Takes in when another host learnt of weights.
-fn take_ages(site: &Site, named: &[(String, u64, u64)]) {
-    let mut all = site.named.borrow_mut();
-    for (model, version, age) in named {
-        if let Some(known) = all.get_mut(model) {
-            known.told(*version, Duration::from_millis(*age), site.now());
-        }
-    }
-}
-
 fn share_loads(site: &Site) {
     let sums = match site.has(Mechanism::Loads) {
         true => site.peers.loads(),
