Weights: a host that met no trouble of the store takes nobody's word for it

Cause, from the logs: two hosts were frozen from 15.1 to 17.7 s, had waited too long for the store's answers when they woke, and told so; two of eight are a fifth, so all eight began the bound on replaced weights anew at 17.7 s. Ruled out: late orders (all engines were ordered as soon as the holder could), a host that did not know the weights.

Change: trouble is the store's only for hosts that met some themselves, so it is taken for it more seldom than before the hosts told each other.

Tests: core/tests/soundness.rs; the first fails with others' word taken.

--- a/crates/core/src/soundness.rs
+++ b/crates/core/src/soundness.rs
@@ -34,22 +34,31 @@
 /// Time within which these meet it: a host calls the store every second or so.
 const TOGETHER: Duration = Duration::from_secs(3);
 
-/// How long ago the store itself was last in trouble, where `met` says how long
-/// ago those of `hosts` hosts that met any last did.
+/// How long ago the store itself was last in trouble, as a host takes it that
+/// met some `own` ago; `others` says how long ago those of the other hosts that
+/// met any last did, of `hosts` in all. A host that met none takes nobody's
+/// word: two that were suspended at once have both waited for answers.
 ///
 /// ```
 /// use std::time::Duration;
 /// use marjoram_core::soundness::agreed;
 /// let secs = Duration::from_secs;
 /// // One host of nine says little, two make it the store's.
-/// assert_eq!(agreed([secs(0)], 9), None);
-/// assert_eq!(agreed([secs(0), secs(1)], 9), Some(secs(1)));
-/// assert_eq!(agreed([secs(0)], 1), Some(secs(0)));
+/// assert_eq!(agreed(Some(secs(0)), [], 9), None);
+/// assert_eq!(agreed(Some(secs(0)), [secs(1)], 9), Some(secs(1)));
+/// assert_eq!(agreed(Some(secs(0)), [], 1), Some(secs(0)));
+/// assert_eq!(agreed(None, [secs(0), secs(0)], 9), None);
 /// ```
-pub fn agreed(met: impl IntoIterator<Item = Duration>, hosts: usize) -> Option<Duration> {
+pub fn agreed(
+    own: Option<Duration>,
+    others: impl IntoIterator<Item = Duration>,
+    hosts: usize,
+) -> Option<Duration> {
+    let own = own.filter(|age| *age <= TOGETHER)?;
     let share = (hosts as f64 * WITNESSES).ceil() as usize;
     let needed = share.max(FEWEST).min(hosts.max(1));
-    let mut met: Vec<Duration> = met.into_iter().filter(|age| *age <= TOGETHER).collect();
+    let mut met: Vec<Duration> = others.into_iter().filter(|age| *age <= TOGETHER).collect();
+    met.push(own);
     met.sort_unstable();
     met.get(needed - 1).copied()
 }
--- a/crates/core/tests/soundness.rs
+++ b/crates/core/tests/soundness.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use marjoram_core::soundness::Soundness;
+use marjoram_core::soundness::{Soundness, agreed};
 
 const BOUND: Duration = Duration::from_secs(8);
 
@@ -46,3 +46,20 @@
     let now = at(5_000_000);
     assert!(store.past(now, now) <= at(4_500));
 }
+
+/// Two of eight hosts are suspended at once while the store is sound: awake
+/// again, both have waited too long for its answers. The other six go on
+/// counting, or replaced weights stay in use there past their bound.
+#[test]
+fn hosts_that_were_suspended_together_say_nothing_to_the_others() {
+    let suspended = [at(0), at(100)];
+    assert_eq!(agreed(None, suspended, 8), None);
+    // Nor does trouble that the host itself met long before.
+    assert_eq!(agreed(Some(at(9_000)), suspended, 8), None);
+}
+
+/// The store turns away three of nine hosts: they know.
+#[test]
+fn hosts_that_a_store_turns_away_agree_that_it_is_in_trouble() {
+    assert_eq!(agreed(Some(at(200)), [at(0), at(500)], 9), Some(at(200)));
+}
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -147,7 +147,7 @@
         let now = self.now();
         let own = self.trouble.get().map(|at| now.saturating_sub(at));
         let (others, hosts) = self.peers.troubles(now);
-        if let Some(age) = soundness::agreed(others.into_iter().chain(own), hosts + 1) {
+        if let Some(age) = soundness::agreed(own, others, hosts + 1) {
             self.soundness.borrow_mut().trouble(now.saturating_sub(age));
         }
     }
