Clean-up: one threshold for many hosts, a role in reading the registry, one question to an engine

Simpler: a host's part in reading the registry is one enum, not two questions; Span is carried as the core's other types are; closed engines are ordered in the order of the rollout again, without a second search; the store's trouble is not looked at ten times a second by a host that met none; follow's page said what its parts say. Ruled out: is_behind for take_over and is_pending together (they differ for an engine of no known version).

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -35,7 +35,7 @@
 
 use crate::holdings;
 use crate::policy::PolicyName;
-pub use lane::{draw, lane};
+pub use lane::{FRESH_HOSTS, draw, lane};
 use worth::judge;
 
 /// How long replaced weights are as good as the newest.
--- a/crates/core/src/place/lane.rs
+++ b/crates/core/src/place/lane.rs
@@ -2,9 +2,9 @@
 
 use super::rank;
 
-/// Hosts up to which loads are told often enough to compare all engines: each
-/// greets all others every 100 ms.
-const FRESH_HOSTS: usize = 17;
+/// Hosts up to which each greets all others in one turn, every 100 ms: loads are
+/// told often enough to compare all engines.
+pub const FRESH_HOSTS: usize = 17;
 
 /// Engines drawn in each lane where there are more hosts. In the replay of
 /// `tests/herd.rs`, with loads told every 400 ms, 0.026 of the prompts find all
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -8,8 +8,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// The offsets from `from` up to `next`, which is not in it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Span {
     /// The first.
     pub from: u64,
--- a/crates/router/src/proxy/duty.rs
+++ b/crates/router/src/proxy/duty.rs
@@ -108,14 +108,9 @@
 
 /// Whether engines are due to change their weights.
 fn is_pending(site: &Site) -> bool {
-    let named = site.named.borrow();
-    let behind = |u: &Rc<Upstream>| {
-        let older = |(model, named): (&String, &Named)| {
-            u.weights(model).is_some_and(|version| Some(version) < named.newest())
-        };
-        named.iter().any(older)
-    };
-    engines(site).iter().any(behind)
+    let named = newest(site);
+    let older = |u: &Upstream, w: &Weights| u.weights(&w.model).is_some_and(|v| v < w.version);
+    engines(site).iter().any(|u| named.iter().any(|w| older(u, w)))
 }
 
 /// The upstreams that the configuration knows as engines: an entry with a
@@ -259,12 +254,12 @@
         drop(known);
         let due = rollout::next(&engines, weights.version, site.now());
         let due = due.iter().filter_map(|life| listed.iter().find(|u| u.life == *life));
-        let due: Vec<&Upstream> = due.map(Rc::as_ref).collect();
+        let due: Vec<Rc<Upstream>> = due.cloned().collect();
         notices::close(site, &due, &weights);
-        for upstream in listed.iter().filter(|u| due.iter().any(|d| d.life == u.life)) {
+        for upstream in due {
             let life = upstream.life.clone();
             duty.known.borrow_mut().entry(life).or_default().changing = Some(weights.version);
-            ntex::rt::spawn(change::change(duty.clone(), upstream.clone(), weights.clone()));
+            ntex::rt::spawn(change::change(duty.clone(), upstream, weights.clone()));
         }
     }
 }
@@ -282,9 +277,9 @@
             let asked: Vec<_> =
                 closed.iter().map(|u| ntex::rt::spawn(change::is_busy(u.clone()))).collect();
             let mut busy = Vec::new();
-            for (upstream, asked) in closed.iter().zip(asked) {
+            for (upstream, asked) in closed.into_iter().zip(asked) {
                 if asked.await.unwrap_or_default() {
-                    busy.push(upstream.as_ref());
+                    busy.push(upstream);
                 }
             }
             notices::close(site, &busy, &weights);
--- a/crates/router/src/proxy/duty/change.rs
+++ b/crates/router/src/proxy/duty/change.rs
@@ -69,9 +69,7 @@
 
 /// Whether an engine reports that it carries out an order.
 pub(super) async fn is_busy(upstream: Rc<Upstream>) -> bool {
-    let addr = upstream.entry.borrow().addr;
-    let report = reports::ask(&mut Caller::new(addr), &upstream).await;
-    report.is_ok_and(|report| report.busy)
+    reports::ask_once(&upstream).await.is_ok_and(|report| report.busy)
 }
 
 async fn order(duty: &Duty, upstream: &Rc<Upstream>, weights: &Weights) -> End {
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -1,12 +1,5 @@
 //! Following the platform's store: the operators' records, the upstreams'
-//! entries and the hosts' records.
-//!
-//! Configuration and weights change seldom and are waited for. Upstreams
-//! write all the time and are read twice within the time in which a leaving
-//! one must get no more work. Hosts learn of each other from their greetings;
-//! their records, which name the first hosts to greet, are read now and then:
-//! waiting for them had every start of one host read by all others, half of
-//! all calls on days with many restarts.
+//! entries and the hosts' records, each in a file that says how it is read.
 
 mod hosts;
 mod operators;
--- a/crates/router/src/proxy/follow/hosts.rs
+++ b/crates/router/src/proxy/follow/hosts.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marjoram_core::place::FRESH_HOSTS;
 use marjoram_platform::store::{self, Record};
 
 use super::{ANSWER, FIRST_PAUSE, Link, Sink, call};
-use crate::proxy::peers::{HostRecord, MANY_HOSTS};
+use crate::proxy::peers::HostRecord;
 use crate::proxy::site::Site;
 use crate::proxy::storeclient::Caller;
 
@@ -23,7 +24,7 @@
     const TOPIC: &'static str = store::HOSTS;
 
     fn pause(site: &Site) -> Option<Duration> {
-        let many = site.peers.count().div_ceil(MANY_HOSTS);
+        let many = site.peers.count().div_ceil(FRESH_HOSTS);
         Some(HOSTS_POLL * many as u32)
     }
 
--- a/crates/router/src/proxy/follow/relay.rs
+++ b/crates/router/src/proxy/follow/relay.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marjoram_core::place::FRESH_HOSTS;
 use marjoram_core::relay::Span;
 use marjoram_platform::store;
 use serde::{Deserialize, Serialize};
@@ -24,7 +25,7 @@
 use super::Read;
 use super::upstreams::Statement;
 use crate::clock;
-use crate::proxy::peers::{MANY_HOSTS, Message};
+use crate::proxy::peers::Message;
 use crate::proxy::site::Site;
 
 /// Hosts that read for all: two of them may be down or slow.
@@ -49,20 +50,11 @@
     /// Milliseconds since the store was asked.
     age: u64,
     /// The offsets read.
-    #[serde(with = "SpanWire")]
     pub span: Span,
     /// What was news in them, with its offset.
     pub news: News,
 }
 
-/// How a span is carried between hosts.
-#[derive(Serialize, Deserialize)]
-#[serde(remote = "Span")]
-struct SpanWire {
-    from: u64,
-    next: u64,
-}
-
 /// A relay as it was heard.
 pub struct Heard {
     /// The relay.
@@ -117,20 +109,34 @@
     }
 }
 
-/// Whether there are so many hosts that a few read for all.
-pub fn is_relayed(site: &Site) -> bool {
-    site.peers.count() > MANY_HOSTS
+/// A host's part in reading the registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// All hosts read, each for itself: there are few.
+    Alone,
+    /// It reads for all.
+    Reader,
+    /// It hears from those that read.
+    Listener,
 }
 
-/// Whether this host reads the registry rather than hear of it.
-pub fn is_reader(site: &Site) -> bool {
-    !is_relayed(site) || site.peers.ranks_within(xxh3_64(store::UPSTREAMS.as_bytes()), READERS)
+impl Role {
+    /// The part of this host.
+    pub fn of(site: &Site) -> Self {
+        match site.peers.count() {
+            hosts if hosts <= FRESH_HOSTS => Self::Alone,
+            _ if site.peers.ranks_within(xxh3_64(store::UPSTREAMS.as_bytes()), READERS) => {
+                Self::Reader
+            }
+            _ => Self::Listener,
+        }
+    }
 }
 
 /// Tells the other hosts what this one has read, if it reads for them.
 pub fn tell(site: &Rc<Site>, read: Read, news: News) {
     let (span, news) = site.relays.add(read.span, news);
-    if !is_relayed(site) || !is_reader(site) || news.len() > MOST_NEWS {
+    if Role::of(site) != Role::Reader || news.len() > MOST_NEWS {
         return;
     }
     // A host that is suspended before it has told all of them tells the rest
--- a/crates/router/src/proxy/follow/upstreams.rs
+++ b/crates/router/src/proxy/follow/upstreams.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::relay::{self, News, Relay};
+use super::relay::{self, News, Relay, Role};
 use super::{Read, Sink};
 use crate::proxy::site::Site;
 
@@ -47,19 +47,15 @@
     /// Takes it in at this host; whether it was news.
     fn apply(&self, site: &Site) -> bool {
         let (id, now) = (self.id(), site.now());
-        let change = {
-            let mut registry = site.registry.borrow_mut();
-            let missing = registry.is_missing(id);
-            let change = match self {
-                Self::Stated(entry) => registry.state(entry.clone(), now),
-                Self::Gone(id) => registry.unlist(id, now),
-                Self::Foreign(id) => registry.spoil(id, now),
-            };
-            // One that comes back unchanged is news to those that miss it too.
-            (change, missing)
+        let missing = site.registry.borrow().is_missing(id);
+        let change = match self {
+            Self::Stated(entry) => site.registry.borrow_mut().state(entry.clone(), now),
+            Self::Gone(id) => site.registry.borrow_mut().unlist(id, now),
+            Self::Foreign(id) => site.registry.borrow_mut().spoil(id, now),
         };
-        upstream_changed(site, id, &change.0);
-        change != (Change::None, false)
+        upstream_changed(site, id, &change);
+        // One that comes back unchanged is news to those that miss it too.
+        missing || change != Change::None
     }
 }
 
@@ -169,9 +165,13 @@
 
     async fn rest(&mut self, site: &Rc<Site>, read: Read) -> u64 {
         let pause = Self::pause(site).unwrap_or_default();
-        if relay::is_reader(site) {
-            let often = if relay::is_relayed(site) { READER_SHARE / POLL_SHARE } else { 1.0 };
-            tokio::time::sleep(pause.mul_f64(often)).await;
+        let own = match Role::of(site) {
+            Role::Alone => Some(pause),
+            Role::Reader => Some(pause.mul_f64(READER_SHARE / POLL_SHARE)),
+            Role::Listener => None,
+        };
+        if let Some(pause) = own {
+            tokio::time::sleep(pause).await;
             return read.span.next;
         }
         let mut position = Position::new(read.span.next, read.asked);
--- a/crates/router/src/proxy/notices.rs
+++ b/crates/router/src/proxy/notices.rs
@@ -14,6 +14,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use marjoram_core::upstream::Weights;
@@ -49,7 +50,7 @@
 
 /// Tells all hosts, this one included, that `upstreams` close for a change to
 /// `weights`.
-pub fn close(site: &Site, upstreams: &[&Upstream], weights: &Weights) {
+pub fn close(site: &Site, upstreams: &[Rc<Upstream>], weights: &Weights) {
     tell(site, upstreams.iter().map(|u| notice(u, weights, Some(CLOSED))).collect());
 }
 
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -40,7 +40,7 @@
 const PERIOD: Duration = Duration::from_millis(100);
 
 /// Peers greeted at once; with more, they are greeted in turn.
-const FANOUT: usize = 16;
+const FANOUT: usize = place::FRESH_HOSTS - 1;
 
 /// How long a peer may be silent before it is taken to be gone, and how many
 /// greetings it may miss where there are many hosts: more than one in forty is
@@ -64,10 +64,6 @@
 const SPREAD: usize = 48;
 const SPREAD_PAUSE: Duration = Duration::from_millis(8);
 
-/// Hosts from which on a few do for all what each does for itself where there
-/// are fewer: all others are then greeted in more than one turn.
-pub const MANY_HOSTS: usize = FANOUT + 1;
-
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
 
--- a/crates/router/src/proxy/reports.rs
+++ b/crates/router/src/proxy/reports.rs
@@ -68,6 +68,12 @@
     }
 }
 
+/// Asks `upstream` once, on a connection of its own.
+pub async fn ask_once(upstream: &Upstream) -> Result<Report, String> {
+    let addr = upstream.entry.borrow().addr;
+    ask(&mut Caller::new(addr), upstream).await
+}
+
 /// Takes in that `upstream` refused a request meant for the version `asked` of
 /// `model`: it is asked what it serves, once for all requests of this host.
 pub async fn refused(site: &Rc<Site>, upstream: &Rc<Upstream>, model: &str, asked: u64) {
@@ -130,8 +136,7 @@
         upstream.closed.set(upstream.closed.get().max(Some(own)));
         tokio::time::sleep(pause).await;
         looks += 1;
-        let addr = upstream.entry.borrow().addr;
-        match ask(&mut Caller::new(addr), upstream).await {
+        match ask_once(upstream).await {
             // The holder of the duty has told meanwhile.
             _ if upstream.closed.get().is_none() => break "told open",
             Ok(report) if report.busy && site.now() - begun < WATCHED => {
@@ -162,8 +167,7 @@
 
 /// The version of `model` that `upstream` reports.
 async fn served(upstream: &Upstream, model: &str) -> Option<u64> {
-    let addr = upstream.entry.borrow().addr;
-    match ask(&mut Caller::new(addr), upstream).await {
+    match ask_once(upstream).await {
         Ok(report) => report.weights.iter().find(|w| w.model == model).map(|w| w.version),
         Err(why) => {
             tracing::debug!(target: "weights", upstream = %upstream.life, why, "no report");
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -144,8 +144,9 @@
 
     /// Takes in what all hosts have met of the store.
     pub fn judge_store(&self) {
+        let Some(met) = self.trouble.get() else { return };
         let now = self.now();
-        let own = self.trouble.get().map(|at| now.saturating_sub(at));
+        let own = Some(now.saturating_sub(met));
         let (others, hosts) = self.peers.troubles(now);
         if let Some(age) = soundness::agreed(own, others, hosts + 1) {
             self.soundness.borrow_mut().trouble(now.saturating_sub(age));
