Logs: sends and what broke off name the request's fingerprint

The logs name attempts, of which each return of a caller has a new one, so they could not tell whether it was one request. The fingerprint is a hash of caller, address and body.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`host`]: settings of one host's process.
 //! - [`catalog`]: routes, services, workspaces and limits.
 //! - [`exchange`]: what passes beside the bodies.
+//! - [`fingerprint`]: what makes two requests the same one, sent again.
 //! - [`upstream`]: upstreams as the registry lists them.
 //! - [`health`]: what has been seen of an upstream.
 //! - [`holdings`]: which parts of prompts are kept where.
@@ -47,6 +48,7 @@
 pub mod events;
 pub mod exchange;
 pub mod feed;
+pub mod fingerprint;
 pub mod health;
 pub mod holdings;
 pub mod host;
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -11,6 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use marjoram_core::catalog::{Catalog, Kind, Route, Workspace};
 use marjoram_core::exchange::Asked;
+use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::place;
 use marjoram_core::switches::Mechanism;
 use marjoram_core::upstream::Life;
@@ -90,6 +91,8 @@
     pub route: Arc<Route>,
     service: String,
     workspace: Option<Arc<Workspace>>,
+    /// What it shares with other attempts of the same request.
+    fingerprint: Fingerprint,
     /// When its answer is due at the latest.
     pub expires: Duration,
     /// Upstreams it was sent to, and those that could not be reached.
@@ -135,7 +138,12 @@
         if site.stopping.get().is_some_and(|stop| !stop.takes(request.started, limit)) {
             return Err(Refusal::not_run("stopping", RETRY_MIN));
         }
+        let caller = workspace.as_ref().map_or("", |w| &w.name);
+        let head = &request.head;
+        let address = [caller, &head.method, host, &head.target];
+        let fingerprint = Fingerprint::new(&address, &request.body);
         Ok(Self {
+            fingerprint,
             site: site.clone(),
             expires: request.started + limit,
             request,
@@ -192,7 +200,7 @@
         upstream.failed(failure, self.site.now());
         self.site.counters.count("upstream.broken");
         tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %failure,
-            sends = self.sends, "answer broke off");
+            fingerprint = %self.fingerprint, sends = self.sends, "answer broke off");
     }
 
     /// Sends the request, to several upstreams where it may be, until one
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -84,6 +84,7 @@
         let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.unread, memory, site.now());
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
+            fingerprint = %self.fingerprint,
             chain = prompt.map(|p| p.chain()), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
             salt = envelope.salt, fetch = envelope.fetch, save = envelope.save,
             input = prompt.map(|p| p.input), unread = chosen.unread, ahead,
@@ -127,7 +128,8 @@
                 upstream.failed(&failure, now);
                 site.counters.count("upstream.broken");
                 tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life,
-                    %failure, sends = self.sends, "send brought no answer");
+                    %failure, fingerprint = %self.fingerprint, sends = self.sends,
+                    "send brought no answer");
                 Sent::Nothing
             }
             Ok(opened) if opened.mark.not_run => {
