--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -176,6 +176,12 @@
         let _ = child.wait();
     }
 
+    /// Whether process `name` has ended by itself.
+    pub fn has_ended(&mut self, name: &str) -> bool {
+        let mut found = self.children.iter_mut().filter(|(n, _)| n == name);
+        found.any(|(_, child)| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
     /// Sends SIGTERM to process `name` and returns its handle.
     pub fn terminate(&mut self, name: &str) -> Child {
         self.signal(name, "-TERM");
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -10,6 +10,7 @@
 //! - `POST /v1/admin/weights` loads new weights under a fencing token, which
 //!   takes `weights_ms`; a fenced engine refuses an older token, an unfenced
 //!   one obeys it. `GET /v1/admin/orders` lists the orders received.
+//! - A prompt with the text `crash_on` ends the process once it begins to run.
 //! - Every `cross_every`th answer begins with a chunk of another request, as
 //!   a faulty engine might mix answers up.
 
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -21,6 +21,9 @@
 
 use super::Engine;
 
+/// Status of a process that crashed under a request.
+const CRASHED: i32 = 70;
+
 /// Where a request's chunks go.
 pub type Sender = mpsc::UnboundedSender<Result<Bytes, std::io::Error>>;
 
@@ -107,6 +110,11 @@
         let Some(mut entry) = engine.batch.pop() else {
             break;
         };
+        let fatal = &engine.opts.crash_on;
+        if !fatal.is_empty() && entry.request.prompt.contains(fatal) {
+            tracing::error!(target: "engine", "engine: crashing under request {}.", entry.request.id);
+            std::process::exit(CRASHED);
+        }
         let tokens = entry.prefix.tokens.0;
         entry.cached = engine.cache.lock().unwrap().lookup(&entry.prefix.blocks).min(tokens);
         entry.unread = tokens - entry.cached;
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -60,6 +60,8 @@
     pub weights_ms: u64,
     /// Refuse every request as not executed, as a full engine does.
     pub refuse: bool,
+    /// Crash once a prompt with this text begins to run; none if empty.
+    pub crash_on: String,
     /// Mix up every answer of this number; 0 for none.
     pub cross_every: u64,
     /// Seed for event loss.
@@ -194,6 +196,7 @@
     opts.optopt("", "fenced", "refuse orders with an old fencing token [true]", "BOOL");
     opts.optopt("", "weights-ms", "ms loading weights takes [200]", "MS");
     opts.optopt("", "refuse", "refuse every request, as a full engine does [false]", "BOOL");
+    opts.optopt("", "crash-on", "crash under prompts with this text []", "TEXT");
     opts.optopt("", "cross-every", "mix up every Nth answer; 0 for none [0]", "N");
     opts.optopt("", "seed", "seed for event loss [1]", "N");
     let m = matches(&opts, args, "engine")?;
@@ -215,6 +218,7 @@
         fenced: setting(&m, "fenced", true)?,
         weights_ms: setting(&m, "weights-ms", 200)?,
         refuse: setting(&m, "refuse", false)?,
+        crash_on: setting(&m, "crash-on", String::new())?,
         cross_every: setting(&m, "cross-every", 0)?,
         seed: setting(&m, "seed", 1)?,
     }))
