Own interface: completions under which engines crash are quarantined by all routers

Callers of the own interface saw the same: a completion under which engines ended went on to the next engine by the router's own attempts and by each return to any router. What a router lost with an engine goes into the log service's stream of crashes, which all routers read and judge alike; verdicts stand there too and are appended anew while asked for, so a router that starts has them before it takes callers. Ruled out: membership pings as the carrier (one other router a second, so three seconds at ten routers). Plain services called here have no lives to tell apart, so calls to them are not judged.

--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -43,6 +43,10 @@
         NoEngine(workspace: String) {
             display("route request of {workspace}: no live engine")
         }
+        /// Engines crashed under the request; none is sent it.
+        Quarantined(request: String, left: Duration) {
+            display("route request {request}: engines crashed under it, so it is sent to none for {left:?}")
+        }
         /// Every engine's queue is longer than the caller waits.
         Late(workspace: String, wait: Duration, limit: Duration) {
             display("route request of {workspace}: the first token is expected in {wait:?}, later than the {limit:?} it may take")
@@ -107,6 +111,7 @@
             Self::TooLarge(..) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownWorkspace(..) => StatusCode::NOT_FOUND,
             Self::NoEngine(..)
+            | Self::Quarantined(..)
             | Self::Late(..)
             | Self::NoService(..)
             | Self::Draining
@@ -132,6 +137,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Late(_, wait, limit) => Some(wait.saturating_sub(*limit)),
+            Self::Quarantined(_, left) => Some(*left),
             _ => match self.status() {
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT => {
                     Some(Duration::from_secs(1))
@@ -151,6 +157,7 @@
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
             Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
             Self::NoEngine(_)
+            | Self::Quarantined(..)
             | Self::Late(..)
             | Self::NoService(_)
             | Self::Draining
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -21,7 +21,7 @@
 use cadence::prelude::*;
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
-use marjoram_core::cache::Slot;
+use marjoram_core::cache::{Life, Slot};
 use marjoram_core::ids::{ModelVersion, Tokens};
 use marjoram_core::wire::{Chunk, NOT_EXECUTED, Usage, WEIGHTS_VERSION};
 use ntex::http::client::error::SendRequestError;
@@ -30,6 +30,7 @@
 use crate::error::Error;
 use crate::job::{Choice, Job, version};
 use crate::node::{Engine, Node};
+use crate::poison;
 
 /// Longest wait for an engine's first chunk: its queue may be long.
 const FIRST_CHUNK: Duration = Duration::from_secs(60);
@@ -77,9 +78,13 @@
     /// The weights it computes the answer under.
     version: ModelVersion,
     inflight: Inflight,
+    /// Its life when it was sent the request.
+    life: Option<Life>,
     /// Prompt tokens to be read before its first chunk, and since when.
     ahead: Tokens,
     sent: Instant,
+    /// When it accepted the request.
+    begun: Instant,
 }
 
 /// Where the checked chunks of an answer go.
@@ -97,19 +102,33 @@
         let Choice { engine, unread, ahead } = job.choose(node)?;
         let inflight = Inflight::new(node.clone(), engine.slot, unread);
         let sent = Instant::now();
+        let life = node.picture.life(engine.slot);
         let error = match send(node, job, &engine).await {
             Ok(response) => {
-                let life = node.picture.life(engine.slot);
-                let version = named_version(&response).unwrap_or(version(life));
-                if let Some(life) = life.filter(|life| life.version == version) {
+                let known = node.picture.life(engine.slot);
+                let version = named_version(&response).unwrap_or(version(known));
+                if let Some(known) = known.filter(|known| known.version == version) {
                     let blocks = &job.prefix(version).blocks;
-                    node.picture.predicted(engine.slot, life, blocks);
+                    node.picture.predicted(engine.slot, known, blocks);
                 }
-                return Ok(Opened { engine, response, version, inflight, ahead, sent });
+                let begun = Instant::now();
+                return Ok(Opened {
+                    engine,
+                    life,
+                    response,
+                    version,
+                    inflight,
+                    ahead,
+                    sent,
+                    begun,
+                });
             }
             Err(error @ Error::Deadline(_)) => return Err(error),
             Err(error) => error,
         };
+        if matches!(error, Error::Engine(..)) {
+            broke(node, job, &engine, life, None);
+        }
         tracing::info!(target: "forward", "forward: {error}; {} goes to another engine.", job.id);
         node.counters.retried.fetch_add(1, Ordering::Relaxed);
         job.note(&engine.addr, error);
@@ -157,11 +176,16 @@
     let mut opened = opened;
     loop {
         let addr = opened.engine.addr.clone();
+        let (engine, life, begun) = (opened.engine.clone(), opened.life, opened.begun);
         let error = match relay(node, job, opened, out).await {
-            Ok(usage) => return Ok(usage),
+            Ok(usage) => {
+                node.poison.ended_well(job.fingerprint);
+                return Ok(usage);
+            }
             Err(error @ (Error::Engine("reply", ..) | Error::Deadline(_))) => return Err(error),
             Err(error) => error,
         };
+        broke(node, job, &engine, life, Some(begun.elapsed()));
         tracing::info!(target: "forward", "forward: {error}; resuming {} from chunk {}.", job.id, job.order.resume_from);
         job.note(&addr, error);
         opened = open(node, job).await?;
@@ -229,6 +253,20 @@
     }
 }
 
+/// The engine may have crashed under `job`, whose answer had run for `ran` if
+/// it had begun.
+fn broke(
+    node: &Arc<Node>,
+    job: &mut Job,
+    engine: &Engine,
+    life: Option<Life>,
+    ran: Option<Duration>,
+) {
+    job.crashed = true;
+    let request = poison::Broken { request: job.fingerprint, attempt: job.id.0, ran };
+    poison::broke(node, engine, life, request);
+}
+
 fn caller_gone() -> Error {
     Error::Engine("reply", "caller".into(), "caller went away".into())
 }
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -6,7 +6,9 @@
 
 use marjoram_core::cache::{Life, Slot};
 use marjoram_core::config::Routing;
+use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::ids::{ModelVersion, Priority, RequestId, Tokens, WorkspaceId};
+use marjoram_core::poison;
 use marjoram_core::policy::{Ask, Candidate};
 use marjoram_core::prefix::{BLOCK_TOKENS, Prefix};
 use marjoram_core::wire::{CompletionRequest, EngineRequest};
@@ -30,6 +32,10 @@
     pub order: EngineRequest,
     /// When it came in.
     pub started: Instant,
+    /// What it shares with other attempts of the same request.
+    pub fingerprint: Fingerprint,
+    /// An engine may have crashed while it was there.
+    pub crashed: bool,
     workspace: WorkspaceId,
     routing: Routing,
     /// The prompt's blocks under each version of the weights met so far.
@@ -82,6 +88,8 @@
             id,
             order,
             started: Instant::now(),
+            fingerprint: Fingerprint(id.0),
+            crashed: false,
             workspace,
             routing,
             prefixes: Vec::new(),
@@ -93,19 +101,33 @@
         }
     }
 
+    /// The job with what its request shares with other attempts of it.
+    pub fn with_fingerprint(self, fingerprint: Fingerprint) -> Self {
+        Self { fingerprint, ..self }
+    }
+
     /// Chooses the engine for the next attempt by the workspace's policy;
     /// the failure to tell the caller when none is left, every attempt or
     /// the node's budget of second attempts is used up, or the first token
     /// is not expected in time.
     pub fn choose(&mut self, node: &Node) -> Result<Choice, Error> {
+        if let Some(quarantined) = node.poison.refuses(self.fingerprint) {
+            // Once an engine may have run it, this is no refusal.
+            return Err(self.last.take().unwrap_or(quarantined));
+        }
         let pool = node.pool.load();
-        let engines: Vec<(&Engine, ModelVersion)> = pool
+        let mut engines: Vec<(&Engine, ModelVersion)> = pool
             .engines
             .iter()
             .filter(|e| !e.leaving && !node.is_down(e.slot) && !self.failed.contains(&e.addr))
             .map(|e| (e, version(node.picture.life(e.slot))))
             .filter(|(_, version)| self.order.expect_version.is_none_or(|due| due == *version))
             .collect();
+        if self.crashed || node.poison.suspects(self.fingerprint) {
+            let keys: Vec<u64> = engines.iter().map(|(engine, _)| engine.key).collect();
+            let apart = poison::apart(self.fingerprint, &keys);
+            engines = apart.into_iter().map(|i| engines[i]).collect();
+        }
         let candidates: Vec<Candidate> = engines
             .iter()
             .zip(self.matched(node, &engines))
--- a/crates/router/src/log.rs
+++ b/crates/router/src/log.rs
@@ -18,6 +18,8 @@
 pub const CONFIG: &str = "config";
 /// The stream of claims of at-most-once calls.
 pub const CLAIMS: &str = "claims";
+/// The stream of engines' crashes and the requests under which they did.
+pub const CRASHES: &str = "crashes";
 /// The stream of grants of the fleet's lease.
 pub const LEASE: &str = "lease";
 /// The stream of configuration snapshots.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -18,6 +18,7 @@
 mod once;
 mod options;
 mod peer;
+mod poison;
 mod proxy;
 mod serve;
 mod warm;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -25,6 +25,7 @@
 use crate::clock;
 use crate::options::Settings;
 use crate::peer::Links;
+use crate::poison::Poison;
 
 /// Second attempts allowed, in thousandths of the requests.
 const RETRY_SHARE: u32 = 200;
@@ -137,6 +138,8 @@
     pub metrics: StatsdClient,
     /// Claims of at-most-once calls read from the log service.
     pub claims: Mutex<Claims>,
+    /// Requests under which engines crash.
+    pub poison: Poison,
     /// Where each engine's events have been read up to.
     pub cursors: Mutex<HashMap<Slot, Cursor>>,
     /// A configuration another router offered, not yet taken up.
@@ -179,6 +182,7 @@
             counters: Counters::default(),
             metrics,
             claims: Mutex::new(Claims::new()),
+            poison: Poison::default(),
             cursors: Mutex::default(),
             offered: Mutex::default(),
             members: Mutex::new(members),
--- /dev/null
+++ b/crates/router/src/poison.rs
@@ -0,0 +1,254 @@
+//! Completions under which engines crash, on the own interface.
+//!
+//! A router that loses completions with an engine that crashed appends what it
+//! had there to the log service's `crashes` stream; all routers read it and
+//! judge alike (see [`marjoram_core::poison`]). Verdicts stand in the same
+//! stream, and are appended anew while they are asked for: the log keeps its
+//! records for a limited time. While the log service is away each router judges
+//! by what it has seen itself, and what it has to tell waits.
+//!
+//! An engine has crashed if it refuses connections right after it broke off;
+//! one that is leaving, or not listed, ends without any request's doing.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use marjoram_core::cache::Life;
+use marjoram_core::fingerprint::Fingerprint;
+use marjoram_core::ids::Offset;
+use marjoram_core::poison::{Admission, Evidence, Quarantine, Recent, SETTLE, Suspects, Verdict};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock;
+use crate::error::Error;
+use crate::log::{self, Log};
+use crate::node::{Engine, Node};
+
+/// Time in which all completions that an engine ended are noticed.
+const GATHER: Duration = Duration::from_millis(20);
+/// Longest time to connect to an engine that may have crashed.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Pause between reads of the stream.
+const EVERY: Duration = Duration::from_millis(500);
+/// Records that wait for the log service at most.
+const WAITING: usize = 256;
+
+/// A record of the stream.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum CrashRecord {
+    /// What a router had at an engine that crashed.
+    Crash(Vec<Evidence>),
+    /// A request that no router sends any more.
+    Verdict(Verdict),
+}
+
+/// A completion that an engine broke off.
+#[derive(Debug, Clone, Copy)]
+pub struct Broken {
+    /// The request.
+    pub request: Fingerprint,
+    /// The router's id for it.
+    pub attempt: u64,
+    /// How long its answer had run, if that had begun.
+    pub ran: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    suspects: Suspects,
+    quarantine: Quarantine,
+    well: Recent,
+    /// Completions broken off, by engines not yet known to have crashed.
+    broken: HashMap<u64, Vec<Broken>>,
+    /// Records that the log service has not taken yet.
+    waiting: Vec<CrashRecord>,
+    /// Where to read on.
+    next: Offset,
+}
+
+/// What a router knows of completions that crash engines.
+#[derive(Debug, Default)]
+pub struct Poison {
+    state: Mutex<State>,
+    read: AtomicBool,
+}
+
+impl Poison {
+    /// Whether the stream has been read to its end once.
+    pub fn is_read(&self) -> bool {
+        self.read.load(Ordering::Acquire)
+    }
+
+    /// `request` ran to its end.
+    pub fn ended_well(&self, request: Fingerprint) {
+        let mut state = self.state.lock().unwrap();
+        state.well.note(request, clock::now());
+        state.suspects.clear(request);
+    }
+
+    /// Whether `request` was at a crash.
+    pub fn suspects(&self, request: Fingerprint) -> bool {
+        self.state.lock().unwrap().suspects.contains(request)
+    }
+
+    /// The error for `request`, if it is kept from engines.
+    pub fn refuses(&self, request: Fingerprint) -> Option<Error> {
+        let mut state = self.state.lock().unwrap();
+        let refused = state.quarantine.refuse(request, clock::wall())?;
+        state.queue(refused.renewed.map(CrashRecord::Verdict));
+        Some(Error::Quarantined(request.to_string(), refused.left))
+    }
+
+    /// The verdicts in force, for the state dump.
+    pub fn verdicts(&self) -> Vec<Verdict> {
+        self.state.lock().unwrap().quarantine.verdicts().cloned().collect()
+    }
+
+    /// Takes in what another router, or this one, had at an engine.
+    fn add(&self, evidence: &[Evidence]) {
+        let mut state = self.state.lock().unwrap();
+        for e in evidence {
+            match state.quarantine.holds(e.request) {
+                true => state.suspects.explain(&[e.upstream]),
+                false => state.suspects.add(e, clock::now()),
+            }
+        }
+    }
+
+    fn judge(&self) {
+        let mut state = self.state.lock().unwrap();
+        for (request, upstreams) in state.suspects.convict(clock::now()) {
+            let verdict = Verdict { request, upstreams, asked: clock::wall() };
+            state.admit(verdict.clone(), "own");
+            state.queue(Some(CrashRecord::Verdict(verdict)));
+        }
+        for request in state.quarantine.expire(clock::wall()) {
+            tracing::info!(target: "poison", "poison: request {request} is no longer in quarantine.");
+        }
+    }
+}
+
+impl State {
+    fn admit(&mut self, verdict: Verdict, source: &str) {
+        let (request, upstreams) = (verdict.request, verdict.upstreams.clone());
+        if let Admission::New(_) = self.quarantine.admit(verdict, clock::wall()) {
+            tracing::warn!(target: "poison", "poison: request {request} is quarantined ({source}): {} engines crashed under it.", upstreams.len());
+            self.suspects.clear(request);
+            self.suspects.explain(&upstreams);
+        }
+    }
+
+    fn queue(&mut self, record: Option<CrashRecord>) {
+        if self.waiting.len() < WAITING {
+            self.waiting.extend(record);
+        }
+    }
+}
+
+/// Key of one life of an engine.
+fn key(engine: &Engine, life: Option<Life>) -> u64 {
+    let incarnation = life.map(|life| life.incarnation.0);
+    xxh3_64(format!("{}@{incarnation:?}", engine.addr).as_bytes())
+}
+
+/// Takes in that `engine`, in `life`, broke off a completion.
+pub fn broke(node: &Arc<Node>, engine: &Engine, life: Option<Life>, request: Broken) {
+    let listed = |e: &Engine| e.addr == engine.addr && !e.leaving;
+    if !node.pool.load().engines.iter().any(listed) {
+        return;
+    }
+    let key = key(engine, life);
+    let mut state = node.poison.state.lock().unwrap();
+    let broken = state.broken.entry(key).or_default();
+    broken.push(request);
+    if broken.len() == 1 {
+        ntex::rt::spawn(inspect(node.clone(), engine.addr.clone(), key));
+    }
+}
+
+/// Finds out whether an engine has crashed, and tells what was there.
+async fn inspect(node: Arc<Node>, addr: String, key: u64) {
+    ntex::time::sleep(GATHER).await;
+    let refused = match tokio::time::timeout(CONNECT, TcpStream::connect(&addr)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    };
+    let evidence: Vec<Evidence> = {
+        let mut state = node.poison.state.lock().unwrap();
+        let broken = state.broken.remove(&key).unwrap_or_default();
+        let well = |b: &Broken| state.well.age(b.request, clock::now());
+        broken
+            .iter()
+            .map(|b| Evidence {
+                request: b.request,
+                upstream: key,
+                attempt: b.attempt,
+                ran: b.ran,
+                well: well(b),
+            })
+            .collect()
+    };
+    tracing::info!(target: "poison", "poison: engine {addr} ended {} requests, crashed: {refused}.", evidence.len());
+    if !refused {
+        return;
+    }
+    node.poison.add(&evidence);
+    node.poison.state.lock().unwrap().queue(Some(CrashRecord::Crash(evidence)));
+    tell(&node, &Log::new(node.settings.log_service)).await;
+    ntex::time::sleep(SETTLE).await;
+    node.poison.judge();
+}
+
+/// Appends what waits; what the log service does not take goes on waiting.
+async fn tell(node: &Node, log: &Log) {
+    let waiting = std::mem::take(&mut node.poison.state.lock().unwrap().waiting);
+    let mut left = Vec::new();
+    for record in waiting {
+        if let Err(error) = log.append(log::CRASHES, &record).await {
+            tracing::info!(target: "poison", "poison: crash not recorded yet: {error}.");
+            left.push(record);
+        }
+    }
+    let mut state = node.poison.state.lock().unwrap();
+    left.into_iter().for_each(|record| state.queue(Some(record)));
+}
+
+/// Follows the stream for ever.
+pub async fn follow(node: Arc<Node>) {
+    let log = Log::new(node.settings.log_service);
+    loop {
+        match read_on(&node, &log).await {
+            Ok(()) => node.poison.read.store(true, Ordering::Release),
+            Err(error) => tracing::debug!(target: "poison", "poison: {error}."),
+        }
+        node.poison.judge();
+        tell(&node, &log).await;
+        ntex::time::sleep(EVERY).await;
+    }
+}
+
+/// Reads and takes in what the stream holds beyond the last read.
+async fn read_on(node: &Node, log: &Log) -> Result<(), Error> {
+    let from = node.poison.state.lock().unwrap().next;
+    let read = log.read(log::CRASHES, from).await?;
+    for record in &read.records {
+        match serde_json::from_str::<CrashRecord>(&record.body) {
+            Ok(CrashRecord::Crash(evidence)) => node.poison.add(&evidence),
+            Ok(CrashRecord::Verdict(verdict)) => {
+                node.poison.state.lock().unwrap().admit(verdict, "log");
+            }
+            Err(error) => {
+                tracing::warn!(target: "poison", "poison: crash record {} passed over, malformed: {error}.", record.offset);
+            }
+        }
+    }
+    node.poison.state.lock().unwrap().next = read.next;
+    Ok(())
+}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -30,6 +30,7 @@
 use crate::once;
 use crate::options::Settings;
 use crate::peer;
+use crate::poison;
 use crate::warm;
 
 type Shared = types::State<Arc<Node>>;
@@ -56,6 +57,7 @@
     ntex::rt::spawn(duty::contend(node.clone()));
     ntex::rt::spawn(duty::keep(node.clone()));
     ntex::rt::spawn(once::follow(node.clone()));
+    ntex::rt::spawn(poison::follow(node.clone()));
     let shared = node.clone();
     let body_limit = node.settings.max_prompt + BODY_SLACK;
     let server = web::HttpServer::new(move || {
--- a/crates/router/src/serve/complete.rs
+++ b/crates/router/src/serve/complete.rs
@@ -5,6 +5,7 @@
 
 use futures::SinkExt;
 use futures::channel::mpsc;
+use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::ids::{RequestId, WorkspaceId};
 use marjoram_core::wire::{Chunk, Completion, CompletionRequest};
 use ntex::util::Bytes;
@@ -16,6 +17,9 @@
 use crate::job::Job;
 use crate::node::Node;
 
+/// Where completions are asked for.
+const PATH: &str = "/v1/completions";
+
 type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
 
 pub async fn complete(node: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
@@ -56,7 +60,9 @@
     let id = RequestId(node.request_id());
     let streamed = request.stream;
     node.budget.earn();
-    let mut job = Job::new(id, workspace, request, routing, node.settings.max_wait);
+    let fingerprint = Fingerprint::new(&[&workspace.to_string(), PATH], body);
+    let mut job = Job::new(id, workspace, request, routing, node.settings.max_wait)
+        .with_fingerprint(fingerprint);
     let opened = forward::open(node, &mut job).await?;
     match streamed {
         true => {
--- a/crates/router/src/warm.rs
+++ b/crates/router/src/warm.rs
@@ -12,8 +12,10 @@
 //!    other router is ready, as after a herd restart, the engines' own
 //!    retained events are read from the beginning and rebuild the picture.
 //!
+//! 5. which requests no router sends any more, from the log service.
+//!
 //! Until then `/healthz` answers 503 and other routers send it no callers.
-//! The cache picture waits [`LIMIT`] at most: a router is worth more cold
+//! The cache picture and those requests wait [`LIMIT`] at most: a router is worth more cold
 //! than absent. The configuration has no limit: without it no request can
 //! be routed, and requests are refused as not run.
 
@@ -51,7 +53,7 @@
     while !node.configured.load(Ordering::Acquire) {
         ntex::time::sleep(STEP).await;
     }
-    wait_until(begun + LIMIT, || read_once(&node)).await;
+    wait_until(begun + LIMIT, || read_once(&node) && node.poison.is_read()).await;
     node.ready.store(true, Ordering::Release);
     if !node.draining.load(Ordering::Acquire) {
         gossip::declare(&node, Status::Ready).await;
