Quarantine: terms end and double, a host that starts learns of relapses

A request was kept away until an hour after it was last asked for. One that is asked for all the time and innocent after all, or mended, would have stayed away for good. Retry-After says when the term ends. Greetings carry 32 verdicts at most (a host that had taken over a full quarantine would have sent datagrams of 90 KB, which none of the others reads), and those learnt from the store are not told again. Renewals in the store are gone with their cause.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -25,10 +25,21 @@
 use crate::fingerprint::Fingerprint;
 use crate::place;
 
-pub use quarantine::{Admission, Quarantine, Refused, TERM};
+pub use quarantine::{Admission, Quarantine};
 pub use recent::Recent;
 pub use suspects::{CRASHES, SETTLE, Suspects};
 
+/// How long a request is kept from upstreams when it is found first: by then
+/// its caller, or what runs it, has most likely changed. Twice as long each
+/// time it crashes one again.
+pub const TERM: Duration = Duration::from_secs(3_600);
+
+/// The longest such time.
+const LONGEST_TERM: Duration = Duration::from_secs(24 * 3_600);
+
+/// Terms double so often at most.
+const MOST_DOUBLED: u32 = 5;
+
 /// Upstreams over which a request that was at a crash is compared.
 const APART: usize = 2;
 
@@ -73,6 +84,30 @@
     pub request: Fingerprint,
     /// Keys of the lives of upstreams that crashed under it.
     pub upstreams: Vec<u64>,
-    /// When it was last asked for, since the Unix epoch.
-    pub asked: Duration,
+    /// When it was found, since the Unix epoch.
+    pub at: Duration,
+    /// How often it had been found before.
+    pub strikes: u32,
+}
+
+impl Verdict {
+    /// `request` is found at `at` to have crashed `upstreams`.
+    pub fn new(request: Fingerprint, upstreams: Vec<u64>, at: Duration) -> Self {
+        Self { request, upstreams, at, strikes: 0 }
+    }
+
+    /// Until when it is sent to no upstream, since the Unix epoch.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use marjoram_core::fingerprint::Fingerprint;
+    /// use marjoram_core::poison::{TERM, Verdict};
+    /// let at = Duration::from_secs(1_000_000);
+    /// let first = Verdict::new(Fingerprint(1), vec![1, 2, 3], at);
+    /// assert_eq!(first.until(), at + TERM);
+    /// assert_eq!(Verdict { strikes: 2, ..first }.until(), at + TERM * 4);
+    /// ```
+    pub fn until(&self) -> Duration {
+        self.at + (TERM * (1 << self.strikes.min(MOST_DOUBLED))).min(LONGEST_TERM)
+    }
 }
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -1,20 +1,16 @@
-//! The requests that are sent to no upstream any more.
+//! The requests that are sent to no upstream for now.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Verdict;
+use super::{Evidence, Verdict};
 use crate::fingerprint::Fingerprint;
 
-/// How long after it was last asked for a request may be sent again: by then
-/// its caller, or what runs it, has most likely changed.
-pub const TERM: Duration = Duration::from_secs(3_600);
+/// How long after its term a request is remembered: the next crash under it
+/// suffices then to keep it away again.
+const PAROLE: Duration = Duration::from_secs(24 * 3_600);
 
-/// Share of the term after which it is written down anew that a request is
-/// still asked for.
-const RENEWED: u32 = 4;
-
-/// Requests kept; the one asked for least recently yields.
+/// Requests kept; the one whose term ends first yields.
 const MOST: usize = 1_024;
 
 /// What became of a verdict that was learnt.
@@ -22,45 +18,34 @@
 pub enum Admission {
     /// It is new; the request that had to yield to it, if one had to.
     New(Option<Fingerprint>),
-    /// It was known.
+    /// It was known, or a later one is.
     Known,
-    /// Its term has passed.
+    /// It no longer matters.
     Over,
 }
 
-/// Why a request is not sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Refused {
-    /// Until when, counted from now.
-    pub left: Duration,
-    /// Its verdict, if that is to be written down anew.
-    pub renewed: Option<Verdict>,
-}
-
-#[derive(Debug)]
-struct Held {
-    verdict: Verdict,
-    /// When the verdict was last written down.
-    kept: Duration,
-}
-
 /// The requests that are kept from upstreams. Times are since the Unix epoch:
 /// verdicts outlive the hosts that found them.
 ///
+/// Limits: a request that is innocent after all, or has been mended, would stay
+/// away for good if its term began anew whenever it is asked for; one that is
+/// not costs an upstream each time it is tried. So terms end, and double.
+///
 /// ```
 /// use std::time::Duration;
 /// use marjoram_core::fingerprint::Fingerprint;
 /// use marjoram_core::poison::{Admission, Quarantine, TERM, Verdict};
 /// let mut quarantine = Quarantine::new();
 /// let now = Duration::from_secs(1_000_000);
-/// let verdict = Verdict { request: Fingerprint(7), upstreams: vec![1, 2, 3], asked: now };
+/// let verdict = Verdict::new(Fingerprint(7), vec![1, 2, 3], now);
 /// assert_eq!(quarantine.admit(verdict, now), Admission::New(None));
-/// assert_eq!(quarantine.refuse(Fingerprint(7), now).unwrap().left, TERM);
-/// assert_eq!(quarantine.refuse(Fingerprint(8), now), None);
+/// assert_eq!(quarantine.refuses(Fingerprint(7), now), Some(TERM));
+/// assert_eq!(quarantine.refuses(Fingerprint(7), now + TERM), None);
+/// assert_eq!(quarantine.refuses(Fingerprint(8), now), None);
 /// ```
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    held: HashMap<Fingerprint, Held>,
+    verdicts: HashMap<Fingerprint, Verdict>,
 }
 
 impl Quarantine {
@@ -69,75 +54,78 @@
         Self::default()
     }
 
-    /// Requests kept away.
+    /// Requests remembered, kept away or not.
     pub fn len(&self) -> usize {
-        self.held.len()
+        self.verdicts.len()
     }
 
-    /// Whether nothing is kept away.
+    /// Whether nothing is remembered.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.verdicts.is_empty()
     }
 
-    /// Whether `request` is kept away.
-    pub fn holds(&self, request: Fingerprint) -> bool {
-        self.held.contains_key(&request)
+    /// Verdicts there have been on those remembered: hosts that know the same
+    /// have the same number.
+    pub fn extent(&self) -> u64 {
+        self.verdicts.values().map(|v| u64::from(v.strikes) + 1).sum()
     }
 
     /// Takes in a verdict learnt at `now`.
     pub fn admit(&mut self, verdict: Verdict, now: Duration) -> Admission {
-        if now >= verdict.asked + TERM {
+        if now >= verdict.until() + PAROLE {
             return Admission::Over;
         }
-        if let Some(held) = self.held.get_mut(&verdict.request) {
-            held.verdict.asked = held.verdict.asked.max(verdict.asked);
-            held.kept = held.kept.max(verdict.asked);
-            return Admission::Known;
+        match self.verdicts.get(&verdict.request) {
+            Some(known) if known.strikes >= verdict.strikes => return Admission::Known,
+            _ => {}
         }
-        let yields = match self.held.len() >= MOST {
-            true => self.held.iter().min_by_key(|(r, h)| (h.verdict.asked, **r)).map(|(r, _)| *r),
+        let full = self.len() >= MOST && !self.verdicts.contains_key(&verdict.request);
+        let yields = match full {
+            true => self.verdicts.values().min_by_key(|v| (v.until(), v.request)),
             false => None,
         };
+        let yields = yields.map(|v| v.request);
         if let Some(request) = yields {
-            self.held.remove(&request);
+            self.verdicts.remove(&request);
         }
-        let kept = verdict.asked;
-        self.held.insert(verdict.request, Held { verdict, kept });
+        self.verdicts.insert(verdict.request, verdict);
         Admission::New(yields)
     }
 
-    /// Whether `request`, asked for at `now`, is kept away. Its term begins
-    /// anew then: whoever goes on asking does not bring it back.
-    pub fn refuse(&mut self, request: Fingerprint, now: Duration) -> Option<Refused> {
-        let held = self.held.get_mut(&request)?;
-        if now >= held.verdict.asked + TERM {
-            return None;
-        }
-        held.verdict.asked = held.verdict.asked.max(now);
-        let due = now >= held.kept + TERM / RENEWED;
-        let renewed = due.then(|| {
-            held.kept = now;
-            held.verdict.clone()
-        });
-        Some(Refused { left: TERM, renewed })
+    /// For how long from `now` on `request` is kept away.
+    pub fn refuses(&self, request: Fingerprint, now: Duration) -> Option<Duration> {
+        let left = self.verdicts.get(&request)?.until().checked_sub(now)?;
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// The verdict on a request that was tried once more after its term, and
+    /// under which an upstream crashed again, as `evidence` tells at `now`.
+    pub fn relapse(&self, evidence: &Evidence, now: Duration) -> Option<Verdict> {
+        let former = self.verdicts.get(&evidence.request)?;
+        let tried = now.checked_sub(former.until())?;
+        // It ran to its end since: this crash has another cause.
+        let mended = evidence.well.is_some_and(|age| age < tried);
+        let verdict = Verdict {
+            request: evidence.request,
+            upstreams: vec![evidence.upstream],
+            at: now,
+            strikes: former.strikes + 1,
+        };
+        (!mended).then_some(verdict)
     }
 
-    /// Lets go those whose term has passed at `now`.
+    /// Forgets those that no longer matter at `now`.
     pub fn expire(&mut self, now: Duration) -> Vec<Fingerprint> {
-        let over: Vec<Fingerprint> = self
-            .held
-            .iter()
-            .filter(|(_, h)| now >= h.verdict.asked + TERM)
-            .map(|(request, _)| *request)
-            .collect();
+        let over = self.verdicts.values().filter(|v| now >= v.until() + PAROLE);
+        let over: Vec<Fingerprint> = over.map(|v| v.request).collect();
         for request in &over {
-            self.held.remove(request);
+            self.verdicts.remove(request);
         }
         over
     }
 
-    /// All verdicts.
+    /// All verdicts remembered.
     pub fn verdicts(&self) -> impl Iterator<Item = &Verdict> {
-        self.held.values().map(|h| &h.verdict)
+        self.verdicts.values()
     }
 }
--- a/crates/router/src/poison.rs
+++ b/crates/router/src/poison.rs
@@ -3,8 +3,8 @@
 //! A router that loses completions with an engine that crashed appends what it
 //! had there to the log service's `crashes` stream; all routers read it and
 //! judge alike (see [`marjoram_core::poison`]). Verdicts stand in the same
-//! stream, and are appended anew while they are asked for: the log keeps its
-//! records for a limited time. While the log service is away each router judges
+//! stream, and are appended anew while they matter: the log keeps its records for
+//! a limited time. While the log service is away each router judges
 //! by what it has seen itself, and what it has to tell waits.
 //!
 //! An engine has crashed if it refuses connections right after it broke off;
@@ -36,6 +36,9 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Pause between reads of the stream.
 const EVERY: Duration = Duration::from_millis(500);
+/// Time after which a verdict in force is appended anew: the log service keeps
+/// its records for a limited time.
+const RENEWED: Duration = Duration::from_secs(900);
 /// Records that wait for the log service at most.
 const WAITING: usize = 256;
 
@@ -67,6 +70,8 @@
     well: Recent,
     /// Completions broken off, by engines not yet known to have crashed.
     broken: HashMap<u64, Vec<Broken>>,
+    /// When verdicts were last read in the stream, or appended.
+    told: HashMap<Fingerprint, Duration>,
     /// Records that the log service has not taken yet.
     waiting: Vec<CrashRecord>,
     /// Where to read on.
@@ -100,10 +105,9 @@
 
     /// The error for `request`, if it is kept from engines.
     pub fn refuses(&self, request: Fingerprint) -> Option<Error> {
-        let mut state = self.state.lock().unwrap();
-        let refused = state.quarantine.refuse(request, clock::wall())?;
-        state.queue(refused.renewed.map(CrashRecord::Verdict));
-        Some(Error::Quarantined(request.to_string(), refused.left))
+        let state = self.state.lock().unwrap();
+        let left = state.quarantine.refuses(request, clock::wall())?;
+        Some(Error::Quarantined(request.to_string(), left))
     }
 
     /// The verdicts in force, for the state dump.
@@ -114,10 +118,13 @@
     /// Takes in what another router, or this one, had at an engine.
     fn add(&self, evidence: &[Evidence]) {
         let mut state = self.state.lock().unwrap();
+        let wall = clock::wall();
         for e in evidence {
-            match state.quarantine.holds(e.request) {
-                true => state.suspects.explain(&[e.upstream]),
-                false => state.suspects.add(e, clock::now()),
+            let refused = state.quarantine.refuses(e.request, wall);
+            match (refused, state.quarantine.relapse(e, wall)) {
+                (Some(_), _) => state.suspects.explain(&[e.upstream]),
+                (None, Some(verdict)) => state.pass(verdict),
+                (None, None) => state.suspects.add(e, clock::now()),
             }
         }
     }
@@ -125,29 +132,45 @@
     fn judge(&self) {
         let mut state = self.state.lock().unwrap();
         for (request, upstreams) in state.suspects.convict(clock::now()) {
-            let verdict = Verdict { request, upstreams, asked: clock::wall() };
-            state.admit(verdict.clone(), "own");
-            state.queue(Some(CrashRecord::Verdict(verdict)));
+            state.pass(Verdict::new(request, upstreams, clock::wall()));
+        }
+        let state = &mut *state;
+        let stale = state.told.iter().filter(|(_, at)| clock::now() >= **at + RENEWED);
+        let stale: Vec<Fingerprint> = stale.map(|(request, _)| *request).collect();
+        for verdict in state.quarantine.verdicts().filter(|v| stale.contains(&v.request)) {
+            state.told.insert(verdict.request, clock::now());
+            state.waiting.push(CrashRecord::Verdict(verdict.clone()));
         }
         for request in state.quarantine.expire(clock::wall()) {
+            state.told.remove(&request);
             tracing::info!(target: "poison", "poison: request {request} is no longer in quarantine.");
         }
     }
 }
 
 impl State {
+    /// Takes in a verdict of this router, and has it told.
+    fn pass(&mut self, verdict: Verdict) {
+        self.admit(verdict.clone(), "own");
+        self.queue(CrashRecord::Verdict(verdict));
+    }
+
     fn admit(&mut self, verdict: Verdict, source: &str) {
         let (request, upstreams) = (verdict.request, verdict.upstreams.clone());
-        if let Admission::New(_) = self.quarantine.admit(verdict, clock::wall()) {
+        let admission = self.quarantine.admit(verdict, clock::wall());
+        if admission != Admission::Over {
+            self.told.insert(request, clock::now());
+        }
+        if let Admission::New(_) = admission {
             tracing::warn!(target: "poison", "poison: request {request} is quarantined ({source}): {} engines crashed under it.", upstreams.len());
             self.suspects.clear(request);
             self.suspects.explain(&upstreams);
         }
     }
 
-    fn queue(&mut self, record: Option<CrashRecord>) {
+    fn queue(&mut self, record: CrashRecord) {
         if self.waiting.len() < WAITING {
-            self.waiting.extend(record);
+            self.waiting.push(record);
         }
     }
 }
@@ -200,7 +223,7 @@
         return;
     }
     node.poison.add(&evidence);
-    node.poison.state.lock().unwrap().queue(Some(CrashRecord::Crash(evidence)));
+    node.poison.state.lock().unwrap().queue(CrashRecord::Crash(evidence));
     tell(&node, &Log::new(node.settings.log_service)).await;
     ntex::time::sleep(SETTLE).await;
     node.poison.judge();
@@ -217,7 +240,7 @@
         }
     }
     let mut state = node.poison.state.lock().unwrap();
-    left.into_iter().for_each(|record| state.queue(Some(record)));
+    left.into_iter().for_each(|record| state.queue(record));
 }
 
 /// Follows the stream for ever.
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -126,12 +126,12 @@
     writer.finish(&entry::addresses(&known, ttl))
 }
 
-/// Requests that no host sends any more.
+/// Requests that no host sends, or did not until lately.
 fn quarantine(site: &Site) -> Vec<serde_json::Value> {
     let wall = clock::wall();
     let held = site.poison.verdicts().into_iter().map(|v| {
-        let asked = wall.saturating_sub(v.asked).as_millis() as u64;
-        serde_json::json!({ "fingerprint": v.request.to_string(), "asked_ms": asked, "upstreams": v.upstreams })
+        serde_json::json!({ "fingerprint": v.request.to_string(), "strikes": v.strikes,
+            "left_s": v.until().saturating_sub(wall).as_secs(), "upstreams": v.upstreams })
     });
     held.collect()
 }
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -33,6 +33,7 @@
 use super::fleet::Upstream;
 use super::peers::Message;
 use super::site::Site;
+use crate::clock;
 
 pub use records::{keep, take_record};
 pub use verdicts::{hear_verdicts, refuses, take_verdicts};
@@ -50,6 +51,9 @@
 /// two of them may be down or cut off.
 const JUDGES: usize = 3;
 
+/// Verdicts in one greeting at most: some 90 bytes each.
+const GREETED: usize = 32;
+
 /// Evidence told in one datagram, and how often each is sent.
 const TOLD_AT_ONCE: usize = 200;
 const TELLINGS: u32 = 2;
@@ -95,21 +99,26 @@
         self.suspects.borrow().contains(request)
     }
 
-    /// Requests suspected, and those in quarantine.
+    /// Requests suspected, and those in quarantine or lately.
     pub fn counts(&self) -> (usize, usize) {
         (self.suspects.borrow().len(), self.quarantine.borrow().len())
     }
 
+    /// Verdicts on the latter: hosts that know the same have the same number.
+    pub fn extent(&self) -> u64 {
+        self.quarantine.borrow().extent()
+    }
+
     /// The verdicts in force.
     pub fn verdicts(&self) -> Vec<Verdict> {
         self.quarantine.borrow().verdicts().cloned().collect()
     }
 
-    /// Verdicts learnt within `span` before `now`, for greetings.
+    /// The newest verdicts learnt within `span` before `now`, for greetings.
     pub fn lately(&self, span: Duration, now: Duration) -> Vec<Verdict> {
         let mut told = self.told.borrow_mut();
         told.retain(|(_, at)| now < *at + span);
-        told.iter().map(|(verdict, _)| verdict.clone()).collect()
+        told.iter().rev().take(GREETED).map(|(verdict, _)| verdict.clone()).collect()
     }
 }
 
@@ -139,8 +148,8 @@
         Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
     };
     let broken = site.poison.broken.borrow_mut().remove(&upstream.life).unwrap_or_default();
-    tracing::info!(target: "poison", upstream = %upstream.life, requests = broken.len(),
-        crashed = refused, "upstream ended requests");
+    tracing::info!(target: "poison", upstream = %upstream.life, key = upstream.key,
+        requests = broken.len(), crashed = refused, "upstream ended requests");
     if !refused {
         return;
     }
@@ -154,6 +163,11 @@
         well: site.poison.well.borrow().age(b.request, now),
     });
     let evidence: Vec<Evidence> = evidence.collect();
+    for e in &evidence {
+        tracing::info!(target: "poison", fingerprint = %e.request, upstream = %upstream.life,
+            attempt = e.attempt, ran_ms = e.ran.map(|ran| ran.as_millis() as u64),
+            well_ms = e.well.map(|age| age.as_millis() as u64), "was there when it crashed");
+    }
     let judges = site.peers.first_ranked(xxh3_64(JUDGING.as_bytes()), judges(&site));
     for some in evidence.chunks(TOLD_AT_ONCE) {
         let some = some.to_vec();
@@ -172,15 +186,17 @@
 
 /// Takes in what a host tells of a crash.
 pub fn hear_evidence(site: &Rc<Site>, evidence: &[Evidence]) {
-    let now = site.now();
+    let (now, wall) = (site.now(), clock::wall());
     let poison = &site.poison;
     for e in evidence {
-        tracing::info!(target: "poison", fingerprint = %e.request, upstream = e.upstream,
-            attempt = e.attempt, ran_ms = e.ran.map(|ran| ran.as_millis() as u64),
-            well_ms = e.well.map(|age| age.as_millis() as u64), "was there when it crashed");
-        match poison.quarantine.borrow().holds(e.request) {
-            true => poison.suspects.borrow_mut().explain(&[e.upstream]),
-            false => poison.suspects.borrow_mut().add(e, now),
+        let (refused, relapse) = {
+            let quarantine = poison.quarantine.borrow();
+            (quarantine.refuses(e.request, wall), quarantine.relapse(e, wall))
+        };
+        match (refused, relapse) {
+            (Some(_), _) => poison.suspects.borrow_mut().explain(&[e.upstream]),
+            (None, Some(verdict)) => verdicts::pass(site, vec![verdict]),
+            (None, None) => poison.suspects.borrow_mut().add(e, now),
         }
     }
     if poison.suspects.borrow().is_pending() {
--- a/crates/router/src/proxy/poison/records.rs
+++ b/crates/router/src/proxy/poison/records.rs
@@ -36,7 +36,6 @@
         // Dropped when its term had passed.
         None => {}
         Some(Ok(verdict)) if verdict.request.to_string() == request => {
-            site.poison.writes.borrow_mut().remove(&verdict.request);
             verdicts::take_verdicts(site, vec![verdict], STORE);
         }
         Some(_) => tracing::error!(target: "poison", key, "record of no verdict"),
@@ -51,15 +50,10 @@
 /// Has a new verdict written, if this host is one of those that do it.
 pub(super) fn keep_record(site: &Site, verdict: Verdict) {
     if ranks_within(site, WRITERS) {
-        renew_record(site, verdict);
+        queue(site, verdict.request, Some(verdict));
     }
 }
 
-/// Has a verdict written.
-pub(super) fn renew_record(site: &Site, verdict: Verdict) {
-    queue(site, verdict.request, Some(verdict));
-}
-
 /// Has the record of a verdict dropped that is no longer in force.
 pub(super) fn drop_record(site: &Site, request: Fingerprint) {
     if ranks_within(site, 1) {
--- a/crates/router/src/proxy/poison/verdicts.rs
+++ b/crates/router/src/proxy/poison/verdicts.rs
@@ -51,14 +51,16 @@
         suspects.refute(now, lives);
         suspects.convict(now)
     };
-    if found.is_empty() {
+    let at = clock::wall();
+    let verdict = |(request, upstreams)| Verdict::new(request, upstreams, at);
+    pass(site, found.into_iter().map(verdict).collect());
+}
+
+/// Takes in verdicts of this host, and tells them to all.
+pub(super) fn pass(site: &Site, verdicts: Vec<Verdict>) {
+    if verdicts.is_empty() {
         return;
     }
-    let asked = clock::wall();
-    let verdicts: Vec<Verdict> = found
-        .into_iter()
-        .map(|(request, upstreams)| Verdict { request, upstreams, asked })
-        .collect();
     take_verdicts(site, verdicts.clone(), OWN);
     site.peers.spread(TELLINGS, move || Message::Quarantine(verdicts.clone()));
 }
@@ -90,9 +92,12 @@
         }
         site.counters.count("request.quarantined");
         tracing::warn!(target: "poison", fingerprint = %request, upstreams = ?verdict.upstreams,
-            asked_ms = wall.saturating_sub(verdict.asked).as_millis() as u64, source,
+            strikes = verdict.strikes, age_ms = wall.saturating_sub(verdict.at).as_millis() as u64,
+            left_s = verdict.until().saturating_sub(wall).as_secs(), source,
             "request quarantined: upstreams crashed under it");
-        poison.told.borrow_mut().push((verdict.clone(), now));
+        if [OWN, PEER].contains(&source) {
+            poison.told.borrow_mut().push((verdict.clone(), now));
+        }
         if let Some(yielded) = yielded {
             tracing::warn!(target: "poison", fingerprint = %yielded, "quarantine full, request let go");
             records::drop_record(site, yielded);
@@ -106,13 +111,9 @@
 /// For how long `request`, asked for by the attempt `id`, is kept from
 /// upstreams.
 pub fn refuses(site: &Site, request: Fingerprint, id: &str) -> Option<Duration> {
-    let refused = site.poison.quarantine.borrow_mut().refuse(request, clock::wall())?;
+    let left = site.poison.quarantine.borrow().refuses(request, clock::wall())?;
     site.counters.count("poison.refused");
-    tracing::info!(target: "poison", id, fingerprint = %request, left_s = refused.left.as_secs(),
+    tracing::info!(target: "poison", id, fingerprint = %request, left_s = left.as_secs(),
         "kept from upstreams");
-    if let Some(verdict) = refused.renewed {
-        records::renew_record(site, verdict.clone());
-        site.peers.spread(1, move || Message::Quarantine(vec![verdict.clone()]));
-    }
-    Some(refused.left)
+    Some(left)
 }
--- a/crates/router/src/proxy/warm.rs
+++ b/crates/router/src/proxy/warm.rs
@@ -67,8 +67,8 @@
     pub config: u64,
     /// The versions of its weights together.
     pub weights: u64,
-    /// Requests in quarantine.
-    pub quarantined: u64,
+    /// Verdicts on requests that crash upstreams.
+    pub verdicts: u64,
 }
 
 /// How much this host knows.
@@ -76,7 +76,7 @@
     Extent {
         config: site.catalog.load().as_ref().map_or(0, |c| c.version),
         weights: site.named.borrow().values().filter_map(|n| n.newest()).sum(),
-        quarantined: site.poison.counts().1 as u64,
+        verdicts: site.poison.extent(),
     }
 }
 
@@ -85,7 +85,7 @@
     let (own, now) = (extent(site), site.now());
     let knows = theirs.config <= own.config
         && theirs.weights <= own.weights
-        && theirs.quarantined <= own.quarantined;
+        && theirs.verdicts <= own.verdicts;
     match site.behind.get() {
         _ if knows => {}
         Some(since) if now < since + LASTS => {}
