--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -5,8 +5,8 @@
 //! crashes, with all that runs beside it, and is back after some seconds. One
 //! such request ended 25 of 12 engines' lives in ten seconds.
 //!
-//! What each host sees of a crash is [`Evidence`]: its requests that were there.
-//! [`Suspects`] puts the evidence of all hosts together and finds the request
+//! What each host sees of a crash is [`CrashReport`]: its requests that were there.
+//! [`Suspects`] puts the reports of all hosts together and finds the request
 //! that was there each time; [`Quarantine`] keeps those found.
 //!
 //! Limits: three crashes, since a request that is resumed or repeated after a
@@ -64,7 +64,7 @@
 
 /// One request that was at an upstream when that crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Evidence {
+pub struct CrashReport {
     /// The request.
     pub request: Fingerprint,
     /// Key of the upstream's life.
@@ -79,7 +79,7 @@
 
 /// A request found to crash what runs it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
+pub struct Quarantined {
     /// The request.
     pub request: Fingerprint,
     /// Keys of the lives of upstreams that crashed under it.
@@ -87,13 +87,13 @@
     /// When it was found, since the Unix epoch.
     pub at: Duration,
     /// How often it had been found before.
-    pub strikes: u32,
+    pub repeats: u32,
 }
 
-impl Verdict {
+impl Quarantined {
     /// `request` is found at `at` to have crashed `upstreams`.
     pub fn new(request: Fingerprint, upstreams: Vec<u64>, at: Duration) -> Self {
-        Self { request, upstreams, at, strikes: 0 }
+        Self { request, upstreams, at, repeats: 0 }
     }
 
     /// Until when it is sent to no upstream, since the Unix epoch.
@@ -101,13 +101,13 @@
     /// ```
     /// use std::time::Duration;
     /// use marjoram_core::fingerprint::Fingerprint;
-    /// use marjoram_core::poison::{TERM, Verdict};
+    /// use marjoram_core::poison::{TERM, Quarantined};
     /// let at = Duration::from_secs(1_000_000);
-    /// let first = Verdict::new(Fingerprint(1), vec![1, 2, 3], at);
+    /// let first = Quarantined::new(Fingerprint(1), vec![1, 2, 3], at);
     /// assert_eq!(first.until(), at + TERM);
-    /// assert_eq!(Verdict { strikes: 2, ..first }.until(), at + TERM * 4);
+    /// assert_eq!(Quarantined { repeats: 2, ..first }.until(), at + TERM * 4);
     /// ```
     pub fn until(&self) -> Duration {
-        self.at + (TERM * (1 << self.strikes.min(MOST_DOUBLED))).min(LONGEST_TERM)
+        self.at + (TERM * (1 << self.repeats.min(MOST_DOUBLED))).min(LONGEST_TERM)
     }
 }
--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -5,7 +5,7 @@
 
 use lru::LruCache;
 
-use super::Evidence;
+use super::CrashReport;
 use crate::fingerprint::Fingerprint;
 
 /// Crashes at which a request must have been to be held for their cause.
@@ -66,10 +66,10 @@
 type Strength = (usize, usize, usize, Reverse<Duration>);
 
 impl Suspect {
-    fn add(&mut self, evidence: &Evidence, now: Duration) {
-        let well = evidence.well.map(|age| now.saturating_sub(age));
+    fn add(&mut self, report: &CrashReport, now: Duration) {
+        let well = report.well.map(|age| now.saturating_sub(age));
         self.keep(|s| now < s.at + SPAN && well.is_none_or(|well| well < s.at));
-        let Evidence { upstream, attempt, ran, .. } = *evidence;
+        let CrashReport { upstream, attempt, ran, .. } = *report;
         let known = self.seen.iter().any(|s| s.upstream == upstream);
         if !known && self.seen.len() < MOST_SEEN {
             self.seen.push(Seen { upstream, attempt, ran, at: now });
@@ -155,17 +155,17 @@
 /// ```
 /// use std::time::Duration;
 /// use marjoram_core::fingerprint::Fingerprint;
-/// use marjoram_core::poison::{Evidence, SETTLE, Suspects};
+/// use marjoram_core::poison::{CrashReport, SETTLE, Suspects};
 /// let mut suspects = Suspects::new();
 /// let poison = Fingerprint(1);
 /// for upstream in 1..=3 {
 ///     let beside = Fingerprint(10 + upstream);
 ///     for request in [poison, beside] {
-///         let evidence = Evidence { request, upstream, attempt: upstream, ran: None, well: None };
-///         suspects.add(&evidence, Duration::from_secs(upstream));
+///         let report = CrashReport { request, upstream, attempt: upstream, ran: None, well: None };
+///         suspects.add(&report, Duration::from_secs(upstream));
 ///     }
 /// }
-/// let found = suspects.convict(Duration::from_secs(3) + SETTLE);
+/// let found = suspects.detect(Duration::from_secs(3) + SETTLE);
 /// assert_eq!(found, [(poison, vec![1, 2, 3])]);
 /// ```
 #[derive(Debug)]
@@ -208,14 +208,14 @@
     }
 
     /// Takes in what a host tells at `now`.
-    pub fn add(&mut self, evidence: &Evidence, now: Duration) {
-        if self.explained.contains(&evidence.upstream) {
+    pub fn add(&mut self, report: &CrashReport, now: Duration) {
+        if self.explained.contains(&report.upstream) {
             return;
         }
-        let request = evidence.request;
+        let request = report.request;
         let known = self.often.pop(&request).or_else(|| self.once.pop(&request));
         let mut suspect = known.unwrap_or_default();
-        suspect.add(evidence, now);
+        suspect.add(report, now);
         self.put(request, suspect);
     }
 
@@ -279,7 +279,7 @@
         }
     }
 
-    /// Whether evidence is complete, or soon will be, against anyone.
+    /// Whether the crashes of anyone are enough.
     pub fn is_pending(&self) -> bool {
         self.often.iter().any(|(_, s)| s.full.is_some())
     }
@@ -294,7 +294,7 @@
 
     /// The requests that explain the crashes best, each with those, once all
     /// hosts have had the time to tell.
-    pub fn convict(&mut self, now: Duration) -> Vec<(Fingerprint, Vec<u64>)> {
+    pub fn detect(&mut self, now: Duration) -> Vec<(Fingerprint, Vec<u64>)> {
         let ripe = self.often.iter().filter(|(_, s)| s.is_ripe(now) && !self.has_rival(s));
         let mut ripe: Vec<(Strength, Fingerprint)> =
             ripe.map(|(r, s)| (s.strength(), *r)).collect();
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -6,7 +6,7 @@
 
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::poison::{
-    Admission, CRASHES, Evidence, Quarantine, SETTLE, Suspects, TERM, Verdict,
+    Admission, CRASHES, CrashReport, Quarantine, Quarantined, SETTLE, Suspects, TERM,
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -22,16 +22,16 @@
     Duration::from_secs(s)
 }
 
-fn seen(request: Fingerprint, upstream: u64, attempt: u64) -> Evidence {
-    Evidence { request, upstream, attempt, ran: Some(RAN), well: None }
+fn seen(request: Fingerprint, upstream: u64, attempt: u64) -> CrashReport {
+    CrashReport { request, upstream, attempt, ran: Some(RAN), well: None }
 }
 
-/// Found a while after all of `evidence` is in, a second apart.
-fn found(suspects: &mut Suspects, evidence: &[Evidence]) -> Vec<Fingerprint> {
-    for (n, e) in evidence.iter().enumerate() {
+/// Found a while after all of `reports` is in, a second apart.
+fn found(suspects: &mut Suspects, reports: &[CrashReport]) -> Vec<Fingerprint> {
+    for (n, e) in reports.iter().enumerate() {
         suspects.add(e, seconds(n as u64));
     }
-    let found = suspects.convict(seconds(evidence.len() as u64) + SETTLE);
+    let found = suspects.detect(seconds(reports.len() as u64) + SETTLE);
     found.into_iter().map(|(request, _)| request).collect()
 }
 
@@ -51,20 +51,20 @@
         suspects.add(&seen(POISON, upstream, upstream), seconds(9));
     }
     assert!(suspects.is_pending());
-    assert_eq!(suspects.convict(seconds(9) + SETTLE / 2), []);
-    assert_eq!(suspects.convict(seconds(9) + SETTLE).len(), 1);
+    assert_eq!(suspects.detect(seconds(9) + SETTLE / 2), []);
+    assert_eq!(suspects.detect(seconds(9) + SETTLE).len(), 1);
     assert!(!suspects.is_pending());
 }
 
 #[test]
 fn one_attempt_that_was_sent_on_after_each_crash_is_told_from_their_cause() {
     let (beside, mut suspects) = (Fingerprint(5), Suspects::new());
-    let mut evidence = Vec::new();
+    let mut reports = Vec::new();
     for upstream in 1..=3 {
-        evidence.push(seen(beside, upstream, 77));
-        evidence.push(seen(POISON, upstream, upstream));
+        reports.push(seen(beside, upstream, 77));
+        reports.push(seen(POISON, upstream, upstream));
     }
-    assert_eq!(found(&mut suspects, &evidence), [POISON]);
+    assert_eq!(found(&mut suspects, &reports), [POISON]);
     // Their crashes are explained: one more, of which the cause was told as
     // well, and two that have no cause yet, are too few.
     suspects.explain(&[4]);
@@ -77,34 +77,34 @@
 #[test_case(&[40, 700, 110, 20], false; "four at different points")]
 #[test_case(&[40, 700, 110, 20, 300], true; "five at different points")]
 fn crashes_at_different_points_of_one_attempt_count_less(ran: &[u64], is_found: bool) {
-    let crash = |(ms, upstream): (&u64, u64)| Evidence {
+    let crash = |(ms, upstream): (&u64, u64)| CrashReport {
         ran: Some(Duration::from_millis(*ms)),
         ..seen(POISON, upstream, 1)
     };
-    let evidence: Vec<_> = ran.iter().zip(1..).map(crash).collect();
-    assert_eq!(found(&mut Suspects::new(), &evidence), vec![POISON; usize::from(is_found)]);
+    let reports: Vec<_> = ran.iter().zip(1..).map(crash).collect();
+    assert_eq!(found(&mut Suspects::new(), &reports), vec![POISON; usize::from(is_found)]);
 }
 
 #[test]
 fn of_two_that_cannot_be_told_apart_the_next_crash_tells() {
     let mut suspects = Suspects::new();
     let both = [POISON, Fingerprint(1)];
-    let evidence: Vec<Evidence> =
+    let reports: Vec<CrashReport> =
         (1..=3).flat_map(|u| both.map(|request| seen(request, u, u))).collect();
-    let first = found(&mut suspects, &evidence);
+    let first = found(&mut suspects, &reports);
     assert_eq!(first.len(), 1);
     let other = if first == [POISON] { Fingerprint(1) } else { POISON };
     suspects.add(&seen(other, 4, 4), seconds(20));
-    assert_eq!(suspects.convict(seconds(20) + SETTLE).len(), 1);
+    assert_eq!(suspects.detect(seconds(20) + SETTLE).len(), 1);
 }
 
 #[test]
 fn of_two_that_cannot_be_told_apart_one_that_then_ends_well_is_free() {
     let mut suspects = Suspects::new();
-    let later = |u, request| Evidence { ran: Some(RAN * 2), ..seen(request, u, u) };
-    let evidence: Vec<Evidence> =
+    let later = |u, request| CrashReport { ran: Some(RAN * 2), ..seen(request, u, u) };
+    let reports: Vec<CrashReport> =
         (1..=3).flat_map(|u| [seen(POISON, u, u), later(u, Fingerprint(1))]).collect();
-    assert_eq!(found(&mut suspects, &evidence), [POISON]);
+    assert_eq!(found(&mut suspects, &reports), [POISON]);
     assert!(suspects.clear(Fingerprint(1)));
     assert_eq!(found(&mut suspects, &[seen(Fingerprint(1), 4, 4)]), []);
 }
@@ -114,17 +114,17 @@
     let mut suspects = Suspects::new();
     for upstream in 1..=20 {
         let well = Some(Duration::from_millis(400));
-        let evidence = Evidence { well, ..seen(POISON, upstream, upstream) };
-        suspects.add(&evidence, seconds(upstream));
-        assert_eq!(suspects.convict(seconds(upstream) + SETTLE), []);
+        let report = CrashReport { well, ..seen(POISON, upstream, upstream) };
+        suspects.add(&report, seconds(upstream));
+        assert_eq!(suspects.detect(seconds(upstream) + SETTLE), []);
     }
     // It ran well for the last time before these crashes.
     for upstream in 21..=23 {
         let well = Some(seconds(upstream - 20));
-        let evidence = Evidence { well, ..seen(POISON, upstream, upstream) };
-        suspects.add(&evidence, seconds(upstream));
+        let report = CrashReport { well, ..seen(POISON, upstream, upstream) };
+        suspects.add(&report, seconds(upstream));
     }
-    assert_eq!(suspects.convict(seconds(23) + SETTLE).len(), 1);
+    assert_eq!(suspects.detect(seconds(23) + SETTLE).len(), 1);
 }
 
 #[test]
@@ -137,7 +137,7 @@
         assert_eq!(since, seconds(upstream));
         upstream == 2
     });
-    assert_eq!(suspects.convict(seconds(4)), []);
+    assert_eq!(suspects.detect(seconds(4)), []);
     assert_eq!(found(&mut suspects, &[seen(POISON, 4, 4)]), [POISON]);
 }
 
@@ -186,11 +186,11 @@
         let engine = rng.random_range(0..ENGINES);
         let ran = |ms| Some(Duration::from_millis(ms));
         let point = ran(rng.random_range(30..150));
-        let mut there = vec![Evidence { ran: point, ..seen(poison, upstream, upstream) }];
-        let mut begin = |request: u64, sends: u64, there: &mut Vec<Evidence>| {
+        let mut there = vec![CrashReport { ran: point, ..seen(poison, upstream, upstream) }];
+        let mut begin = |request: u64, sends: u64, there: &mut Vec<CrashReport>| {
             let attempt = request * ATTEMPTS + sends / SENDS;
             let ran = ran(rng.random_range(0..1_000));
-            there.push(Evidence { ran, ..seen(Fingerprint(request), upstream, attempt) });
+            there.push(CrashReport { ran, ..seen(Fingerprint(request), upstream, attempt) });
             let again = sends + 1 < SENDS * ATTEMPTS;
             again.then(|| (request, sends + 1, rng.random_range(0..ENGINES), 2))
         };
@@ -207,9 +207,9 @@
             moved.extend(begin(next, 0, &mut there));
         }
         sent_on = moved;
-        there.iter().for_each(|evidence| suspects.add(evidence, now));
+        there.iter().for_each(|report| suspects.add(report, now));
         most = most.max(suspects.len());
-        found.extend(suspects.convict(now + SETTLE).into_iter().map(|(request, _)| request));
+        found.extend(suspects.detect(now + SETTLE).into_iter().map(|(request, _)| request));
     }
     Played { found, beside: next - FIRST_BESIDE, crashes, most }
 }
@@ -266,7 +266,7 @@
         for (n, (request, upstream, attempt)) in crashes.iter().enumerate() {
             let now = seconds(n as u64);
             suspects.add(&seen(Fingerprint(*request), *upstream, *attempt), now);
-            for (request, upstreams) in suspects.convict(now + SETTLE) {
+            for (request, upstreams) in suspects.detect(now + SETTLE) {
                 prop_assert!(upstreams.len() >= CRASHES);
                 let met = crashes[..=n].iter().filter(|(r, ..)| Fingerprint(*r) == request);
                 let met: Vec<u64> = met.map(|(_, upstream, _)| *upstream).collect();
@@ -278,48 +278,48 @@
     }
 }
 
-fn verdict(request: u64, at: Duration) -> Verdict {
-    Verdict::new(Fingerprint(request), vec![1, 2, 3], at)
+fn entry(request: u64, at: Duration) -> Quarantined {
+    Quarantined::new(Fingerprint(request), vec![1, 2, 3], at)
 }
 
 #[test]
 fn a_term_ends_and_the_next_crash_begins_one_twice_as_long() {
     let (mut quarantine, begun) = (Quarantine::new(), seconds(1_000_000));
-    quarantine.admit(verdict(0, begun), begun);
+    quarantine.admit(entry(0, begun), begun);
     let crash = seen(POISON, 4, 4);
-    assert_eq!(quarantine.relapse(&crash, begun + TERM / 2), None);
+    assert_eq!(quarantine.again(&crash, begun + TERM / 2), None);
     let later = begun + TERM + seconds(5);
     assert_eq!(quarantine.refuses(POISON, later), None);
-    let relapse = quarantine.relapse(&crash, later).expect("it is remembered");
-    assert_eq!(quarantine.admit(relapse.clone(), later), Admission::New(None));
+    let again = quarantine.again(&crash, later).expect("it is remembered");
+    assert_eq!(quarantine.admit(again.clone(), later), Admission::New(None));
     assert_eq!(quarantine.refuses(POISON, later), Some(TERM * 2));
     // What another host learnt late changes nothing.
-    assert_eq!(quarantine.admit(verdict(0, begun), later), Admission::Known);
+    assert_eq!(quarantine.admit(entry(0, begun), later), Admission::Known);
     assert_eq!(quarantine.extent(), 2);
 }
 
 #[test]
 fn a_request_that_ran_to_its_end_after_its_term_is_not_kept_away_by_one_more_crash() {
     let (mut quarantine, begun) = (Quarantine::new(), seconds(1_000_000));
-    quarantine.admit(verdict(0, begun), begun);
+    quarantine.admit(entry(0, begun), begun);
     let now = begun + TERM + seconds(5);
-    let mended = Evidence { well: Some(seconds(2)), ..seen(POISON, 4, 4) };
-    assert_eq!(quarantine.relapse(&mended, now), None);
-    let long_ago = Evidence { well: Some(TERM * 2), ..seen(POISON, 4, 4) };
-    assert!(quarantine.relapse(&long_ago, now).is_some());
+    let mended = CrashReport { well: Some(seconds(2)), ..seen(POISON, 4, 4) };
+    assert_eq!(quarantine.again(&mended, now), None);
+    let long_ago = CrashReport { well: Some(TERM * 2), ..seen(POISON, 4, 4) };
+    assert!(quarantine.again(&long_ago, now).is_some());
     // And after a day it is forgotten.
     assert_eq!(quarantine.expire(begun + TERM * 30), [POISON]);
-    assert_eq!(quarantine.admit(verdict(0, begun), begun + TERM * 30), Admission::Over);
+    assert_eq!(quarantine.admit(entry(0, begun), begun + TERM * 30), Admission::Over);
 }
 
 #[test]
 fn the_quarantine_is_bounded_and_lets_go_whose_term_ends_first() {
     let (mut quarantine, begun) = (Quarantine::new(), seconds(1_000_000));
     for n in 0..1_024 {
-        assert_eq!(quarantine.admit(verdict(n, begun + seconds(n)), begun), Admission::New(None));
+        assert_eq!(quarantine.admit(entry(n, begun + seconds(n)), begun), Admission::New(None));
     }
-    let admitted = quarantine.admit(verdict(5_000, begun + seconds(2_000)), begun);
+    let admitted = quarantine.admit(entry(5_000, begun + seconds(2_000)), begun);
     assert_eq!(admitted, Admission::New(Some(Fingerprint(0))));
     assert_eq!(quarantine.len(), 1_024);
-    assert_eq!(quarantine.admit(verdict(5_000, begun), begun), Admission::Known);
+    assert_eq!(quarantine.admit(entry(5_000, begun), begun), Admission::Known);
 }
--- a/crates/router/src/poison.rs
+++ b/crates/router/src/poison.rs
@@ -2,9 +2,9 @@
 //!
 //! A router that loses completions with an engine that crashed appends what it
 //! had there to the log service's `crashes` stream; all routers read it and
-//! judge alike (see [`marjoram_core::poison`]). Verdicts stand in the same
+//! detect alike (see [`marjoram_core::poison`]). Entries stand in the same
 //! stream, and are appended anew while they matter: the log keeps its records for
-//! a limited time. While the log service is away each router judges
+//! a limited time. While the log service is away each router detectors
 //! by what it has seen itself, and what it has to tell waits.
 //!
 //! An engine has crashed if it refuses connections right after it broke off;
@@ -20,7 +20,9 @@
 use marjoram_core::cache::Life;
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::ids::Offset;
-use marjoram_core::poison::{Admission, Evidence, Quarantine, Recent, SETTLE, Suspects, Verdict};
+use marjoram_core::poison::{
+    Admission, CrashReport, Quarantine, Quarantined, Recent, SETTLE, Suspects,
+};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,7 +38,7 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Pause between reads of the stream.
 const EVERY: Duration = Duration::from_millis(500);
-/// Time after which a verdict in force is appended anew: the log service keeps
+/// Time after which an entry in force is appended anew: the log service keeps
 /// its records for a limited time.
 const RENEWED: Duration = Duration::from_secs(900);
 /// Records that wait for the log service at most.
@@ -47,9 +49,9 @@
 #[serde(rename_all = "lowercase")]
 enum CrashRecord {
     /// What a router had at an engine that crashed.
-    Crash(Vec<Evidence>),
+    Crash(Vec<CrashReport>),
     /// A request that no router sends any more.
-    Verdict(Verdict),
+    Quarantined(Quarantined),
 }
 
 /// A completion that an engine broke off.
@@ -70,7 +72,7 @@
     well: Recent,
     /// Completions broken off, by engines not yet known to have crashed.
     broken: HashMap<u64, Vec<Broken>>,
-    /// When verdicts were last read in the stream, or appended.
+    /// When entries were last read in the stream, or appended.
     told: HashMap<Fingerprint, Duration>,
     /// Records that the log service has not taken yet.
     waiting: Vec<CrashRecord>,
@@ -110,36 +112,36 @@
         Some(Error::Quarantined(request.to_string(), left))
     }
 
-    /// The verdicts in force, for the state dump.
-    pub fn verdicts(&self) -> Vec<Verdict> {
-        self.state.lock().unwrap().quarantine.verdicts().cloned().collect()
+    /// The entries in force, for the state dump.
+    pub fn entries(&self) -> Vec<Quarantined> {
+        self.state.lock().unwrap().quarantine.entries().cloned().collect()
     }
 
     /// Takes in what another router, or this one, had at an engine.
-    fn add(&self, evidence: &[Evidence]) {
+    fn add(&self, reports: &[CrashReport]) {
         let mut state = self.state.lock().unwrap();
         let wall = clock::wall();
-        for e in evidence {
+        for e in reports {
             let refused = state.quarantine.refuses(e.request, wall);
-            match (refused, state.quarantine.relapse(e, wall)) {
+            match (refused, state.quarantine.again(e, wall)) {
                 (Some(_), _) => state.suspects.explain(&[e.upstream]),
-                (None, Some(verdict)) => state.pass(verdict),
+                (None, Some(entry)) => state.pass(entry),
                 (None, None) => state.suspects.add(e, clock::now()),
             }
         }
     }
 
-    fn judge(&self) {
+    fn detect(&self) {
         let mut state = self.state.lock().unwrap();
-        for (request, upstreams) in state.suspects.convict(clock::now()) {
-            state.pass(Verdict::new(request, upstreams, clock::wall()));
+        for (request, upstreams) in state.suspects.detect(clock::now()) {
+            state.pass(Quarantined::new(request, upstreams, clock::wall()));
         }
         let state = &mut *state;
         let stale = state.told.iter().filter(|(_, at)| clock::now() >= **at + RENEWED);
         let stale: Vec<Fingerprint> = stale.map(|(request, _)| *request).collect();
-        for verdict in state.quarantine.verdicts().filter(|v| stale.contains(&v.request)) {
-            state.told.insert(verdict.request, clock::now());
-            state.waiting.push(CrashRecord::Verdict(verdict.clone()));
+        for entry in state.quarantine.entries().filter(|v| stale.contains(&v.request)) {
+            state.told.insert(entry.request, clock::now());
+            state.waiting.push(CrashRecord::Quarantined(entry.clone()));
         }
         for request in state.quarantine.expire(clock::wall()) {
             state.told.remove(&request);
@@ -149,15 +151,15 @@
 }
 
 impl State {
-    /// Takes in a verdict of this router, and has it told.
-    fn pass(&mut self, verdict: Verdict) {
-        self.admit(verdict.clone(), "own");
-        self.queue(CrashRecord::Verdict(verdict));
+    /// Takes in an entry of this router, and has it told.
+    fn pass(&mut self, entry: Quarantined) {
+        self.admit(entry.clone(), "own");
+        self.queue(CrashRecord::Quarantined(entry));
     }
 
-    fn admit(&mut self, verdict: Verdict, source: &str) {
-        let (request, upstreams) = (verdict.request, verdict.upstreams.clone());
-        let admission = self.quarantine.admit(verdict, clock::wall());
+    fn admit(&mut self, entry: Quarantined, source: &str) {
+        let (request, upstreams) = (entry.request, entry.upstreams.clone());
+        let admission = self.quarantine.admit(entry, clock::wall());
         if admission != Admission::Over {
             self.told.insert(request, clock::now());
         }
@@ -203,13 +205,13 @@
         Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     };
-    let evidence: Vec<Evidence> = {
+    let reports: Vec<CrashReport> = {
         let mut state = node.poison.state.lock().unwrap();
         let broken = state.broken.remove(&key).unwrap_or_default();
         let well = |b: &Broken| state.well.age(b.request, clock::now());
         broken
             .iter()
-            .map(|b| Evidence {
+            .map(|b| CrashReport {
                 request: b.request,
                 upstream: key,
                 attempt: b.attempt,
@@ -218,15 +220,15 @@
             })
             .collect()
     };
-    tracing::info!(target: "poison", "poison: engine {addr} ended {} requests, crashed: {refused}.", evidence.len());
+    tracing::info!(target: "poison", "poison: engine {addr} ended {} requests, crashed: {refused}.", reports.len());
     if !refused {
         return;
     }
-    node.poison.add(&evidence);
-    node.poison.state.lock().unwrap().queue(CrashRecord::Crash(evidence));
+    node.poison.add(&reports);
+    node.poison.state.lock().unwrap().queue(CrashRecord::Crash(reports));
     tell(&node, &Log::new(node.settings.log_service)).await;
     ntex::time::sleep(SETTLE).await;
-    node.poison.judge();
+    node.poison.detect();
 }
 
 /// Appends what waits; what the log service does not take goes on waiting.
@@ -251,7 +253,7 @@
             Ok(()) => node.poison.read.store(true, Ordering::Release),
             Err(error) => tracing::debug!(target: "poison", "poison: {error}."),
         }
-        node.poison.judge();
+        node.poison.detect();
         tell(&node, &log).await;
         ntex::time::sleep(EVERY).await;
     }
@@ -263,9 +265,9 @@
     let read = log.read(log::CRASHES, from).await?;
     for record in &read.records {
         match serde_json::from_str::<CrashRecord>(&record.body) {
-            Ok(CrashRecord::Crash(evidence)) => node.poison.add(&evidence),
-            Ok(CrashRecord::Verdict(verdict)) => {
-                node.poison.state.lock().unwrap().admit(verdict, "log");
+            Ok(CrashRecord::Crash(reports)) => node.poison.add(&reports),
+            Ok(CrashRecord::Quarantined(entry)) => {
+                node.poison.state.lock().unwrap().admit(entry, "log");
             }
             Err(error) => {
                 tracing::warn!(target: "poison", "poison: crash record {} passed over, malformed: {error}.", record.offset);
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -129,8 +129,8 @@
 /// Requests that no host sends, or did not until lately.
 fn quarantine(site: &Site) -> Vec<serde_json::Value> {
     let wall = clock::wall();
-    let held = site.poison.verdicts().into_iter().map(|v| {
-        serde_json::json!({ "fingerprint": v.request.to_string(), "strikes": v.strikes,
+    let held = site.poison.entries().into_iter().map(|v| {
+        serde_json::json!({ "fingerprint": v.request.to_string(), "repeats": v.repeats,
             "left_s": v.until().saturating_sub(wall).as_secs(), "upstreams": v.upstreams })
     });
     held.collect()
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -376,13 +376,13 @@
                 notices::take(&site, &hello.notices);
                 cachefeed::hear(&site, &hello.news);
                 warm::compare(&site, from, &hello.extent);
-                poison::hear_verdicts(&site, std::mem::take(&mut hello.quarantine));
+                poison::hear_quarantined(&site, std::mem::take(&mut hello.quarantine));
                 site.peers.hear(*hello, site.now());
             }
             Ok((Message::Notices(told), _)) => notices::take(&site, &told),
             Ok((Message::Relay(relay), _)) => site.relays.hear(relay, site.now()),
-            Ok((Message::Crashes(evidence), _)) => poison::hear_evidence(&site, &evidence),
-            Ok((Message::Quarantine(verdicts), _)) => poison::hear_verdicts(&site, verdicts),
+            Ok((Message::Crashes(reports), _)) => poison::hear_reports(&site, &reports),
+            Ok((Message::Quarantine(entries), _)) => poison::hear_quarantined(&site, entries),
             Err(error) => tracing::warn!(target: "peers", %from, %error, "datagram not understood"),
         }
     }
--- a/crates/router/src/proxy/peers/message.rs
+++ b/crates/router/src/proxy/peers/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use marjoram_core::news::News;
-use marjoram_core::poison::{Evidence, Verdict};
+use marjoram_core::poison::{CrashReport, Quarantined};
 use marjoram_core::tenure::Stance;
 use serde::{Deserialize, Serialize};
 
@@ -32,9 +32,9 @@
     /// What the sender has read of the registry.
     Relay(Relay),
     /// What the sender had at an upstream that crashed.
-    Crashes(Vec<Evidence>),
+    Crashes(Vec<CrashReport>),
     /// Requests that no host sends any more.
-    Quarantine(Vec<Verdict>),
+    Quarantine(Vec<Quarantined>),
 }
 
 /// How a host is.
@@ -63,7 +63,7 @@
     /// What it tells of engines that change their weights.
     pub notices: Vec<Notice>,
     /// Requests that it learnt lately to be in quarantine.
-    pub quarantine: Vec<Verdict>,
+    pub quarantine: Vec<Quarantined>,
 }
 
 /// A change of an engine's weights.
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -3,7 +3,7 @@
 //!
 //! Load pattern: see `marjoram_core::poison`. A host sees at most a few of the
 //! crashes, and any host may be asked next, so whoever loses requests with an
-//! upstream tells the hosts that judge; a verdict is told to all hosts, repeated
+//! upstream tells the hosts that detect; an entry is told to all hosts, repeated
 //! in their greetings, and kept in the platform's store for those that start
 //! later.
 //!
@@ -12,8 +12,8 @@
 //! link that is cut answers nothing; one that leaves, or changes weights on our
 //! order, may end requests without their doing.
 
+mod detection;
 mod records;
-mod verdicts;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -23,7 +23,7 @@
 
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::place::FRESH_HOSTS;
-use marjoram_core::poison::{Evidence, Quarantine, Recent, Suspects, Verdict};
+use marjoram_core::poison::{CrashReport, Quarantine, Quarantined, Recent, Suspects};
 use marjoram_core::upstream::Life;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
@@ -35,8 +35,8 @@
 use super::site::Site;
 use crate::clock;
 
+pub use detection::{hear_quarantined, refuses, take_quarantined};
 pub use records::{keep, take_record};
-pub use verdicts::{hear_verdicts, refuses, take_verdicts};
 
 /// Time in which all requests that an upstream ended are noticed by their host.
 const GATHER: Duration = Duration::from_millis(20);
@@ -44,17 +44,17 @@
 /// Longest time to connect to an upstream that may have crashed.
 const CONNECT: Duration = Duration::from_millis(300);
 
-/// Names the judging of crashes when hosts are ranked for it.
-const JUDGING: &str = "crashes";
+/// Names the detecting of crashes when hosts are ranked for it.
+const DETECTION: &str = "crashes";
 
-/// Hosts that judge, where there are more than greet each other all the time:
+/// Hosts that detect, where there are more than greet each other all the time:
 /// two of them may be down or cut off.
-const JUDGES: usize = 3;
+const DETECTORS: usize = 3;
 
-/// Verdicts in one greeting at most: some 90 bytes each.
+/// Entries in one greeting at most: some 90 bytes each.
 const GREETED: usize = 32;
 
-/// Evidence told in one datagram, and how often each is sent.
+/// CrashReport told in one datagram, and how often each is sent.
 const TOLD_AT_ONCE: usize = 200;
 const TELLINGS: u32 = 2;
 
@@ -77,13 +77,13 @@
     /// Sends that broke off, by upstreams not yet known to have crashed.
     broken: RefCell<HashMap<Life, Vec<Broken>>>,
     well: RefCell<Recent>,
-    /// Verdicts learnt lately, for greetings.
-    told: RefCell<Vec<(Verdict, Duration)>>,
-    /// Counts evidence that calls for judging; a task judges it.
+    /// Entries learnt lately, for greetings.
+    told: RefCell<Vec<(Quarantined, Duration)>>,
+    /// Counts reports that call for detecting; a task detects it.
     called: Cell<u64>,
-    judging: Cell<bool>,
+    detecting: Cell<bool>,
     /// Records to be written to the store, `None` to be dropped.
-    writes: RefCell<HashMap<Fingerprint, Option<Verdict>>>,
+    writes: RefCell<HashMap<Fingerprint, Option<Quarantined>>>,
     written: Notify,
 }
 
@@ -104,21 +104,21 @@
         (self.suspects.borrow().len(), self.quarantine.borrow().len())
     }
 
-    /// Verdicts on the latter: hosts that know the same have the same number.
+    /// Entries on the latter: hosts that know the same have the same number.
     pub fn extent(&self) -> u64 {
         self.quarantine.borrow().extent()
     }
 
-    /// The verdicts in force.
-    pub fn verdicts(&self) -> Vec<Verdict> {
-        self.quarantine.borrow().verdicts().cloned().collect()
+    /// The entries in force.
+    pub fn entries(&self) -> Vec<Quarantined> {
+        self.quarantine.borrow().entries().cloned().collect()
     }
 
-    /// The newest verdicts learnt within `span` before `now`, for greetings.
-    pub fn lately(&self, span: Duration, now: Duration) -> Vec<Verdict> {
+    /// The newest entries learnt within `span` before `now`, for greetings.
+    pub fn lately(&self, span: Duration, now: Duration) -> Vec<Quarantined> {
         let mut told = self.told.borrow_mut();
         told.retain(|(_, at)| now < *at + span);
-        told.iter().rev().take(GREETED).map(|(verdict, _)| verdict.clone()).collect()
+        told.iter().rev().take(GREETED).map(|(entry, _)| entry.clone()).collect()
     }
 }
 
@@ -155,54 +155,54 @@
     }
     site.counters.count("upstream.crashed");
     let now = site.now();
-    let evidence = broken.into_iter().map(|b| Evidence {
+    let reports = broken.into_iter().map(|b| CrashReport {
         request: b.request,
         upstream: upstream.key,
         attempt: b.attempt,
         ran: b.ran,
         well: site.poison.well.borrow().age(b.request, now),
     });
-    let evidence: Vec<Evidence> = evidence.collect();
-    for e in &evidence {
+    let reports: Vec<CrashReport> = reports.collect();
+    for e in &reports {
         tracing::info!(target: "poison", fingerprint = %e.request, upstream = %upstream.life,
             attempt = e.attempt, ran_ms = e.ran.map(|ran| ran.as_millis() as u64),
             well_ms = e.well.map(|age| age.as_millis() as u64), "was there when it crashed");
     }
-    let judges = site.peers.first_ranked(xxh3_64(JUDGING.as_bytes()), judges(&site));
-    for some in evidence.chunks(TOLD_AT_ONCE) {
+    let detectors = site.peers.first_ranked(xxh3_64(DETECTION.as_bytes()), detectors(&site));
+    for some in reports.chunks(TOLD_AT_ONCE) {
         let some = some.to_vec();
-        site.peers.tell(judges.clone(), TELLINGS, move || Message::Crashes(some.clone()));
+        site.peers.tell(detectors.clone(), TELLINGS, move || Message::Crashes(some.clone()));
     }
-    hear_evidence(&site, &evidence);
+    hear_reports(&site, &reports);
 }
 
-/// Hosts that judge: all, where there are few.
-fn judges(site: &Site) -> usize {
+/// Hosts that detect: all, where there are few.
+fn detectors(site: &Site) -> usize {
     match site.peers.count() {
         hosts if hosts <= FRESH_HOSTS => hosts,
-        _ => JUDGES,
+        _ => DETECTORS,
     }
 }
 
 /// Takes in what a host tells of a crash.
-pub fn hear_evidence(site: &Rc<Site>, evidence: &[Evidence]) {
+pub fn hear_reports(site: &Rc<Site>, reports: &[CrashReport]) {
     let (now, wall) = (site.now(), clock::wall());
     let poison = &site.poison;
-    for e in evidence {
-        let (refused, relapse) = {
+    for e in reports {
+        let (refused, again) = {
             let quarantine = poison.quarantine.borrow();
-            (quarantine.refuses(e.request, wall), quarantine.relapse(e, wall))
+            (quarantine.refuses(e.request, wall), quarantine.again(e, wall))
         };
-        match (refused, relapse) {
+        match (refused, again) {
             (Some(_), _) => poison.suspects.borrow_mut().explain(&[e.upstream]),
-            (None, Some(verdict)) => verdicts::pass(site, vec![verdict]),
+            (None, Some(entry)) => detection::pass(site, vec![entry]),
             (None, None) => poison.suspects.borrow_mut().add(e, now),
         }
     }
     if poison.suspects.borrow().is_pending() {
         poison.called.set(poison.called.get() + 1);
-        if !poison.judging.replace(true) {
-            ntex::rt::spawn(verdicts::judge(site.clone()));
+        if !poison.detecting.replace(true) {
+            ntex::rt::spawn(detection::run(site.clone()));
         }
     }
 }
--- a/crates/router/src/proxy/poison/verdicts.rs
+++ b/crates/router/src/proxy/poison/detection.rs
@@ -1,44 +1,44 @@
-//! Verdicts: found by the hosts that judge, learnt by all, and acted on.
+//! Entries: found by the hosts that detect them, learnt by all, and acted on.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use marjoram_core::fingerprint::Fingerprint;
-use marjoram_core::poison::{Admission, SETTLE, Verdict};
+use marjoram_core::poison::{Admission, Quarantined, SETTLE};
 
 use super::records;
 use crate::clock;
 use crate::proxy::peers::Message;
 use crate::proxy::site::Site;
 
-/// Time after the evidence is complete at which it is judged.
-const JUDGED: Duration = SETTLE.saturating_add(Duration::from_millis(5));
+/// Time after the reports of enough crashes at which they are looked through.
+const DETECTED_AFTER: Duration = SETTLE.saturating_add(Duration::from_millis(5));
 
 /// How much later than a crash an upstream must have been heard to go on: what
 /// it sent before may be read late.
 const HEARD_LATE: Duration = Duration::from_millis(100);
 
-/// Times a new verdict is sent to each host, besides the greetings.
+/// Times a new entry is sent to each host, besides the greetings.
 const TELLINGS: u32 = 2;
 
-/// Where a verdict was learnt.
+/// Where an entry was learnt.
 const OWN: &str = "own";
 const PEER: &str = "peer";
 
-/// Judges until no more evidence calls for it.
-pub(super) async fn judge(site: Rc<Site>) {
+/// Detects until no more reports call for it.
+pub(super) async fn run(site: Rc<Site>) {
     loop {
         let called = site.poison.called.get();
-        tokio::time::sleep(JUDGED).await;
-        convict(&site);
+        tokio::time::sleep(DETECTED_AFTER).await;
+        detect(&site);
         if site.poison.called.get() == called {
-            site.poison.judging.set(false);
+            site.poison.detecting.set(false);
             return;
         }
     }
 }
 
-fn convict(site: &Rc<Site>) {
+fn detect(site: &Rc<Site>) {
     let now = site.now();
     let upstreams = site.fleet.all();
     let lives = |key: u64, since: Duration| {
@@ -49,34 +49,34 @@
     let found = {
         let mut suspects = site.poison.suspects.borrow_mut();
         suspects.refute(now, lives);
-        suspects.convict(now)
+        suspects.detect(now)
     };
     let at = clock::wall();
-    let verdict = |(request, upstreams)| Verdict::new(request, upstreams, at);
-    pass(site, found.into_iter().map(verdict).collect());
+    let entry = |(request, upstreams)| Quarantined::new(request, upstreams, at);
+    pass(site, found.into_iter().map(entry).collect());
 }
 
-/// Takes in verdicts of this host, and tells them to all.
-pub(super) fn pass(site: &Site, verdicts: Vec<Verdict>) {
-    if verdicts.is_empty() {
+/// Takes in entries of this host, and tells them to all.
+pub(super) fn pass(site: &Site, entries: Vec<Quarantined>) {
+    if entries.is_empty() {
         return;
     }
-    take_verdicts(site, verdicts.clone(), OWN);
-    site.peers.spread(TELLINGS, move || Message::Quarantine(verdicts.clone()));
+    take_quarantined(site, entries.clone(), OWN);
+    site.peers.spread(TELLINGS, move || Message::Quarantine(entries.clone()));
 }
 
-/// Takes in verdicts that another host tells.
-pub fn hear_verdicts(site: &Site, verdicts: Vec<Verdict>) {
-    take_verdicts(site, verdicts, PEER);
+/// Takes in entries that another host tells.
+pub fn hear_quarantined(site: &Site, entries: Vec<Quarantined>) {
+    take_quarantined(site, entries, PEER);
 }
 
-/// Takes in verdicts learnt from `source`.
-pub fn take_verdicts(site: &Site, verdicts: Vec<Verdict>, source: &str) {
+/// Takes in entries learnt from `source`.
+pub fn take_quarantined(site: &Site, entries: Vec<Quarantined>, source: &str) {
     let (now, wall) = (site.now(), clock::wall());
     let poison = &site.poison;
-    for verdict in verdicts {
-        let request = verdict.request;
-        let admission = poison.quarantine.borrow_mut().admit(verdict.clone(), wall);
+    for entry in entries {
+        let request = entry.request;
+        let admission = poison.quarantine.borrow_mut().admit(entry.clone(), wall);
         let yielded = match admission {
             Admission::New(yielded) => yielded,
             Admission::Over if source == records::STORE => {
@@ -88,22 +88,22 @@
         {
             let mut suspects = poison.suspects.borrow_mut();
             suspects.clear(request);
-            suspects.explain(&verdict.upstreams);
+            suspects.explain(&entry.upstreams);
         }
         site.counters.count("request.quarantined");
-        tracing::warn!(target: "poison", fingerprint = %request, upstreams = ?verdict.upstreams,
-            strikes = verdict.strikes, age_ms = wall.saturating_sub(verdict.at).as_millis() as u64,
-            left_s = verdict.until().saturating_sub(wall).as_secs(), source,
+        tracing::warn!(target: "poison", fingerprint = %request, upstreams = ?entry.upstreams,
+            repeats = entry.repeats, age_ms = wall.saturating_sub(entry.at).as_millis() as u64,
+            left_s = entry.until().saturating_sub(wall).as_secs(), source,
             "request quarantined: upstreams crashed under it");
         if [OWN, PEER].contains(&source) {
-            poison.told.borrow_mut().push((verdict.clone(), now));
+            poison.told.borrow_mut().push((entry.clone(), now));
         }
         if let Some(yielded) = yielded {
             tracing::warn!(target: "poison", fingerprint = %yielded, "quarantine full, request let go");
             records::drop_record(site, yielded);
         }
         if source != records::STORE {
-            records::keep_record(site, verdict);
+            records::keep_record(site, entry);
         }
     }
 }
--- a/crates/router/src/proxy/poison/records.rs
+++ b/crates/router/src/proxy/poison/records.rs
@@ -1,87 +1,87 @@
-//! Verdicts in the platform's store, for hosts that start later.
+//! Entries in the platform's store, for hosts that start later.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use marjoram_core::fingerprint::Fingerprint;
-use marjoram_core::poison::Verdict;
+use marjoram_core::poison::Quarantined;
 use marjoram_platform::store::Record;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{JUDGING, verdicts};
+use super::{DETECTION, detection};
 use crate::clock;
 use crate::proxy::follow;
 use crate::proxy::site::Site;
 
-/// What begins the keys of verdicts among the hosts' records.
+/// What begins the keys of entries among the hosts' records.
 const KEY: &str = "quarantine/";
 
-/// Where a verdict was learnt.
+/// Where an entry was learnt.
 pub(super) const STORE: &str = "store";
 
-/// Hosts that write a verdict: one may be down, and another cut off.
+/// Hosts that write an entry: one may be down, and another cut off.
 const WRITERS: usize = 3;
 
-/// Time between looks for verdicts whose term has passed.
+/// Time between looks for entries whose term has passed.
 const SWEEP: Duration = Duration::from_secs(60);
 
 /// Records that wait to be written at most; the store may be away for long.
 const WAITING: usize = 1_024;
 
-/// Takes in the record that `key` names, if that is a verdict's.
+/// Takes in the record that `key` names, if that is an entry's.
 pub fn take_record(site: &Site, key: &str, value: Option<&[u8]>) -> bool {
     let Some(request) = key.strip_prefix(KEY) else { return false };
-    let parsed = value.map(serde_json::from_slice::<Verdict>);
+    let parsed = value.map(serde_json::from_slice::<Quarantined>);
     match parsed {
         // Dropped when its term had passed.
         None => {}
-        Some(Ok(verdict)) if verdict.request.to_string() == request => {
-            verdicts::take_verdicts(site, vec![verdict], STORE);
+        Some(Ok(entry)) if entry.request.to_string() == request => {
+            detection::take_quarantined(site, vec![entry], STORE);
         }
-        Some(_) => tracing::error!(target: "poison", key, "record of no verdict"),
+        Some(_) => tracing::error!(target: "poison", key, "record of no entry"),
     }
     true
 }
 
 fn ranks_within(site: &Site, count: usize) -> bool {
-    site.peers.ranks_within(xxh3_64(JUDGING.as_bytes()), count)
+    site.peers.ranks_within(xxh3_64(DETECTION.as_bytes()), count)
 }
 
-/// Has a new verdict written, if this host is one of those that do it.
-pub(super) fn keep_record(site: &Site, verdict: Verdict) {
+/// Has a new entry written, if this host is one of those that do it.
+pub(super) fn keep_record(site: &Site, entry: Quarantined) {
     if ranks_within(site, WRITERS) {
-        queue(site, verdict.request, Some(verdict));
+        queue(site, entry.request, Some(entry));
     }
 }
 
-/// Has the record of a verdict dropped that is no longer in force.
+/// Has the record of an entry dropped that is no longer in force.
 pub(super) fn drop_record(site: &Site, request: Fingerprint) {
     if ranks_within(site, 1) {
         queue(site, request, None);
     }
 }
 
-fn queue(site: &Site, request: Fingerprint, verdict: Option<Verdict>) {
+fn queue(site: &Site, request: Fingerprint, entry: Option<Quarantined>) {
     let mut writes = site.poison.writes.borrow_mut();
     if writes.len() < WAITING || writes.contains_key(&request) {
-        writes.insert(request, verdict);
+        writes.insert(request, entry);
         site.poison.written.notify_one();
     }
 }
 
-/// Writes what is queued, and lets go of verdicts whose term has passed, until
+/// Writes what is queued, and lets go of entries whose term has passed, until
 /// the process ends.
 pub async fn keep(site: Rc<Site>) {
     loop {
         let next = site.poison.writes.borrow().iter().next().map(|(r, v)| (*r, v.clone()));
         match next {
-            Some((request, verdict)) => {
+            Some((request, entry)) => {
                 let value =
-                    verdict.as_ref().map(|v| serde_json::to_vec(v).expect("a plain structure"));
+                    entry.as_ref().map(|v| serde_json::to_vec(v).expect("a plain structure"));
                 follow::write(&site, &Record { key: format!("{KEY}{request}"), value }).await;
                 let mut writes = site.poison.writes.borrow_mut();
                 // It may have been queued anew meanwhile.
-                if writes.get(&request) == Some(&verdict) {
+                if writes.get(&request) == Some(&entry) {
                     writes.remove(&request);
                 }
             }
--- a/crates/router/src/proxy/warm.rs
+++ b/crates/router/src/proxy/warm.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use marjoram_core::catalog::Catalog;
-use marjoram_core::poison::Verdict;
+use marjoram_core::poison::Quarantined;
 use marjoram_core::upstream::Entry;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -39,7 +39,7 @@
     upstreams: Vec<Entry>,
     hosts: Vec<(String, HostRecord)>,
     /// Requests that no host sends any more.
-    quarantine: Vec<Verdict>,
+    quarantine: Vec<Quarantined>,
 }
 
 /// Answers other hosts that ask what this one knows.
@@ -52,7 +52,7 @@
             weights: newest.collect(),
             upstreams: site.registry.borrow().entries().cloned().collect(),
             hosts: site.peers.records(),
-            quarantine: site.poison.verdicts(),
+            quarantine: site.poison.entries(),
         };
         bincode::serde::encode_to_vec(&knowledge, bincode::config::standard())
             .map_err(|e| e.to_string())
@@ -67,8 +67,8 @@
     pub config: u64,
     /// The versions of its weights together.
     pub weights: u64,
-    /// Verdicts on requests that crash upstreams.
-    pub verdicts: u64,
+    /// Entries on requests that crash upstreams.
+    pub entries: u64,
 }
 
 /// How much this host knows.
@@ -76,7 +76,7 @@
     Extent {
         config: site.catalog.load().as_ref().map_or(0, |c| c.version),
         weights: site.named.borrow().values().filter_map(|n| n.newest()).sum(),
-        verdicts: site.poison.extent(),
+        entries: site.poison.extent(),
     }
 }
 
@@ -85,7 +85,7 @@
     let (own, now) = (extent(site), site.now());
     let knows = theirs.config <= own.config
         && theirs.weights <= own.weights
-        && theirs.verdicts <= own.verdicts;
+        && theirs.entries <= own.entries;
     match site.behind.get() {
         _ if knows => {}
         Some(since) if now < since + LASTS => {}
@@ -128,7 +128,7 @@
     for (model, version) in knowledge.weights {
         follow::name_weights(site, &model, version, false, &source);
     }
-    poison::take_verdicts(site, knowledge.quarantine, &source);
+    poison::take_quarantined(site, knowledge.quarantine, &source);
     site.recalled.set(true);
     // Once the store has listed the upstreams, what it says is newer.
     if !site.listed.get() {
--- a/crates/router/src/serve/state.rs
+++ b/crates/router/src/serve/state.rs
@@ -35,7 +35,7 @@
         "picture": node.picture.counts(),
         "counters": &node.counters,
         "claims": node.claims.lock().unwrap().len(),
-        "quarantine": node.poison.verdicts(),
+        "quarantine": node.poison.entries(),
         "ready": node.ready.load(Ordering::Acquire),
         "members": node.members.lock().unwrap().all().collect::<Vec<_>>(),
         "entries": &**node.entries.load(),
