Quarantine: an upstream that is back at once has crashed all the same

A supervisor may start a crashed upstream again within the 20 ms after which hosts look: its next life took the connection, and the crash was taken for a reset, so the request under it was sent on. An engine that takes connections after it ended requests is asked who it is: refused as another, or born at another time, it has crashed. Asked only of engines, once a host and event, and only where connections ended in mid-request. Plain services have no report; one that is back within 20 ms is taken to have reset. On the own interface the incarnation of the load report tells.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -19,7 +19,7 @@
 const BODY_LIMIT: usize = 64 << 20;
 
 /// The JSON body at `url`.
-async fn get_json<T: DeserializeOwned>(
+pub async fn get_json<T: DeserializeOwned>(
     client: &Client,
     url: &str,
     limit: Duration,
--- a/crates/router/src/poison.rs
+++ b/crates/router/src/poison.rs
@@ -7,8 +7,8 @@
 //! a limited time. While the log service is away each router detectors
 //! by what it has seen itself, and what it has to tell waits.
 //!
-//! An engine has crashed if it refuses connections right after it broke off;
-//! one that is leaving, or not listed, ends without any request's doing.
+//! An engine has crashed if it refuses connections right after it broke off, or
+//! answers in another life; one that is leaving, or not listed, ends without any request's doing.
 
 use std::collections::HashMap;
 use std::io;
@@ -23,12 +23,15 @@
 use marjoram_core::poison::{
     Admission, CrashReport, Quarantine, Quarantined, Recent, SETTLE, Suspects,
 };
+use marjoram_core::wire::LoadReport;
+use ntex::http::client::Client;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock;
 use crate::error::Error;
+use crate::follow;
 use crate::log::{self, Log};
 use crate::node::{Engine, Node};
 
@@ -194,17 +197,29 @@
     let broken = state.broken.entry(key).or_default();
     broken.push(request);
     if broken.len() == 1 {
-        ntex::rt::spawn(inspect(node.clone(), engine.addr.clone(), key));
+        ntex::rt::spawn(inspect(node.clone(), engine.addr.clone(), life, key));
+    }
+}
+
+/// Whether the engine at `addr`, which has just ended requests in `life`, has
+/// crashed: it refuses connections, or another life takes them already.
+async fn has_crashed(addr: &str, life: Option<Life>) -> bool {
+    match tokio::time::timeout(CONNECT, TcpStream::connect(addr)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) => {
+            let url = format!("http://{addr}/v1/load");
+            let report = follow::get_json::<LoadReport>(&Client::new(), &url, CONNECT).await;
+            let other = |life: Life| report.is_ok_and(|r| r.incarnation != life.incarnation);
+            life.is_some_and(other)
+        }
+        Err(_) => false,
     }
 }
 
 /// Finds out whether an engine has crashed, and tells what was there.
-async fn inspect(node: Arc<Node>, addr: String, key: u64) {
+async fn inspect(node: Arc<Node>, addr: String, life: Option<Life>, key: u64) {
     ntex::time::sleep(GATHER).await;
-    let refused = match tokio::time::timeout(CONNECT, TcpStream::connect(&addr)).await {
-        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    };
+    let crashed = has_crashed(&addr, life).await;
     let reports: Vec<CrashReport> = {
         let mut state = node.poison.state.lock().unwrap();
         let broken = state.broken.remove(&key).unwrap_or_default();
@@ -220,8 +235,8 @@
             })
             .collect()
     };
-    tracing::info!(target: "poison", "poison: engine {addr} ended {} requests, crashed: {refused}.", reports.len());
-    if !refused {
+    tracing::info!(target: "poison", "poison: engine {addr} ended {} requests, crashed: {crashed}.", reports.len());
+    if !crashed {
         return;
     }
     node.poison.add(&reports);
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -8,7 +8,7 @@
 //! later.
 //!
 //! Limits: an upstream has crashed if it closed a connection in mid-request
-//! and then refuses new ones. One that only reset connections takes new ones; a
+//! and then refuses new ones, or answers them in another life. One that only reset connections takes new ones; a
 //! link that is cut answers nothing; one that leaves, or changes weights on our
 //! order, may end requests without their doing.
 
@@ -32,6 +32,7 @@
 use super::conn::Conn;
 use super::fleet::Upstream;
 use super::peers::Message;
+use super::reports;
 use super::site::Site;
 use crate::clock;
 
@@ -54,7 +55,7 @@
 /// Entries in one greeting at most: some 90 bytes each.
 const GREETED: usize = 32;
 
-/// CrashReport told in one datagram, and how often each is sent.
+/// Reports told in one datagram, and how often each is sent.
 const TOLD_AT_ONCE: usize = 200;
 const TELLINGS: u32 = 2;
 
@@ -79,7 +80,7 @@
     well: RefCell<Recent>,
     /// Entries learnt lately, for greetings.
     told: RefCell<Vec<(Quarantined, Duration)>>,
-    /// Counts reports that call for detecting; a task detects it.
+    /// Counts reports of enough crashes; a task looks through them.
     called: Cell<u64>,
     detecting: Cell<bool>,
     /// Records to be written to the store, `None` to be dropped.
@@ -142,15 +143,11 @@
 /// Finds out whether `upstream` has crashed, and tells what was there.
 async fn inspect(site: Rc<Site>, upstream: Rc<Upstream>) {
     tokio::time::sleep(GATHER).await;
-    let addr = upstream.entry.borrow().addr;
-    let refused = match Conn::connect(addr, CONNECT).await {
-        Ok(_) => false,
-        Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
-    };
+    let crashed = has_crashed(&site, &upstream).await;
     let broken = site.poison.broken.borrow_mut().remove(&upstream.life).unwrap_or_default();
     tracing::info!(target: "poison", upstream = %upstream.life, key = upstream.key,
-        requests = broken.len(), crashed = refused, "upstream ended requests");
-    if !refused {
+        requests = broken.len(), crashed, "upstream ended requests");
+    if !crashed {
         return;
     }
     site.counters.count("upstream.crashed");
@@ -176,6 +173,22 @@
     hear_reports(&site, &reports);
 }
 
+/// Whether `upstream`, which has just ended requests, has crashed: it refuses
+/// connections, or, if it is an engine, another life takes them already.
+async fn has_crashed(site: &Site, upstream: &Upstream) -> bool {
+    let (addr, service) = {
+        let entry = upstream.entry.borrow();
+        (entry.addr, entry.service.clone())
+    };
+    match Conn::connect(addr, CONNECT).await {
+        Ok(_) if site.catalog().is_some_and(|c| c.engine(&service).is_some()) => {
+            reports::is_replaced(upstream).await
+        }
+        Ok(_) => false,
+        Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+    }
+}
+
 /// Hosts that detect: all, where there are few.
 fn detectors(site: &Site) -> usize {
     match site.peers.count() {
--- a/crates/router/src/proxy/poison/detection.rs
+++ b/crates/router/src/proxy/poison/detection.rs
@@ -1,4 +1,4 @@
-//! Entries: found by the hosts that detect them, learnt by all, and acted on.
+//! Entries of the quarantine: found by the hosts that detect them, learnt by all, and acted on.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/router/src/proxy/reports.rs
+++ b/crates/router/src/proxy/reports.rs
@@ -17,6 +17,7 @@
 use marjoram_core::switches::Mechanism;
 use marjoram_core::upstream::Weights;
 use marjoram_platform::engine::{self, Report, UPSTREAM_HEADER};
+use marjoram_platform::headers::MISDIRECTED;
 use tokio::sync::oneshot;
 
 use super::fleet::Upstream;
@@ -165,6 +166,18 @@
     Caller::new(addr).call(&engine::report(), &headers, ANSWER).await.is_ok()
 }
 
+/// Whether another life answers at the address of the engine `upstream`.
+pub async fn is_replaced(upstream: &Upstream) -> bool {
+    let addr = upstream.entry.borrow().addr;
+    let headers = [(UPSTREAM_HEADER, upstream.life.id.0.as_str())];
+    match Caller::new(addr).call(&engine::report(), &headers, ANSWER).await {
+        Ok(reply) if reply.status == MISDIRECTED => true,
+        Ok(reply) if reply.status == 200 => engine::parse_report(&reply.body)
+            .is_ok_and(|report| !report.born.agrees(upstream.life.born)),
+        Ok(_) | Err(_) => false,
+    }
+}
+
 /// The version of `model` that `upstream` reports.
 async fn served(upstream: &Upstream, model: &str) -> Option<u64> {
     match ask_once(upstream).await {
