--- a/crates/core/benches/memory.rs
+++ b/crates/core/benches/memory.rs
@@ -1,12 +1,16 @@
 //! Heap bytes of the cache picture per block entry, of the configuration
-//! per workspace and of a claim, measured with dhat's heap counters.
+//! per workspace, of a claim and of the quarantine, measured with dhat's heap counters.
 //!
 //! Run with `cargo bench -p marjoram-core --bench memory`.
 
+use std::time::Duration;
+
 use marjoram_core::cache::{Life, Picture, Slot};
 use marjoram_core::claims::{Answer, ClaimRecord, Claims};
 use marjoram_core::config::{Config, Record};
+use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::ids::{BlockHash, Offset, WorkspaceId};
+use marjoram_core::poison::{CrashReport, Quarantine, Quarantined, Recent, Suspects};
 
 #[global_allocator]
 static ALLOC: dhat::Alloc = dhat::Alloc;
@@ -38,6 +42,39 @@
     );
 }
 
+/// Heap bytes of the tables of requests that crash upstreams, full.
+fn poison() {
+    let ran = Some(Duration::from_millis(40));
+    let report = |request, upstream| CrashReport {
+        request: Fingerprint(request),
+        upstream,
+        attempt: request,
+        ran,
+        well: None,
+    };
+    let before = heap();
+    let mut suspects = Suspects::new();
+    for request in 0..1_024 {
+        (0..8)
+            .for_each(|n| suspects.add(&report(request, n * 100 + request % 100), Duration::ZERO));
+    }
+    for request in 10_000..30_000 {
+        suspects.add(&report(request, request), Duration::ZERO);
+    }
+    println!("poison: {} suspects, {} bytes", suspects.len(), heap() - before);
+    let before = heap();
+    let mut quarantine = Quarantine::new();
+    for request in 0..5_000 {
+        let entry = Quarantined::new(Fingerprint(request), (0..8).collect(), Duration::ZERO);
+        quarantine.admit(entry, Duration::ZERO);
+    }
+    println!("poison: {} in quarantine, {} bytes", quarantine.len(), heap() - before);
+    let before = heap();
+    let mut recent = Recent::new();
+    recent.note(Fingerprint(1), Duration::ZERO);
+    println!("poison: good runs, {} bytes", heap() - before);
+}
+
 fn main() {
     let _profiler = dhat::Profiler::builder().testing().build();
     for blocks in [100_000u64, 1_000_000] {
@@ -76,6 +113,7 @@
         serde_json::to_string(&config).unwrap().len()
     );
     claims();
+    poison();
     let sample = Record::Workspace {
         id: "workspace-00001".parse().unwrap(),
         template: "t".into(),
