Quarantine: crashes count by when they came, not by when a host read of them

A host that had been suspended read three reports in one go; by its own clock the crashes came together, after all good runs. Ruled out: reports without the last good run (all had it, 16 to 349 ms before). A report now says when the crash was noticed, by the wall clock and not in the future, and the last good run counts in whichever order reports come. A clock that is seconds off can only spare a request that ran well; the cause has no good run. Test: both orders fail before, pass now.

--- a/crates/core/benches/memory.rs
+++ b/crates/core/benches/memory.rs
@@ -51,6 +51,7 @@
         attempt: request,
         ran,
         well: None,
+        at: Duration::ZERO,
     };
     let before = heap();
     let mut suspects = Suspects::new();
--- a/crates/core/benches/poison.rs
+++ b/crates/core/benches/poison.rs
@@ -15,7 +15,8 @@
 
 fn report(request: u64, upstream: u64) -> CrashReport {
     let ran = Some(Duration::from_millis(40));
-    CrashReport { request: Fingerprint(request), upstream, attempt: request, ran, well: None }
+    let (request, attempt) = (Fingerprint(request), request);
+    CrashReport { request, upstream, attempt, ran, well: None, at: NOW }
 }
 
 /// As many suspects as are remembered, a fifth of them at two crashes.
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -73,8 +73,12 @@
     pub attempt: u64,
     /// How long its answer had run, if that had begun.
     pub ran: Option<Duration>,
-    /// How long ago it last ran to its end at the host that tells this.
+    /// How long before the crash it last ran to its end at the host that tells
+    /// this.
     pub well: Option<Duration>,
+    /// When that host noticed the crash, since the Unix epoch: a report may be
+    /// read late, and several at once then.
+    pub at: Duration,
 }
 
 /// A request found to crash what runs it.
--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -47,7 +47,10 @@
     upstream: u64,
     attempt: u64,
     ran: Option<Duration>,
+    /// When it came, since the Unix epoch.
     at: Duration,
+    /// When this host learnt of it.
+    heard: Duration,
 }
 
 /// The crashes at which one request was.
@@ -56,6 +59,8 @@
     seen: Vec<Seen>,
     /// When it had been at enough of them.
     full: Option<Duration>,
+    /// When it last ran to its end, since the Unix epoch.
+    well: Option<Duration>,
     /// So many of them were those of a request found before, all that had.
     tied: usize,
 }
@@ -66,14 +71,17 @@
 type Strength = (usize, usize, usize, Reverse<Duration>);
 
 impl Suspect {
+    /// Takes in a crash that was learnt of at `now`. Those before which it ran
+    /// to its end were not its doing, in whichever order they are told.
     fn add(&mut self, report: &CrashReport, now: Duration) {
-        let well = report.well.map(|age| now.saturating_sub(age));
-        self.keep(|s| now < s.at + SPAN && well.is_none_or(|well| well < s.at));
-        let CrashReport { upstream, attempt, ran, .. } = *report;
+        let CrashReport { upstream, attempt, ran, at, .. } = *report;
+        self.well = self.well.max(report.well.map(|age| at.saturating_sub(age)));
         let known = self.seen.iter().any(|s| s.upstream == upstream);
         if !known && self.seen.len() < MOST_SEEN {
-            self.seen.push(Seen { upstream, attempt, ran, at: now });
+            self.seen.push(Seen { upstream, attempt, ran, at, heard: now });
         }
+        let well = self.well;
+        self.keep(|s| at < s.at + SPAN && well.is_none_or(|well| well <= s.at));
         if self.seen.len() >= self.needed() && self.seen.len() > self.tied {
             self.full.get_or_insert(now);
         }
@@ -161,7 +169,7 @@
 /// for upstream in 1..=3 {
 ///     let beside = Fingerprint(10 + upstream);
 ///     for request in [poison, beside] {
-///         let report = CrashReport { request, upstream, attempt: upstream, ran: None, well: None };
+///         let report = CrashReport { request, upstream, attempt: upstream, ran: None, well: None, at: Duration::from_secs(upstream) };
 ///         suspects.add(&report, Duration::from_secs(upstream));
 ///     }
 /// }
@@ -256,7 +264,7 @@
         let ripe = self.often.iter().filter(|(_, s)| s.is_ripe(now));
         let mut wrong: Vec<u64> = ripe
             .flat_map(|(_, s)| s.seen.iter())
-            .filter(|seen| lives(seen.upstream, seen.at))
+            .filter(|seen| lives(seen.upstream, seen.heard))
             .map(|seen| seen.upstream)
             .collect();
         wrong.sort_unstable();
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -23,7 +23,8 @@
 }
 
 fn seen(request: Fingerprint, upstream: u64, attempt: u64) -> CrashReport {
-    CrashReport { request, upstream, attempt, ran: Some(RAN), well: None }
+    let (ran, at) = (Some(RAN), seconds(upstream));
+    CrashReport { request, upstream, attempt, ran, well: None, at }
 }
 
 /// Found a while after all of `reports` is in, a second apart.
@@ -127,6 +128,32 @@
     assert_eq!(suspects.detect(seconds(23) + SETTLE).len(), 1);
 }
 
+/// A host that was suspended read what the others had told it meanwhile in one
+/// go. By the times at which it read them, no good run lay between the crashes,
+/// and a request that all callers send was kept away:
+///
+/// ```text
+/// 25.003 was there when it crashed  3201… i-7-6  well_ms 16
+/// 25.470 was there when it crashed  3201… i-5-4  well_ms 349
+/// 25.602 was there when it crashed  3201… i-6-5  well_ms 26
+/// 29.058 request quarantined: upstreams crashed under it  3201…
+/// ```
+#[test_case(&[0, 1, 2]; "in order")]
+#[test_case(&[2, 0, 1]; "out of order")]
+fn reports_that_are_read_late_and_together_count_by_when_the_crashes_came(order: &[usize]) {
+    let crash = |at: u64, well: u64| CrashReport {
+        well: Some(Duration::from_millis(well)),
+        at: Duration::from_millis(at),
+        ..seen(POISON, at, at)
+    };
+    let reports = [crash(25_003, 16), crash(25_470, 349), crash(25_602, 26)];
+    let mut suspects = Suspects::new();
+    for index in order {
+        suspects.add(&reports[*index], seconds(29));
+    }
+    assert_eq!(suspects.detect(seconds(29) + SETTLE), []);
+}
+
 #[test]
 fn an_upstream_that_showed_life_afterwards_has_not_crashed() {
     let mut suspects = Suspects::new();
@@ -186,11 +213,13 @@
         let engine = rng.random_range(0..ENGINES);
         let ran = |ms| Some(Duration::from_millis(ms));
         let point = ran(rng.random_range(30..150));
-        let mut there = vec![CrashReport { ran: point, ..seen(poison, upstream, upstream) }];
+        let cause = seen(poison, upstream, upstream);
+        let mut there = vec![CrashReport { ran: point, at: now, ..cause }];
         let mut begin = |request: u64, sends: u64, there: &mut Vec<CrashReport>| {
             let attempt = request * ATTEMPTS + sends / SENDS;
             let ran = ran(rng.random_range(0..1_000));
-            there.push(CrashReport { ran, ..seen(Fingerprint(request), upstream, attempt) });
+            let beside = seen(Fingerprint(request), upstream, attempt);
+            there.push(CrashReport { ran, at: now, ..beside });
             let again = sends + 1 < SENDS * ATTEMPTS;
             again.then(|| (request, sends + 1, rng.random_range(0..ENGINES), 2))
         };
--- a/crates/router/src/poison.rs
+++ b/crates/router/src/poison.rs
@@ -223,7 +223,8 @@
     let reports: Vec<CrashReport> = {
         let mut state = node.poison.state.lock().unwrap();
         let broken = state.broken.remove(&key).unwrap_or_default();
-        let well = |b: &Broken| state.well.age(b.request, clock::now());
+        let (now, wall) = (clock::now(), clock::wall());
+        let well = |b: &Broken| state.well.age(b.request, now);
         broken
             .iter()
             .map(|b| CrashReport {
@@ -232,6 +233,7 @@
                 attempt: b.attempt,
                 ran: b.ran,
                 well: well(b),
+                at: wall,
             })
             .collect()
     };
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -151,13 +151,14 @@
         return;
     }
     site.counters.count("upstream.crashed");
-    let now = site.now();
+    let (now, wall) = (site.now(), clock::wall());
     let reports = broken.into_iter().map(|b| CrashReport {
         request: b.request,
         upstream: upstream.key,
         attempt: b.attempt,
         ran: b.ran,
         well: site.poison.well.borrow().age(b.request, now),
+        at: wall,
     });
     let reports: Vec<CrashReport> = reports.collect();
     for e in &reports {
@@ -202,6 +203,8 @@
     let (now, wall) = (site.now(), clock::wall());
     let poison = &site.poison;
     for e in reports {
+        // The clock of another host may be ahead.
+        let e = &CrashReport { at: e.at.min(wall), ..e.clone() };
         let (refused, again) = {
             let quarantine = poison.quarantine.borrow();
             (quarantine.refuses(e.request, wall), quarantine.again(e, wall))
