--- a/crates/router/src/poison.rs
+++ b/crates/router/src/poison.rs
@@ -2,19 +2,19 @@
 //!
 //! A router that loses completions with an engine that crashed appends what it
 //! had there to the log service's `crashes` stream; all routers read it and
-//! detect alike (see [`marjoram_core::poison`]). Entries stand in the same
-//! stream, and are appended anew while they matter: the log keeps its records for
-//! a limited time. While the log service is away each router detectors
-//! by what it has seen itself, and what it has to tell waits.
+//! find alike which request it was (see [`marjoram_core::poison`]). What is found
+//! stands in the same stream, and is appended anew while it matters: the log
+//! service keeps its records for a limited time. While that is away each router
+//! goes by what it has seen itself, and what it has to tell waits.
 //!
 //! An engine has crashed if it refuses connections right after it broke off, or
-//! answers in another life; one that is leaving, or not listed, ends without any request's doing.
+//! answers in another life; one that is leaving, or not listed, ends without any
+//! request's doing.
 
 use std::collections::HashMap;
 use std::io;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use marjoram_core::cache::Life;
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -161,10 +161,10 @@
         at: wall,
     });
     let reports: Vec<CrashReport> = reports.collect();
-    for e in &reports {
-        tracing::info!(target: "poison", fingerprint = %e.request, upstream = %upstream.life,
-            attempt = e.attempt, ran_ms = e.ran.map(|ran| ran.as_millis() as u64),
-            well_ms = e.well.map(|age| age.as_millis() as u64), "was there when it crashed");
+    for report in &reports {
+        tracing::info!(target: "poison", fingerprint = %report.request, upstream = %upstream.life,
+            attempt = report.attempt, ran_ms = report.ran.map(|ran| ran.as_millis() as u64),
+            well_ms = report.well.map(|age| age.as_millis() as u64), "was there when it crashed");
     }
     let detectors = site.peers.first_ranked(xxh3_64(DETECTION.as_bytes()), detectors(&site));
     for some in reports.chunks(TOLD_AT_ONCE) {
@@ -202,17 +202,17 @@
 pub fn hear_reports(site: &Rc<Site>, reports: &[CrashReport]) {
     let (now, wall) = (site.now(), clock::wall());
     let poison = &site.poison;
-    for e in reports {
+    for report in reports {
         // The clock of another host may be ahead.
-        let e = &CrashReport { at: e.at.min(wall), ..e.clone() };
+        let report = CrashReport { at: report.at.min(wall), ..report.clone() };
         let (refused, again) = {
             let quarantine = poison.quarantine.borrow();
-            (quarantine.refuses(e.request, wall), quarantine.again(e, wall))
+            (quarantine.refuses(report.request, wall), quarantine.again(&report, wall))
         };
         match (refused, again) {
-            (Some(_), _) => poison.suspects.borrow_mut().explain(&[e.upstream]),
+            (Some(_), _) => poison.suspects.borrow_mut().explain(&[report.upstream]),
             (None, Some(entry)) => detection::pass(site, vec![entry]),
-            (None, None) => poison.suspects.borrow_mut().add(e, now),
+            (None, None) => poison.suspects.borrow_mut().add(&report, now),
         }
     }
     if poison.suspects.borrow().is_pending() {
