Own interface: a connection that ends without an answer is no refusal

Callers were told that a call had not run, and it was sent to the next service, though the first had read it: at most once was broken, and a false refusal said so. Cause: the client reports a connection that ends without an answer as Connect(Disconnected), like one that could not be opened; only the latter carries the system's error. Ruled out: engines started again too soon (the logs show 'refused: Connector has been disconnected' right after 'crashing under request'). Now only an error of the system, a timeout to connect or a bad address says that nothing was sent.

--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -4,6 +4,7 @@
 
 use marjoram_core::wire::{ErrorBody, ErrorDetail};
 use ntex::http::StatusCode;
+use ntex::http::client::error::{ConnectError, SendRequestError};
 use quick_error::quick_error;
 
 quick_error! {
@@ -103,6 +104,17 @@
     }
 }
 
+/// Whether a request failed before any of it was sent. The client reports a
+/// connection that ends without an answer as one that could not be opened, but
+/// with no error of the system: the peer may have run the request.
+pub fn is_unsent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected(None)) => false,
+        SendRequestError::Connect(_) => true,
+        _ => false,
+    }
+}
+
 impl Error {
     /// The HTTP status this error is answered with.
     pub fn status(&self) -> StatusCode {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -24,10 +24,9 @@
 use marjoram_core::cache::{Life, Slot};
 use marjoram_core::ids::{ModelVersion, Tokens};
 use marjoram_core::wire::{Chunk, NOT_EXECUTED, Usage, WEIGHTS_VERSION};
-use ntex::http::client::error::SendRequestError;
 use ntex::http::client::{Client, ClientResponse};
 
-use crate::error::Error;
+use crate::error::{self, Error};
 use crate::job::{Choice, Job, version};
 use crate::node::{Engine, Node};
 use crate::poison;
@@ -153,9 +152,7 @@
             Err(Error::Refused(engine.addr.clone(), format!("status {}", response.status())))
         }
         Ok(response) => Err(failed("answer", format!("status {}", response.status()))),
-        Err(SendRequestError::Connect(e)) => {
-            Err(Error::Refused(engine.addr.clone(), e.to_string()))
-        }
+        Err(e) if error::is_unsent(&e) => Err(Error::Refused(engine.addr.clone(), e.to_string())),
         Err(e) => Err(failed("send", e.to_string())),
     }
 }
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -18,12 +18,11 @@
 use marjoram_core::ids::RequestId;
 use marjoram_core::wire::IDEMPOTENCY_KEY;
 use ntex::http::client::Client;
-use ntex::http::client::error::SendRequestError;
 use ntex::http::header::CONTENT_TYPE;
 use ntex::util::Bytes;
 
 use crate::clock;
-use crate::error::Error;
+use crate::error::{self, Error};
 use crate::log::{self, Log};
 use crate::node::Node;
 
@@ -81,7 +80,7 @@
         }
         let mut response = match request.send_body(self.body.clone()).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(e)) => {
+            Err(e) if error::is_unsent(&e) => {
                 return Err(Error::Connect(service.to_string(), e.to_string()));
             }
             Err(e) => return Err(failed("send", e.to_string())),
--- a/crates/router/tests/at_most_once.rs
+++ b/crates/router/tests/at_most_once.rs
@@ -4,10 +4,14 @@
 #[path = "support/site.rs"]
 mod site;
 
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use marjoram_core::wire::{ErrorBody, IDEMPOTENCY_KEY};
-use site::{Site, client, run, wait_for};
+use marjoram_core::wire::{ErrorBody, HostState, IDEMPOTENCY_KEY, Role};
+use site::{Site, client, host, put_host, run, wait_for};
 
 async fn alert(router: &str, key: &str) -> (u16, String, bool) {
     let mut response = client()
@@ -159,3 +163,51 @@
         assert_eq!(runs(&site.service).await, 1);
     });
 }
+
+/// A service that reads a call and ends without an answer, as one that crashes
+/// under it; counts the calls.
+fn crashing_service() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (addr, calls) = (listener.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
+    let counted = calls.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut buf = [0u8; 4_096];
+            if stream.read(&mut buf).is_ok_and(|read| read > 0) {
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+    });
+    (addr.to_string(), calls)
+}
+
+/// The client reports a connection that ends without an answer like one that
+/// could not be opened ("Connector has been disconnected"), so a call that a
+/// service had run was sent to the next one, and refused as not run:
+///
+/// ```text
+/// engine: crashing under request 17414282481498062848.
+/// forward: send to engine 127.0.0.1:26410: refused: Connector has been disconnected
+/// ```
+#[test]
+fn a_call_under_which_a_service_ends_is_sent_to_no_other() {
+    let site = Site::start(1, 1, &[]);
+    let services = [crashing_service(), crashing_service()];
+    run(async move {
+        let gone = host(&site.service, Role::Service, HostState::Leaving);
+        put_host(&site.hosts, &gone).await;
+        for (addr, _) in &services {
+            put_host(&site.hosts, &host(addr, Role::Service, HostState::Live)).await;
+        }
+        wait_for(|| async {
+            let listed = site::state(&site.routers[0]).await?["services"].as_array()?.len();
+            (listed == 2).then_some(())
+        })
+        .await;
+        let (status, body, _) = alert(&site.routers[0], "line-7-alert-1").await;
+        let refusal: ErrorBody = serde_json::from_str(&body).unwrap();
+        assert_eq!((status, refusal.error.not_run), (502, false), "{body}");
+        let calls: usize = services.iter().map(|(_, calls)| calls.load(Ordering::SeqCst)).sum();
+        assert_eq!(calls, 1, "the call ran at one service only");
+    });
+}
