Quarantine: a request that ran well shortly before is not the first to be held for crashes

Now a good run within a minute before the first crash speaks for a request: it ranks behind those without, and five crashes are needed.

--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -25,6 +25,9 @@
 const RAN_FACTOR: u32 = 2;
 const RAN_SLACK: Duration = Duration::from_millis(100);
 
+/// How long before the first crash a good run speaks for a request.
+const LATELY: Duration = Duration::from_secs(60);
+
 /// Time after the last of these in which all hosts tell what they had there.
 pub const SETTLE: Duration = Duration::from_millis(100);
 
@@ -65,10 +68,10 @@
     tied: usize,
 }
 
-/// How well a request explains the crashes at which it was: by their number,
-/// by the attempts that met them, by those that came after its answer had
-/// begun, and by how soon.
-type Strength = (usize, usize, usize, Reverse<Duration>);
+/// How well a request explains the crashes at which it was: by whether it ran
+/// well shortly before, by their number, by the attempts that met them, by
+/// those that came after its answer had begun, and by how soon.
+type Strength = (bool, usize, usize, usize, Reverse<Duration>);
 
 impl Suspect {
     /// Takes in a crash that was learnt of at `now`. Those before which it ran
@@ -126,17 +129,25 @@
         max <= min * RAN_FACTOR + RAN_SLACK
     }
 
+    /// Whether it ran to its end shortly before the first of the crashes: one
+    /// that many callers send is wherever an upstream crashes.
+    fn ran_well(&self) -> bool {
+        let first = self.seen.iter().map(|s| s.at).min().unwrap_or_default();
+        self.well.is_some_and(|well| first <= well + LATELY)
+    }
+
     /// Crashes needed to hold it for their cause.
     fn needed(&self) -> usize {
         match self.attempts() >= ATTEMPTS || self.is_steady() {
-            true => CRASHES,
-            false => CRASHES_BY_CHANCE,
+            true if !self.ran_well() => CRASHES,
+            _ => CRASHES_BY_CHANCE,
         }
     }
 
     fn strength(&self) -> Strength {
         let ran = self.seen.iter().filter_map(|s| s.ran);
-        (self.seen.len(), self.attempts(), ran.clone().count(), Reverse(ran.sum()))
+        let never = !self.ran_well();
+        (never, self.seen.len(), self.attempts(), ran.clone().count(), Reverse(ran.sum()))
     }
 
     /// Whether it explains crashes of `other` as well as that does.
