Quarantine: a plain service that is back before hosts look has crashed all the same

Cause: only engines were asked which life they are; a plain service that accepted connections again was taken to have reset one.

Ruled out: a shorter time to the look (a supervisor may be faster than any); the registry (says so seconds later).

Now a plain upstream is asked too, by its health path and with the life that is meant: any other life refuses that (421). Asked once a host and event, and only if no idle connection outlived the requests: what kept another connection open has not crashed.

--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -20,8 +20,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marjoram_core::catalog::Role;
 use marjoram_core::place::FRESH_HOSTS;
 use marjoram_core::poison::CrashReport;
+use marjoram_platform::engine;
+use marjoram_platform::store::Call;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::conn::Conn;
@@ -41,7 +44,7 @@
 /// Longest time to connect to an upstream that may have crashed.
 const CONNECT: Duration = Duration::from_millis(300);
 
-/// Questions to an engine that accepts connections but does not answer: one that
+/// Questions to an upstream that accepts connections but does not answer: one that
 /// has just started again may be slow to.
 const MAX_QUESTIONS: u32 = 2;
 
@@ -119,22 +122,32 @@
     false
 }
 
-/// Whether `upstream` refuses connections, or, if it is an engine, another life
-/// accepts them already; `None` if it accepts them and does not answer.
+/// Whether `upstream` refuses connections, or another life accepts them already;
+/// `None` if it accepts them and does not answer.
 async fn looks_crashed(site: &Site, upstream: &Upstream) -> Option<bool> {
-    let (addr, service) = {
-        let entry = upstream.entry.borrow();
-        (entry.addr, entry.service.clone())
-    };
+    let addr = upstream.entry.borrow().addr;
     match Conn::connect(addr, CONNECT).await {
-        Ok(_) if site.catalog().is_some_and(|c| c.engine(&service).is_some()) => {
-            reports::is_replaced(upstream).await
-        }
-        Ok(_) => Some(false),
+        // What outlives the requests is a connection to the same life.
+        Ok(_) if upstream.pool.has_quiet(site.now()) => Some(false),
+        Ok(_) => match question(site, upstream) {
+            Some(question) => reports::is_replaced(upstream, &question).await,
+            None => Some(false),
+        },
         Err(error) => Some(error.kind() == io::ErrorKind::ConnectionRefused),
     }
 }
 
+/// The question that any other life of `upstream` refuses, if there is one.
+fn question(site: &Site, upstream: &Upstream) -> Option<Call> {
+    let catalog = site.catalog()?;
+    let service = catalog.services.get(&upstream.entry.borrow().service)?;
+    match service.role {
+        Role::Engine(_) => Some(engine::report()),
+        Role::Plain if !service.health.is_empty() => Some(engine::health(&service.health)),
+        Role::Plain | Role::Store(_) => None,
+    }
+}
+
 /// The number of hosts that detect: all, where there are few.
 fn detectors(site: &Site) -> usize {
     match site.peers.count() {
--- a/crates/router/src/proxy/pool.rs
+++ b/crates/router/src/proxy/pool.rs
@@ -45,6 +45,12 @@
         self.idle.borrow_mut().retain_mut(|(conn, until)| now < *until && conn.is_quiet());
     }
 
+    /// Whether an idle connection is still open at `now`.
+    pub fn has_quiet(&self, now: Duration) -> bool {
+        self.sweep(now);
+        self.idle() > 0
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/router/src/proxy/reports.rs
+++ b/crates/router/src/proxy/reports.rs
@@ -18,6 +18,7 @@
 use marjoram_core::upstream::Weights;
 use marjoram_platform::engine::{self, Report, UPSTREAM_HEADER};
 use marjoram_platform::headers::MISDIRECTED;
+use marjoram_platform::store::Call;
 use tokio::sync::oneshot;
 
 use super::fleet::Upstream;
@@ -166,12 +167,12 @@
     Caller::new(addr).call(&engine::report(), &headers, ANSWER).await.is_ok()
 }
 
-/// Whether another life answers at the address of the engine `upstream`; `None`
+/// Whether another life answers `question` at the address of `upstream`; `None`
 /// if nothing does.
-pub async fn is_replaced(upstream: &Upstream) -> Option<bool> {
+pub async fn is_replaced(upstream: &Upstream, question: &Call) -> Option<bool> {
     let addr = upstream.entry.borrow().addr;
     let headers = [(UPSTREAM_HEADER, upstream.life.id.0.as_str())];
-    match Caller::new(addr).call(&engine::report(), &headers, ANSWER).await {
+    match Caller::new(addr).call(question, &headers, ANSWER).await {
         Ok(reply) if reply.status == MISDIRECTED => Some(true),
         Ok(reply) if reply.status == 200 => Some(
             engine::parse_report(&reply.body)
@@ -179,7 +180,7 @@
         ),
         Ok(_) => Some(false),
         Err(error) => {
-            tracing::debug!(target: "poison", upstream = %upstream.life, %error, "no report");
+            tracing::debug!(target: "poison", upstream = %upstream.life, %error, "no answer");
             None
         }
     }
