--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::host::DataCentre;
+use crate::quota::Quota;
 
 /// What may be repeated of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,7 +143,7 @@
 }
 
 /// One workspace.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Its name.
     pub name: String,
@@ -152,6 +153,8 @@
     pub priority: Option<u8>,
     /// Shares no prompt cache with other workspaces.
     pub isolated: bool,
+    /// How much it may send; `None` for no limit.
+    pub quota: Option<Quota>,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -106,6 +106,8 @@
     pub prompt: Option<Prompt>,
     /// The last event it already has.
     pub last_event: Option<u64>,
+    /// Tokens to be read and written, where it states them.
+    pub tokens: Option<u64>,
 }
 
 /// What the router sends to an upstream with a request.
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -8,6 +8,7 @@
 
 use crate::candidacy::Room;
 use crate::pace::LinkSpeed;
+use crate::quota::Tolerance;
 
 /// Name of a data centre.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
@@ -45,6 +46,8 @@
     pub weights: Duration,
     /// Longest a caller keeps an address answer.
     pub answer_ttl: Duration,
+    /// By how much a workspace's requests may exceed its quota.
+    pub quota: Tolerance,
 }
 
 /// What a host's process may use.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! - [`plain`]: which upstream of a plain service a request goes to.
 //! - [`poison`]: requests that crash whatever runs them.
 //! - [`budget`]: how often requests may be sent again.
+//! - [`quota`]: how much each workspace may send, over all hosts together.
 //! - [`rollout`]: which engines change their weights next.
 //! - [`announce`]: which engines the others are told to be closed.
 //! - [`candidacy`]: which hosts stand for the duty of ordering weights.
@@ -72,6 +73,7 @@
 pub mod poison;
 pub mod policy;
 pub mod prefix;
+pub mod quota;
 pub mod relay;
 pub mod rollout;
 pub mod soundness;
--- /dev/null
+++ b/crates/core/src/quota/gate.rs
@@ -0,0 +1,213 @@
+//! Which requests this host admits, by what the accounts answer or by itself.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use super::flow::Flow;
+use super::ledger::{DEMAND_SPAN, USUAL_SPAN, Usage, Verdict};
+use super::{ANSWER_SPAN, Limit, REPORT_INTERVAL};
+
+/// Units a second below which a workspace is not reported: one request of ten
+/// units, half a minute ago.
+const MIN_USUAL: f64 = 0.05;
+
+/// How long after a refusal callers come back where no account answers.
+const ALONE_WAIT: Duration = Duration::from_secs(1);
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent; it counts against the quota.
+    Admitted,
+    /// It may not; credit is there again after this time.
+    Refused(Duration),
+}
+
+/// By what requests are admitted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Mode {
+    /// An account lets this part of them pass.
+    Told(f64),
+    /// No account answers: by this share of a window.
+    Alone(f64),
+}
+
+/// What this host admitted, and when.
+#[derive(Debug, Clone, Default)]
+struct Meter {
+    demand: Flow,
+    usual: Flow,
+    admitted: i64,
+    /// Units admitted lately, by when the slot began.
+    slots: VecDeque<(Duration, u64)>,
+    /// The answers of each account, and when they came.
+    verdicts: Vec<(u64, Verdict, Duration)>,
+    share: Option<f64>,
+    /// The last answer let all requests pass.
+    has_burst: bool,
+    refused: u64,
+}
+
+/// What was decided of one workspace's requests since this host's start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Totals {
+    /// Units admitted.
+    pub admitted: i64,
+    /// Requests refused.
+    pub refused: u64,
+}
+
+/// Decides on the requests that reach this host.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::quota::gate::{Admission, Gate};
+/// use marjoram_core::quota::{Limit, Quota, Tolerance, Unit};
+/// let quota = Quota { unit: Unit::Requests, rate: 10.0, burst: 10.0 };
+/// let window = Duration::from_secs(8);
+/// let limit = Limit { quota, tolerance: Tolerance { window, overage: 0.0, slack: 0.0 } };
+/// // No account answers one of two hosts: it keeps to half of a window.
+/// let (mut gate, now) = (Gate::new(), Duration::from_secs(20));
+/// let admits = |_: &u32| gate.admit(7, 1, 0.0, &limit, 2, now) == Admission::Admitted;
+/// assert_eq!((0..100u32).filter(admits).count(), 40);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Gate {
+    meters: HashMap<u64, Meter>,
+}
+
+impl Gate {
+    /// Nothing admitted yet, at the start of the host's process.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Decides on a request of `workspace` at `now`, the time since this host's
+    /// start; `draw` is the request's own number, 0 to 1. There are `hosts`.
+    pub fn admit(
+        &mut self,
+        workspace: u64,
+        cost: u64,
+        draw: f64,
+        limit: &Limit,
+        hosts: usize,
+        now: Duration,
+    ) -> Admission {
+        let meter = self.meters.entry(workspace).or_default();
+        meter.demand.add(cost as f64, DEMAND_SPAN, now);
+        meter.usual.add(cost as f64, USUAL_SPAN, now);
+        let (passes, wait) = match meter.verdict(now) {
+            Some(verdict) => {
+                let wait = Duration::from_millis(u64::from(verdict.wait));
+                (draw < f64::from(verdict.pass), wait)
+            }
+            None => (meter.spent(limit, now) < meter.allowance(limit, hosts, now), ALONE_WAIT),
+        };
+        match passes {
+            true => {
+                meter.admit(cost, limit, now);
+                Admission::Admitted
+            }
+            false => {
+                meter.refused += 1;
+                Admission::Refused(wait)
+            }
+        }
+    }
+
+    /// Gives back what a request counted that was admitted and never ran.
+    pub fn refund(&mut self, workspace: u64, cost: u64) {
+        if let Some(meter) = self.meters.get_mut(&workspace) {
+            meter.admitted -= cost as i64;
+            if let Some((_, spent)) = meter.slots.back_mut() {
+                *spent = spent.saturating_sub(cost);
+            }
+        }
+    }
+
+    /// Takes in what the account `account` answers at `now`.
+    pub fn hear(&mut self, account: u64, verdict: Verdict, now: Duration) {
+        let Some(meter) = self.meters.get_mut(&verdict.workspace) else { return };
+        meter.share = Some(f64::from(verdict.share));
+        meter.has_burst = verdict.pass >= 1.0;
+        meter.verdicts.retain(|(from, _, at)| *from != account && now < *at + ANSWER_SPAN);
+        meter.verdicts.push((account, verdict, now));
+    }
+
+    /// What there is to report at `now`.
+    pub fn usages(&self, now: Duration) -> Vec<Usage> {
+        let usage = |(workspace, meter): (&u64, &Meter)| Usage {
+            workspace: *workspace,
+            demand: meter.demand.rate(DEMAND_SPAN, now) as f32,
+            usual: meter.usual.rate(USUAL_SPAN, now) as f32,
+            admitted: meter.admitted,
+        };
+        let all = self.meters.iter().map(usage);
+        all.filter(|usage| f64::from(usage.usual) >= MIN_USUAL).collect()
+    }
+
+    /// By what requests of `workspace` are admitted at `now`.
+    pub fn mode(&self, workspace: u64, hosts: usize, now: Duration) -> Option<Mode> {
+        let meter = self.meters.get(&workspace)?;
+        Some(match meter.verdict(now) {
+            Some(verdict) => Mode::Told(f64::from(verdict.pass)),
+            None => Mode::Alone(meter.share(hosts)),
+        })
+    }
+
+    /// What was decided of the requests of `workspace`.
+    pub fn totals(&self, workspace: u64) -> Option<Totals> {
+        let meter = self.meters.get(&workspace)?;
+        Some(Totals { admitted: meter.admitted, refused: meter.refused })
+    }
+
+    /// Forgets workspaces that `keeps` does not hold.
+    pub fn retain(&mut self, keeps: impl Fn(u64) -> bool) {
+        self.meters.retain(|workspace, _| keeps(*workspace));
+    }
+}
+
+impl Meter {
+    /// The strictest answer that still holds.
+    fn verdict(&self, now: Duration) -> Option<&Verdict> {
+        let held = self.verdicts.iter().filter(|(_, _, at)| now < *at + ANSWER_SPAN);
+        held.map(|(_, verdict, _)| verdict).min_by(|a, b| a.pass.total_cmp(&b.pass))
+    }
+
+    fn share(&self, hosts: usize) -> f64 {
+        self.share.unwrap_or(1.0 / hosts.max(1) as f64)
+    }
+
+    /// Units that this host may admit in a window by itself. What goes beyond the
+    /// rate may be used up already where the workspace was limited, or the host
+    /// has just started.
+    fn allowance(&self, limit: &Limit, hosts: usize, now: Duration) -> f64 {
+        let run = now.min(limit.tolerance.window).as_secs_f64();
+        let beyond = if self.has_burst { limit.quota.burst + limit.credit() } else { 0.0 };
+        (limit.quota.rate * run + beyond) * self.share(hosts)
+    }
+
+    /// Units admitted within the last window.
+    fn spent(&mut self, limit: &Limit, now: Duration) -> f64 {
+        self.expire(limit, now);
+        self.slots.iter().map(|(_, units)| *units).sum::<u64>() as f64
+    }
+
+    /// Forgets what was admitted before the last window.
+    fn expire(&mut self, limit: &Limit, now: Duration) {
+        while self.slots.front().is_some_and(|(at, _)| *at + limit.tolerance.window <= now) {
+            self.slots.pop_front();
+        }
+    }
+
+    fn admit(&mut self, cost: u64, limit: &Limit, now: Duration) {
+        self.expire(limit, now);
+        self.admitted += cost as i64;
+        if self.slots.back().is_none_or(|(at, _)| *at + REPORT_INTERVAL <= now) {
+            self.slots.push_back((now, 0));
+        }
+        if let Some((_, units)) = self.slots.back_mut() {
+            *units += cost;
+        }
+    }
+}
--- a/crates/core/src/switches.rs
+++ b/crates/core/src/switches.rs
@@ -31,10 +31,13 @@
     Doubts,
     /// An engine that refuses for its weights is asked which it serves.
     Reports,
+    /// A few hosts account for each workspace; else each host keeps to a fixed
+    /// share of its quota.
+    Accounts,
 }
 
 /// All mechanisms, with their names.
-const NAMES: [(Mechanism, &str); 10] = [
+const NAMES: [(Mechanism, &str); 11] = [
     (Mechanism::Homes, "homes"),
     (Mechanism::Copies, "copies"),
     (Mechanism::Stores, "stores"),
@@ -45,6 +48,7 @@
     (Mechanism::News, "news"),
     (Mechanism::Doubts, "doubts"),
     (Mechanism::Reports, "reports"),
+    (Mechanism::Accounts, "accounts"),
 ];
 
 impl fmt::Display for Mechanism {
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod poison;
 mod pool;
+mod quota;
 mod relay;
 mod relays;
 mod reports;
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -151,7 +151,7 @@
             site.counters.count("request.answered");
             tracing::info!(target: "request", id, route, upstream, sends, config, status, ms, "answered");
         }
-        Outcome::Refused(Refusal { status, retry, why }) => {
+        Outcome::Refused(Refusal { status, retry, why, .. }) => {
             site.counters.count("request.refused");
             let retry_ms = retry.map(|r| r.as_millis() as u64);
             tracing::info!(target: "request", id, route, upstream, sends, config, status, ms,
@@ -176,6 +176,12 @@
         let seconds = format!("{:.3}", retry.as_secs_f64());
         writer.header("retry-after", seconds.as_bytes());
     }
+    if let Some(quota) = &refusal.quota {
+        let reset = refusal.retry.unwrap_or_default().as_secs_f64().ceil();
+        writer.header("ratelimit-limit", format!("{:.0}", quota.rate).as_bytes());
+        writer.header("ratelimit-remaining", b"0");
+        writer.header("ratelimit-reset", format!("{reset:.0}").as_bytes());
+    }
     if last {
         writer.header("connection", b"close");
     }
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -13,6 +13,7 @@
 use super::conn::Conn;
 use super::fleet::Upstream;
 use super::http1::{self, ResponseWriter};
+use super::quota;
 use super::site::Site;
 use crate::clock;
 
@@ -114,7 +115,7 @@
     for (name, value) in gauges {
         text += &format!("marjoram_{name} {value}\n");
     }
-    text
+    text + &quota::metrics(site)
 }
 
 fn addresses(site: &Site) -> bytes::BytesMut {
@@ -171,6 +172,7 @@
         "configuration": site.catalog.load().as_ref().map(|c| c.version),
         "handled": site.handled.get(),
         "quarantine": quarantine(site),
+        "quotas": quota::state(site),
         "suspected": site.poison.counts().0,
         "hosts": site.peers.state(now),
         "upstreams": upstreams,
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -17,6 +17,7 @@
 use marjoram_core::host::HostSettings;
 use marjoram_core::pace::LinkSpeed;
 use marjoram_core::place;
+use marjoram_core::quota::ledger::Hosts;
 use marjoram_core::tenure::Stance;
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
@@ -197,6 +198,31 @@
             .collect()
     }
 
+    /// The `count` hosts with the most room for `group` of those that are heard
+    /// and take callers, this one (`None`) among them if it is `open`.
+    pub fn roomiest(&self, group: u64, count: usize, own: Option<Room>) -> Vec<Option<SocketAddr>> {
+        let (now, patience) = (self.now.get(), self.patience());
+        let rank = |name: &str, room| (room, place::rank(group, xxh3_64(name.as_bytes())));
+        let known = self.known.borrow();
+        let heard = known.iter().filter(|(_, p)| p.open && p.is_heard(now, patience));
+        let mut ranked: Vec<_> =
+            heard.map(|(name, p)| (rank(name, p.room), Some(p.record.peers))).collect();
+        ranked.extend(own.map(|room| (rank(&self.name, room), None)));
+        ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        ranked.into_iter().take(count).map(|(_, addr)| addr).collect()
+    }
+
+    /// The hosts for the accounts: how many are heard, and which are silent for
+    /// less than `span`.
+    pub fn reach(&self, span: Duration) -> Hosts {
+        let (now, patience) = (self.now.get(), self.patience());
+        let known = self.known.borrow();
+        let heard = known.values().filter(|p| p.is_heard(now, patience)).count() + 1;
+        let lately = |p: &Peer| now < p.heard.unwrap_or(p.entered) + span;
+        let silent = known.iter().filter(|(_, p)| !p.is_heard(now, patience) && lately(p));
+        Hosts { heard, silent: silent.map(|(name, _)| xxh3_64(name.as_bytes())).collect() }
+    }
+
     /// Where the other hosts that take callers do so.
     pub fn open(&self) -> Vec<SocketAddr> {
         let (now, patience) = (self.now.get(), self.patience());
--- a/crates/router/src/proxy/hosts/delivery.rs
+++ b/crates/router/src/proxy/hosts/delivery.rs
@@ -32,6 +32,12 @@
         send(&socket, &self.traffic, &Message::Hello(Box::new(hello)), &self.targets(FANOUT));
     }
 
+    /// Sends the host at `addr` `message`.
+    pub fn send_to(&self, addr: SocketAddr, message: &Message) {
+        let Some(socket) = self.socket.borrow().clone() else { return };
+        send(&socket, &self.traffic, message, &[addr]);
+    }
+
     /// Sends all hosts `message`, through a few of them where there are many.
     pub fn broadcast(&self, message: &Message) -> Burst {
         let Some(socket) = self.socket.borrow().clone() else { return Burst::default() };
--- a/crates/router/src/proxy/hosts/message.rs
+++ b/crates/router/src/proxy/hosts/message.rs
@@ -5,6 +5,7 @@
 use marjoram_core::candidacy::Room;
 use marjoram_core::news::News;
 use marjoram_core::poison::{CrashReport, Quarantined};
+use marjoram_core::quota::ledger::{Sender, Usage, Verdict};
 use marjoram_core::spread::Slice;
 use marjoram_core::tenure::Stance;
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,11 @@
     Crashes(Vec<CrashReport>),
     /// Requests that no host sends any more.
     Quarantine(Vec<Quarantined>),
+    /// What the sender admitted of workspaces for which the receiver accounts.
+    Usages(Sender, Vec<Usage>),
+    /// What the receiver may admit of them, by the account of the host with this
+    /// hashed name.
+    Verdicts(u64, Vec<Verdict>),
     /// To be taken in, and passed on to a part of the hosts.
     PassOn(Slice, Box<Message>),
 }
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -19,7 +19,7 @@
 use super::fleet::Upstream;
 use super::hosts::{Message, PERIOD};
 use super::site::Site;
-use super::{cachefeed, notices, poison, warm};
+use super::{cachefeed, notices, poison, quota, warm};
 pub use greeting::greet;
 use greeting::take_ages;
 
@@ -100,6 +100,8 @@
         }
         Message::Crashes(reports) => poison::hear_reports(site, &reports),
         Message::Quarantine(entries) => poison::hear_quarantined(site, entries),
+        Message::Usages(sender, usages) => quota::hear_usages(site, sender, &usages, from),
+        Message::Verdicts(account, verdicts) => quota::hear_verdicts(site, account, &verdicts),
         // A message is passed on once.
         Message::PassOn(..) => {}
     }
--- /dev/null
+++ b/crates/router/src/proxy/quota.rs
@@ -0,0 +1,234 @@
+//! Keeps the workspaces to their quotas: requests are admitted or refused, and
+//! the hosts that account for a workspace are told and answer. What is decided is
+//! [`marjoram_core::quota`].
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_core::catalog::{Catalog, Workspace};
+use marjoram_core::exchange::Asked;
+use marjoram_core::quota::gate::{Admission, Mode};
+use marjoram_core::quota::ledger::{Sender, Usage, Verdict};
+use marjoram_core::quota::{ACCOUNTS, Limit, Quota, REPORT_INTERVAL, RESERVED, group};
+use marjoram_core::switches::Mechanism;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::hosts::Message;
+use super::request::Refusal;
+use super::site::Site;
+
+/// Bounds of the time after which those refused for a quota come back, and how
+/// far they are spread, so that they do not come back together.
+const RETRY_MAX: Duration = Duration::from_secs(8);
+const RETRY_SPREAD: f64 = 0.5;
+
+/// Usages or verdicts in one datagram: some 30 bytes each.
+const MAX_TOLD: usize = 200;
+
+/// Draws for a request that states no attempt.
+const DRAW: u64 = 1;
+
+/// What a request counts against the quota of its workspace.
+#[derive(Debug, Clone, Copy)]
+pub struct Charge {
+    workspace: u64,
+    cost: u64,
+}
+
+impl Charge {
+    /// Gives it back: the request has not run.
+    pub fn refund(self, site: &Site) {
+        site.quotas.gate.borrow_mut().refund(self.workspace, self.cost);
+    }
+}
+
+fn key(workspace: &Workspace) -> u64 {
+    xxh3_64(workspace.name.as_bytes())
+}
+
+fn limit(site: &Site, quota: Quota) -> Limit {
+    Limit { quota, tolerance: site.settings.load().bounds.quota }
+}
+
+/// Decides on a request of `workspace`; what it counts if it is admitted.
+pub fn admit(site: &Site, workspace: &Workspace, asked: &Asked) -> Result<Option<Charge>, Refusal> {
+    let Some(quota) = workspace.quota else { return Ok(None) };
+    if !site.recalled.get() {
+        return Err(Refusal::not_run("other hosts not known yet", Duration::ZERO));
+    }
+    let charge = Charge { workspace: key(workspace), cost: quota.cost(asked.tokens) };
+    let id = asked.attempt.as_deref().unwrap_or_default().as_bytes();
+    let draw = match id {
+        [] => rand::random(),
+        id => xxh3_64_with_seed(id, DRAW) as f64 / u64::MAX as f64,
+    };
+    let hosts = site.peers.count();
+    let admission = site.quotas.gate.borrow_mut().admit(
+        charge.workspace,
+        charge.cost,
+        draw,
+        &limit(site, quota),
+        hosts,
+        site.now(),
+    );
+    match admission {
+        Admission::Admitted => Ok(Some(charge)),
+        Admission::Refused(wait) => {
+            site.counters.count("quota.refused");
+            let spread = 1.0 + RETRY_SPREAD * rand::random::<f64>();
+            Err(Refusal::over_quota(quota, wait.mul_f64(spread).min(RETRY_MAX)))
+        }
+    }
+}
+
+/// Reports what this host admitted, and settles the accounts that it keeps, until
+/// the process ends.
+pub async fn run(site: Rc<Site>) {
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        if let Some(catalog) = site.catalog().filter(|c| c.workspaces.is_some()) {
+            let quotas = quotas(&catalog);
+            settle(&site, &quotas);
+            report(&site, &quotas);
+        }
+    }
+}
+
+/// The quotas by the hashed name of their workspace.
+fn quotas(catalog: &Catalog) -> HashMap<u64, (&Workspace, Quota)> {
+    let workspaces = catalog.workspaces.iter().flatten();
+    workspaces.filter_map(|w| Some((key(w), (&**w, w.quota?)))).collect()
+}
+
+/// This host, as accounts know it.
+fn sender(site: &Site) -> Sender {
+    Sender { host: xxh3_64(site.peers.name.as_bytes()), life: site.peers.record.life }
+}
+
+/// Brings the accounts that this host keeps up to the present.
+fn settle(site: &Site, quotas: &HashMap<u64, (&Workspace, Quota)>) {
+    let now = site.now();
+    let hosts = site.peers.reach(RESERVED);
+    let mut ledger = site.quotas.ledger.borrow_mut();
+    ledger.retain(|workspace| quotas.contains_key(&workspace));
+    for workspace in ledger.workspaces() {
+        let Some((named, quota)) = quotas.get(&workspace) else { continue };
+        ledger.settle(workspace, &limit(site, *quota), &hosts, now);
+        let Some(standing) = ledger.standing(workspace, now) else { continue };
+        let limited = standing.pass < 1.0;
+        let before = site.quotas.limited.borrow_mut().insert(workspace, limited);
+        if before.unwrap_or_default() != limited {
+            tracing::info!(target: "quota", workspace = named.name, limited,
+                pass = standing.pass, level = standing.level, demand = standing.demand,
+                rate = quota.rate, reserved = standing.reserved, heard = hosts.heard,
+                silent = hosts.silent.len(), "account settled");
+        }
+    }
+    *site.quotas.hosts.borrow_mut() = hosts;
+}
+
+/// Tells the accounts what this host admitted.
+fn report(site: &Rc<Site>, quotas: &HashMap<u64, (&Workspace, Quota)>) {
+    let now = site.now();
+    let usages = {
+        let mut gate = site.quotas.gate.borrow_mut();
+        gate.retain(|workspace| quotas.contains_key(&workspace));
+        gate.usages(now)
+    };
+    if !site.has(Mechanism::Accounts) {
+        return;
+    }
+    let mut groups: HashMap<u64, Vec<Usage>> = HashMap::new();
+    for usage in usages {
+        groups.entry(group(usage.workspace, quotas.len())).or_default().push(usage);
+    }
+    let own = site.is_ready().then(|| site.settings.load().capacity.room());
+    for (group, usages) in groups {
+        for account in site.peers.roomiest(group, ACCOUNTS, own) {
+            for some in usages.chunks(MAX_TOLD) {
+                match account {
+                    Some(addr) => {
+                        let message = Message::Usages(sender(site), some.to_vec());
+                        site.peers.send_to(addr, &message);
+                    }
+                    None => {
+                        let verdicts = account_for(site, sender(site), some);
+                        hear_verdicts(site, sender(site).host, &verdicts);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Takes in what `from` admitted, and answers what it may.
+pub fn hear_usages(site: &Site, sender: Sender, usages: &[Usage], from: SocketAddr) {
+    let verdicts = account_for(site, sender, usages);
+    if !verdicts.is_empty() {
+        let own = self::sender(site).host;
+        site.peers.send_to(from, &Message::Verdicts(own, verdicts));
+    }
+}
+
+fn account_for(site: &Site, sender: Sender, usages: &[Usage]) -> Vec<Verdict> {
+    let now = site.now();
+    let mut ledger = site.quotas.ledger.borrow_mut();
+    usages.iter().for_each(|usage| ledger.report(sender, usage, now));
+    match site.quotas.hosts.borrow().may_account() {
+        true => usages.iter().filter_map(|u| ledger.verdict(u.workspace, sender.host)).collect(),
+        false => Vec::new(),
+    }
+}
+
+/// Takes in what the account at the host `account` answers.
+pub fn hear_verdicts(site: &Site, account: u64, verdicts: &[Verdict]) {
+    let now = site.now();
+    let mut gate = site.quotas.gate.borrow_mut();
+    verdicts.iter().for_each(|verdict| gate.hear(account, *verdict, now));
+}
+
+/// The workspaces with quotas as this host knows them, for the state dump.
+pub fn state(site: &Site) -> Vec<serde_json::Value> {
+    let (now, hosts) = (site.now(), site.peers.count());
+    let Some(catalog) = site.catalog() else { return Vec::new() };
+    let gate = site.quotas.gate.borrow();
+    let ledger = site.quotas.ledger.borrow();
+    let line = |(workspace, (named, quota)): (u64, (&Workspace, Quota))| {
+        let (pass, alone) = match gate.mode(workspace, hosts, now) {
+            Some(Mode::Told(pass)) => (Some(pass), None),
+            Some(Mode::Alone(share)) => (None, Some(share)),
+            None => (None, None),
+        };
+        let totals = gate.totals(workspace);
+        let account = ledger.standing(workspace, now).map(|s| {
+            serde_json::json!({ "pass": s.pass, "level": s.level, "demand": s.demand,
+                "reserved": s.reserved })
+        });
+        serde_json::json!({ "workspace": named.name, "unit": quota.unit.to_string(),
+            "rate": quota.rate, "burst": quota.burst, "pass": pass, "alone": alone,
+            "admitted": totals.map(|t| t.admitted), "refused": totals.map(|t| t.refused),
+            "account": account })
+    };
+    let mut lines: Vec<_> = quotas(&catalog).into_iter().map(line).collect();
+    lines.sort_by_key(|line| line["workspace"].to_string());
+    lines
+}
+
+/// What was decided, by workspace, for the metrics.
+pub fn metrics(site: &Site) -> String {
+    let Some(catalog) = site.catalog() else { return String::new() };
+    let gate = site.quotas.gate.borrow();
+    let mut lines: Vec<String> = Vec::new();
+    for (workspace, (named, quota)) in quotas(&catalog) {
+        let Some(totals) = gate.totals(workspace) else { continue };
+        let (name, unit) = (&named.name, quota.unit);
+        let admitted = totals.admitted;
+        lines.push(format!("marjoram_quota_{unit}_admitted{{workspace=\"{name}\"}} {admitted}\n"));
+        let refused = totals.refused;
+        lines.push(format!("marjoram_quota_refused{{workspace=\"{name}\"}} {refused}\n"));
+    }
+    lines.sort();
+    lines.concat()
+}
--- a/crates/router/src/proxy/relay.rs
+++ b/crates/router/src/proxy/relay.rs
@@ -24,7 +24,7 @@
 pub const READ_AHEAD: usize = 64 << 10;
 
 /// How an exchange with a caller ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
     /// Answered with this status; the connection may go on.
     Answered(u16),
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -13,6 +13,7 @@
 use marjoram_core::exchange::Asked;
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::place;
+use marjoram_core::quota::Quota;
 use marjoram_core::switches::Mechanism;
 use marjoram_core::upstream::Life;
 use xxhash_rust::xxh3::xxh3_64;
@@ -22,6 +23,7 @@
 use super::fleet::{Flight, Upstream};
 use super::http1::RequestHead;
 use super::poison;
+use super::quota::{self, Charge};
 use super::site::{Broken, Site};
 use choose::Chosen;
 use send::Sent;
@@ -42,8 +44,11 @@
 /// Why a request in quarantine is not sent.
 const QUARANTINED: &str = "quarantined: upstreams crashed under it";
 
+/// Why a request of a workspace that sends too much is not sent.
+const OVER_QUOTA: &str = "the workspace's quota is used up";
+
 /// Why a request is answered by the router itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Refusal {
     /// The status.
     pub status: u16,
@@ -51,24 +56,32 @@
     pub retry: Option<Duration>,
     /// Why, for the log and the caller.
     pub why: &'static str,
+    /// The quota that is used up.
+    pub quota: Option<Quota>,
 }
 
 impl Refusal {
     /// The request has not run and never will: come back after `retry`.
     pub fn not_run(why: &'static str, retry: Duration) -> Self {
         let retry = retry.clamp(RETRY_MIN, RETRY_MAX);
-        Self { status: 503, retry: Some(retry), why }
+        Self { status: 503, retry: Some(retry), why, quota: None }
+    }
+
+    /// The workspace has used up `quota`: the request has not run, and there is
+    /// credit again after `retry`.
+    pub fn over_quota(quota: Quota, retry: Duration) -> Self {
+        Self { status: 429, retry: Some(retry), why: OVER_QUOTA, quota: Some(quota) }
     }
 
     /// The request is in quarantine for `left`: it has not run, and before
     /// that time it never will.
     pub fn quarantined(left: Duration) -> Self {
-        Self { status: 503, retry: Some(left), why: QUARANTINED }
+        Self { status: 503, retry: Some(left), why: QUARANTINED, quota: None }
     }
 
     /// An answer with `status`.
     pub fn with_status(status: u16, why: &'static str) -> Self {
-        Self { status, retry: None, why }
+        Self { status, retry: None, why, quota: None }
     }
 }
 
@@ -102,6 +115,8 @@
     pub route: Arc<Route>,
     service: String,
     workspace: Option<Arc<Workspace>>,
+    /// What it counts against its workspace's quota.
+    charge: Option<Charge>,
     /// What it shares with other attempts of the same request.
     fingerprint: Fingerprint,
     /// When its answer is due at the latest.
@@ -153,6 +168,8 @@
         if site.stopping.get().is_some_and(|stop| !stop.takes(request.started, limit)) {
             return Err(Refusal::not_run("stopping", RETRY_MIN));
         }
+        let charge = workspace.as_ref().map(|w| quota::admit(site, w, &request.asked));
+        let charge = charge.transpose()?.flatten();
         let caller = workspace.as_ref().map_or("", |w| &w.name);
         let head = &request.head;
         let address = [caller, &head.method, host, &head.target];
@@ -166,6 +183,7 @@
             route,
             service,
             workspace,
+            charge,
             tried: Vec::new(),
             avoided: Vec::new(),
             ran: false,
@@ -332,6 +350,14 @@
     }
 }
 
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(charge) = self.charge.take().filter(|_| !self.ran) {
+            charge.refund(&self.site);
+        }
+    }
+}
+
 fn millis(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1e3)
 }
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -14,7 +14,7 @@
 use super::logs::Logs;
 use super::options::ProxyOptions;
 use super::site::Site;
-use super::{cachefeed, callers, entry, follow, logs, notices, peers, poison, warm};
+use super::{cachefeed, callers, entry, follow, logs, notices, peers, poison, quota, warm};
 use crate::error::Error;
 
 /// New connections that may wait to be accepted.
@@ -66,6 +66,7 @@
     ntex::rt::spawn(peers::run(site.clone()));
     ntex::rt::spawn(notices::run(site.clone()));
     ntex::rt::spawn(poison::keep(site.clone()));
+    ntex::rt::spawn(quota::run(site.clone()));
     let offers = listen(site.peers.record.peers)?;
     ntex::rt::spawn(warm::serve(site.clone(), offers));
     let duty = duty::start(&site);
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -2,6 +2,7 @@
 
 mod notices;
 mod poison;
+mod quotas;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -34,6 +35,7 @@
 use super::traffic::Traffic;
 pub use notices::Notices;
 pub use poison::{Broken, Poison};
+pub use quotas::Quotas;
 
 /// Everything that the parts of one process share.
 pub struct Site {
@@ -65,6 +67,8 @@
     pub notices: Notices,
     /// Requests that crash upstreams.
     pub poison: Poison,
+    /// What workspaces may send, and have sent.
+    pub quotas: Quotas,
     /// Counters and histograms.
     pub counters: Counters,
     /// What is sent and received beside callers' requests.
@@ -120,6 +124,7 @@
             relays: Relays::default(),
             notices: Notices::default(),
             poison: Poison::default(),
+            quotas: Quotas::default(),
             counters: Counters::new(),
             traffic,
             stopping: Cell::default(),
