--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -116,6 +116,9 @@
     level: f64,
     settled: Option<Duration>,
     lines: HashMap<u64, Line>,
+    /// The quota's rate.
+    rate: f64,
+    /// What all hosts are usually asked a second, and what each has beside that.
     usual: f64,
     equal: f64,
     pass: f64,
@@ -167,9 +170,13 @@
     pub fn report(&mut self, sender: Sender, usage: &Usage, now: Duration) {
         let account = self.accounts.entry(usage.workspace).or_default();
         let line = account.lines.get(&sender.host).filter(|line| line.life == sender.life).copied();
-        // What a host admitted while it was not heard came out of its share.
-        if let Some(line) = line.as_ref().filter(|line| !line.lapsed) {
+        if let Some(line) = &line {
             account.level -= (usage.admitted - line.admitted) as f64;
+            if line.lapsed {
+                // Its share was kept back meanwhile.
+                let span = now.saturating_sub(line.at).as_secs_f64();
+                account.level += line.share * account.rate * span;
+            }
         }
         let share = line.map_or(0.0, |line| line.share);
         let line = Line {
@@ -239,6 +246,7 @@
                 line.lapsed = true;
             }
         }
+        self.rate = limit.quota.rate;
         self.usual = self.lines.values().map(|l| l.usual_at(now)).sum::<f64>()
             + EQUAL_PART * limit.quota.rate;
         self.equal = EQUAL_PART * limit.quota.rate / hosts.count().max(1) as f64;
--- a/crates/core/tests/quota_model.rs
+++ b/crates/core/tests/quota_model.rs
@@ -7,6 +7,8 @@
 //! late or lost. The oracle keeps each admitted request, and counts windows as the
 //! operators do. Failures shrink to the events that matter.
 
+#[path = "support/fuzz.rs"]
+mod fuzz;
 #[path = "quota_model/world.rs"]
 mod world;
 
@@ -54,7 +56,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(600))]
+    #![proptest_config(fuzz::config(41))]
 
     #[test]
     fn a_window_never_holds_more_than_is_tolerated(
