--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -31,8 +31,8 @@
 /// Time between two reports of a host to the accounts.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long an answer of an account holds: five reports or answers may be lost.
-pub const ANSWER_SPAN: Duration = Duration::from_millis(1_250);
+/// How long an answer of an account holds: one report or answer may be lost.
+pub const ANSWER_SPAN: Duration = Duration::from_millis(600);
 
 /// How long the share of a host that is not heard is kept back from the others.
 pub const RESERVED: Duration = Duration::from_secs(30);
@@ -45,7 +45,7 @@
 
 /// Part of what the operators tolerate beyond the quota that is used up on
 /// purpose; the rest covers reports that are late.
-const USED_TOLERANCE: f64 = 0.35;
+const USED_TOLERANCE: f64 = 0.25;
 
 /// What a quota counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/quota/gate.rs
+++ b/crates/core/src/quota/gate.rs
@@ -4,13 +4,17 @@
 use std::time::Duration;
 
 use super::flow::Flow;
-use super::ledger::{DEMAND_SPAN, USUAL_SPAN, Usage, Verdict};
+use super::ledger::{DEMAND_SPAN, RECENT, USUAL_SPAN, Usage, Verdict};
 use super::{ANSWER_SPAN, Limit, REPORT_INTERVAL};
 
 /// Units a second below which a workspace is not reported: one request of ten
 /// units, half a minute ago.
 const MIN_USUAL: f64 = 0.05;
 
+/// Span in which a host that no account answers admits no more than its share
+/// either: what it did not use of a window would otherwise go at once.
+const ALONE_SPAN: Duration = Duration::from_secs(4);
+
 /// How long after a refusal callers come back where no account answers.
 const ALONE_WAIT: Duration = Duration::from_secs(1);
 
@@ -66,10 +70,10 @@
 /// let quota = Quota { unit: Unit::Requests, rate: 10.0, burst: 10.0 };
 /// let window = Duration::from_secs(8);
 /// let limit = Limit { quota, tolerance: Tolerance { window, overage: 0.0, slack: 0.0 } };
-/// // No account answers one of two hosts: it keeps to half of a window.
+/// // No account answers one of two hosts: it keeps to half of what the rate gives.
 /// let (mut gate, now) = (Gate::new(), Duration::from_secs(20));
-/// let admits = |_: &u32| gate.admit(7, 1, 0.0, &limit, 2, now) == Admission::Admitted;
-/// assert_eq!((0..100u32).filter(admits).count(), 40);
+/// let admits = |_: &u32| gate.admit(7, 1, 0.5, &limit, 2, now) == Admission::Admitted;
+/// assert_eq!((0..100u32).filter(admits).count(), 20);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Gate {
@@ -96,16 +100,17 @@
         let meter = self.meters.entry(workspace).or_default();
         meter.demand.add(cost as f64, DEMAND_SPAN, now);
         meter.usual.add(cost as f64, USUAL_SPAN, now);
+        meter.expire(limit, now);
         let (passes, wait) = match meter.verdict(now) {
             Some(verdict) => {
                 let wait = Duration::from_millis(u64::from(verdict.wait));
                 (draw < f64::from(verdict.pass), wait)
             }
-            None => (meter.spent(limit, now) < meter.allowance(limit, hosts, now), ALONE_WAIT),
+            None => (draw * cost as f64 <= meter.room(limit, hosts, now), ALONE_WAIT),
         };
         match passes {
             true => {
-                meter.admit(cost, limit, now);
+                meter.admit(cost, now);
                 Admission::Admitted
             }
             false => {
@@ -134,13 +139,23 @@
         meter.verdicts.push((account, verdict, now));
     }
 
-    /// What there is to report at `now`.
-    pub fn usages(&self, now: Duration) -> Vec<Usage> {
+    /// Where nobody accounts: each host has `share` of all quotas.
+    pub fn fix_shares(&mut self, share: f64) {
+        for meter in self.meters.values_mut() {
+            (meter.share, meter.has_burst) = (Some(share), true);
+        }
+    }
+
+    /// What there is to report at `now`, where a quota's window is `window`.
+    pub fn usages(&self, window: Duration, now: Duration) -> Vec<Usage> {
         let usage = |(workspace, meter): (&u64, &Meter)| Usage {
             workspace: *workspace,
             demand: meter.demand.rate(DEMAND_SPAN, now) as f32,
             usual: meter.usual.rate(USUAL_SPAN, now) as f32,
             admitted: meter.admitted,
+            spent: meter.spent(Duration::ZERO) as f32,
+            recent: meter.spent(now.saturating_sub(RECENT)) as f32,
+            young: now < window,
         };
         let all = self.meters.iter().map(usage);
         all.filter(|usage| f64::from(usage.usual) >= MIN_USUAL).collect()
@@ -178,19 +193,27 @@
         self.share.unwrap_or(1.0 / hosts.max(1) as f64)
     }
 
-    /// Units that this host may admit in a window by itself. What goes beyond the
-    /// rate may be used up already where the workspace was limited, or the host
-    /// has just started.
-    fn allowance(&self, limit: &Limit, hosts: usize, now: Duration) -> f64 {
-        let run = now.min(limit.tolerance.window).as_secs_f64();
-        let beyond = if self.has_burst { limit.quota.burst + limit.credit() } else { 0.0 };
-        (limit.quota.rate * run + beyond) * self.share(hosts)
+    /// Units that this host may still admit by itself: neither a window nor a short
+    /// span holds more than its share. What they hold beyond the rate may be used
+    /// up already where the workspace was limited, or is not known. A request that
+    /// is larger passes by chance, so that many hosts do not all overdraw theirs.
+    fn room(&self, limit: &Limit, hosts: usize, now: Duration) -> f64 {
+        let beyond = match self.share {
+            None => limit.credit(),
+            Some(_) if self.has_burst => limit.quota.burst + limit.credit(),
+            Some(_) => 0.0,
+        };
+        let room = |span: Duration| {
+            let rate = limit.quota.rate * now.min(span).as_secs_f64();
+            self.share(hosts) * (rate + beyond) - self.spent(now.saturating_sub(span))
+        };
+        room(limit.tolerance.window).min(room(ALONE_SPAN))
     }
 
-    /// Units admitted within the last window.
-    fn spent(&mut self, limit: &Limit, now: Duration) -> f64 {
-        self.expire(limit, now);
-        self.slots.iter().map(|(_, units)| *units).sum::<u64>() as f64
+    /// Units admitted since `since`, within the last window.
+    fn spent(&self, since: Duration) -> f64 {
+        let slots = self.slots.iter().filter(|(at, _)| *at >= since);
+        slots.map(|(_, units)| *units).sum::<u64>() as f64
     }
 
     /// Forgets what was admitted before the last window.
@@ -200,8 +223,7 @@
         }
     }
 
-    fn admit(&mut self, cost: u64, limit: &Limit, now: Duration) {
-        self.expire(limit, now);
+    fn admit(&mut self, cost: u64, now: Duration) {
         self.admitted += cost as i64;
         if self.slots.back().is_none_or(|(at, _)| *at + REPORT_INTERVAL <= now) {
             self.slots.push_back((now, 0));
--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -24,6 +24,12 @@
 /// share of a host of which little was asked lately.
 const EQUAL_PART: f64 = 0.5;
 
+/// Span that shows what was admitted at once, with a window.
+pub(super) const RECENT: Duration = Duration::from_secs(2);
+
+/// Time in which all hosts report to a new account.
+const OPENING: Duration = Duration::from_secs(2);
+
 /// How long a line is kept of a host that reports nothing.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -42,6 +48,12 @@
     pub usual: f32,
     /// Units that it has admitted since its start.
     pub admitted: i64,
+    /// Units that it admitted within the last window.
+    pub spent: f32,
+    /// Units that it admitted within [`RECENT`].
+    pub recent: f32,
+    /// It has run for less than a window, so it may have admitted more before.
+    pub young: bool,
 }
 
 /// One life of a host.
@@ -103,10 +115,18 @@
     at: Duration,
     /// Its share; as it was, of one that is not heard.
     share: f64,
+    /// It was last answered that all requests pass.
+    free: bool,
+    /// What was kept back of the burst for it.
+    kept: f64,
     /// It is not heard.
     silent: bool,
     /// It was not, at some time since it last reported.
     lapsed: bool,
+    /// What it had spent of a window and of [`RECENT`] when it first reported.
+    spent: f64,
+    recent: f64,
+    young: bool,
 }
 
 /// One workspace's account.
@@ -115,9 +135,19 @@
     /// What the hosts that are heard may spend; overdrawn below 0.
     level: f64,
     settled: Option<Duration>,
+    /// When it was first settled.
+    opened: Duration,
+    /// What the hosts had spent before, beyond the rate.
+    debt: f64,
     lines: HashMap<u64, Line>,
+    /// What hosts that returned lately admitted beyond their shares, and when
+    /// the last one did.
+    returned: Excess,
+    returned_at: Duration,
     /// The quota's rate.
     rate: f64,
+    /// The part of the quota that is kept back.
+    reserved: f64,
     /// What all hosts are usually asked a second, and what each has beside that.
     usual: f64,
     equal: f64,
@@ -125,6 +155,24 @@
     wait: Duration,
 }
 
+/// What hosts admitted beyond what the rate gives, over a long and a short span.
+#[derive(Debug, Clone, Copy, Default)]
+struct Excess {
+    long: f64,
+    short: f64,
+}
+
+impl Excess {
+    fn plus(self, other: Self) -> Self {
+        Self { long: self.long + other.long, short: self.short + other.short }
+    }
+
+    /// What a bucket would be overdrawn by.
+    fn units(self) -> f64 {
+        self.long.max(self.short).max(0.0)
+    }
+}
+
 /// How an account stands, for the state dump and the log.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Standing {
@@ -151,7 +199,15 @@
 /// let mut ledger = Ledger::default();
 /// let secs = Duration::from_secs_f64;
 /// let sender = Sender { host: 1, life: 1 };
-/// let usage = |admitted| Usage { workspace: 7, demand: 400.0, usual: 400.0, admitted };
+/// let usage = |admitted| Usage {
+///     workspace: 7,
+///     demand: 400.0,
+///     usual: 400.0,
+///     admitted,
+///     spent: 0.0,
+///     recent: 0.0,
+///     young: true,
+/// };
 /// ledger.report(sender, &usage(0), secs(1.0));
 /// ledger.settle(7, &limit, &hosts, secs(1.0));
 /// // Four times the quota is asked, and the bucket holds nothing yet.
@@ -169,13 +225,13 @@
     /// Takes in what `sender` tells at `now`.
     pub fn report(&mut self, sender: Sender, usage: &Usage, now: Duration) {
         let account = self.accounts.entry(usage.workspace).or_default();
-        let line = account.lines.get(&sender.host).filter(|line| line.life == sender.life).copied();
+        let line = account.lines.get(&sender.host).copied();
         if let Some(line) = &line {
-            account.level -= (usage.admitted - line.admitted) as f64;
-            if line.lapsed {
-                // Its share was kept back meanwhile.
-                let span = now.saturating_sub(line.at).as_secs_f64();
-                account.level += line.share * account.rate * span;
+            let before = if line.life == sender.life { line.admitted } else { 0 };
+            let admitted = (usage.admitted - before) as f64;
+            match line.lapsed {
+                true => account.charge_return(line, admitted, f64::from(usage.recent), now),
+                false => account.level -= admitted,
             }
         }
         let share = line.map_or(0.0, |line| line.share);
@@ -186,8 +242,13 @@
             usual: Flow::new(f64::from(usage.usual), now),
             at: now,
             share,
+            free: account.pass >= 1.0,
+            kept: 0.0,
             silent: false,
             lapsed: false,
+            spent: line.map_or(f64::from(usage.spent), |line| line.spent),
+            recent: line.map_or(f64::from(usage.recent), |line| line.recent),
+            young: line.map_or(usage.young, |line| line.young),
         };
         account.lines.insert(sender.host, line);
     }
@@ -229,7 +290,7 @@
             pass: account.pass,
             level: account.level,
             demand: account.demand(now),
-            reserved: account.reserved(&HashSet::new()),
+            reserved: account.reserved,
         })
     }
 }
@@ -240,9 +301,10 @@
         for (host, line) in &mut self.lines {
             line.silent = hosts.silent.contains(host) && now >= line.at + ANSWER_SPAN;
             if line.silent && !line.lapsed {
-                // It has gone on since its last report.
+                // It has gone on since its last report, and has its part of a burst.
                 let span = now.saturating_sub(line.at).as_secs_f64();
-                self.level -= line.share * limit.quota.rate * span;
+                line.kept = if line.free { line.share * limit.quota.burst } else { 0.0 };
+                self.level -= line.share * limit.quota.rate * span + line.kept;
                 line.lapsed = true;
             }
         }
@@ -254,14 +316,28 @@
         for line in self.lines.values_mut().filter(|line| !line.silent) {
             line.share = share(line.usual_at(now), usual, equal);
         }
-        let part = 1.0 - self.reserved(&hosts.silent);
+        self.reserved = self.reserved(hosts);
+        let part = 1.0 - self.reserved;
         let rate = limit.quota.rate * part;
         let span = now.saturating_sub(self.settled.unwrap_or(now)).as_secs_f64();
         // An excess of more than a window ago harms no longer.
         let lowest = -rate * limit.tolerance.window.as_secs_f64();
-        // What a new account does not know may have been spent.
-        let level = self.settled.map_or(-limit.credit(), |_| self.level + rate * span);
-        self.level = level.clamp(lowest, limit.quota.burst * part);
+        if !hosts.may_account() {
+            // What the others do meanwhile is not known.
+            *self = Self::default();
+            return;
+        }
+        if self.settled.is_none() {
+            // What a new account does not know may have been spent.
+            self.level = -limit.credit();
+            self.opened = now;
+        }
+        if now < self.opened + OPENING {
+            let debt = self.opening_debt(limit, hosts);
+            self.level -= debt - self.debt;
+            self.debt = debt;
+        }
+        self.level = (self.level + rate * span).clamp(lowest, limit.quota.burst * part);
         self.settled = Some(now);
         let left = self.level + limit.credit() * part;
         let spend = (rate + left / SETTLE.as_secs_f64()).max(0.0);
@@ -271,18 +347,52 @@
         self.wait = wait.unwrap_or_default().clamp(WAIT_MIN, WAIT_MAX);
     }
 
+    /// Charges what a host admitted while it was not heard, beyond its share, which
+    /// was kept back. What hosts did not use of theirs is lost, as in a full
+    /// bucket, but for what others that return with them used.
+    fn charge_return(&mut self, line: &Line, admitted: f64, recent: f64, now: Duration) {
+        if now >= self.returned_at + OPENING {
+            self.returned = Excess::default();
+        }
+        let (span, rate) = (now.saturating_sub(line.at), line.share * self.rate);
+        let returned = Excess {
+            long: self.returned.long + admitted - rate * span.as_secs_f64() - line.kept,
+            short: self.returned.short + recent - rate * RECENT.min(span).as_secs_f64() - line.kept,
+        };
+        self.level -= returned.units() - self.returned.units();
+        (self.returned, self.returned_at) = (returned, now);
+    }
+
+    /// What the hosts that have reported had spent of a window by then, beyond
+    /// what they have of one; below 0 if they left some.
+    fn opening_debt(&self, limit: &Limit, hosts: &Hosts) -> f64 {
+        let burst = limit.quota.burst + limit.credit();
+        let held = |span: Duration| {
+            (limit.quota.rate * span.as_secs_f64() + burst) / hosts.count().max(1) as f64
+        };
+        let (long, short) = (held(limit.tolerance.window), held(RECENT));
+        // A young host may have left unused less than it knows.
+        let lowest = |line: &Line| if line.young { 0.0 } else { f64::NEG_INFINITY };
+        let excess = |line: &Line| Excess {
+            long: (line.spent - long).max(lowest(line)),
+            short: (line.recent - short).max(lowest(line)),
+        };
+        let all = self.lines.values().map(excess).fold(Excess::default(), Excess::plus);
+        all.long.max(all.short).max(-limit.credit())
+    }
+
     /// Units asked a second of the hosts that are heard.
     fn demand(&self, now: Duration) -> f64 {
         let heard = self.lines.values().filter(|line| !line.silent);
         heard.map(|line| line.demand_at(now)).sum()
     }
 
-    /// The shares of all hosts that are not heard; those in `silent` without a
-    /// line have an equal one.
-    fn reserved(&self, silent: &HashSet<u64>) -> f64 {
+    /// The shares of all hosts that are not heard; one that never reported here
+    /// has an equal one.
+    fn reserved(&self, hosts: &Hosts) -> f64 {
         let lines: f64 = self.lines.values().filter(|l| l.silent).map(|l| l.share).sum();
-        let others = silent.iter().filter(|host| !self.lines.contains_key(host)).count();
-        (lines + others as f64 * share(0.0, self.usual, self.equal)).min(1.0)
+        let others = hosts.silent.iter().filter(|host| !self.lines.contains_key(host)).count();
+        (lines + others as f64 / hosts.count().max(1) as f64).min(1.0)
     }
 }
 
--- a/crates/router/src/proxy/quota.rs
+++ b/crates/router/src/proxy/quota.rs
@@ -135,10 +135,11 @@
     let usages = {
         let mut gate = site.quotas.gate.borrow_mut();
         gate.retain(|workspace| quotas.contains_key(&workspace));
-        gate.usages(now)
+        gate.usages(site.settings.load().bounds.quota.window, now)
     };
     if !site.has(Mechanism::Accounts) {
-        return;
+        let hosts = site.peers.count();
+        return site.quotas.gate.borrow_mut().fix_shares(1.0 / hosts as f64);
     }
     let mut groups: HashMap<u64, Vec<Usage>> = HashMap::new();
     for usage in usages {
