--- a/crates/core/src/quota/gate.rs
+++ b/crates/core/src/quota/gate.rs
@@ -11,9 +11,15 @@
 /// units, half a minute ago.
 const MIN_USUAL: f64 = 0.05;
 
-/// Span in which a host that no account answers admits no more than its share
-/// either: what it did not use of a window would otherwise go at once.
-const ALONE_SPAN: Duration = Duration::from_secs(4);
+/// Parts of a window in which a host that no account answers admits no more than
+/// its share either, what it did not use of a window would otherwise go at once:
+/// where it knows its share, and where it does not.
+const ALONE_PART: u32 = 2;
+const UNKNOWN_PART: u32 = 8;
+
+/// Span in which a host that is answered admits no more than its share and a
+/// burst: accounts hear of it within half of that.
+const STEADY_SPAN: Duration = Duration::from_secs(1);
 
 /// How long after a refusal callers come back where no account answers.
 const ALONE_WAIT: Duration = Duration::from_secs(1);
@@ -36,19 +42,28 @@
     Alone(f64),
 }
 
+/// What was admitted in [`REPORT_INTERVAL`].
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    begun: Duration,
+    units: u64,
+    /// The largest request.
+    largest: u64,
+}
+
 /// What this host admitted, and when.
 #[derive(Debug, Clone, Default)]
 struct Meter {
     demand: Flow,
     usual: Flow,
     admitted: i64,
-    /// Units admitted lately, by when the slot began.
-    slots: VecDeque<(Duration, u64)>,
+    /// What was admitted lately.
+    slots: VecDeque<Slot>,
     /// The answers of each account, and when they came.
     verdicts: Vec<(u64, Verdict, Duration)>,
     share: Option<f64>,
-    /// The last answer let all requests pass.
-    has_burst: bool,
+    /// The part of the burst that was left by the last answer.
+    burst: f64,
     refused: u64,
 }
 
@@ -70,10 +85,10 @@
 /// let quota = Quota { unit: Unit::Requests, rate: 10.0, burst: 10.0 };
 /// let window = Duration::from_secs(8);
 /// let limit = Limit { quota, tolerance: Tolerance { window, overage: 0.0, slack: 0.0 } };
-/// // No account answers one of two hosts: it keeps to half of what the rate gives.
+/// // No account answers one of two hosts: it keeps to half of what the rate gives in a second.
 /// let (mut gate, now) = (Gate::new(), Duration::from_secs(20));
 /// let admits = |_: &u32| gate.admit(7, 1, 0.5, &limit, 2, now) == Admission::Admitted;
-/// assert_eq!((0..100u32).filter(admits).count(), 20);
+/// assert_eq!((0..100u32).filter(admits).count(), 5);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Gate {
@@ -104,8 +119,10 @@
         let (passes, wait) = match meter.verdict(now) {
             Some(verdict) => {
                 let wait = Duration::from_millis(u64::from(verdict.wait));
-                (draw < f64::from(verdict.pass), wait)
+                (draw < f64::from(verdict.pass) && meter.is_steady(limit, now), wait)
             }
+            // The first request has the accounts asked.
+            None if meter.is_new() => (true, ALONE_WAIT),
             None => (draw * cost as f64 <= meter.room(limit, hosts, now), ALONE_WAIT),
         };
         match passes {
@@ -120,13 +137,19 @@
         }
     }
 
+    /// Whether no account has ever answered for `workspace`.
+    pub fn is_unknown(&self, workspace: u64) -> bool {
+        self.meters.get(&workspace).is_none_or(|meter| meter.share.is_none())
+    }
+
     /// Gives back what a request counted that was admitted and never ran.
-    pub fn refund(&mut self, workspace: u64, cost: u64) {
-        if let Some(meter) = self.meters.get_mut(&workspace) {
-            meter.admitted -= cost as i64;
-            if let Some((_, spent)) = meter.slots.back_mut() {
-                *spent = spent.saturating_sub(cost);
-            }
+    pub fn refund(&mut self, workspace: u64, cost: u64, now: Duration) {
+        let Some(meter) = self.meters.get_mut(&workspace) else { return };
+        meter.admitted -= cost as i64;
+        meter.demand.add(-(cost as f64), DEMAND_SPAN, now);
+        meter.usual.add(-(cost as f64), USUAL_SPAN, now);
+        if let Some(slot) = meter.slots.back_mut() {
+            slot.units = slot.units.saturating_sub(cost);
         }
     }
 
@@ -134,7 +157,7 @@
     pub fn hear(&mut self, account: u64, verdict: Verdict, now: Duration) {
         let Some(meter) = self.meters.get_mut(&verdict.workspace) else { return };
         meter.share = Some(f64::from(verdict.share));
-        meter.has_burst = verdict.pass >= 1.0;
+        meter.burst = f64::from(verdict.burst);
         meter.verdicts.retain(|(from, _, at)| *from != account && now < *at + ANSWER_SPAN);
         meter.verdicts.push((account, verdict, now));
     }
@@ -142,7 +165,7 @@
     /// Where nobody accounts: each host has `share` of all quotas.
     pub fn fix_shares(&mut self, share: f64) {
         for meter in self.meters.values_mut() {
-            (meter.share, meter.has_burst) = (Some(share), true);
+            (meter.share, meter.burst) = (Some(share), 1.0);
         }
     }
 
@@ -189,6 +212,16 @@
         held.map(|(_, verdict, _)| verdict).min_by(|a, b| a.pass.total_cmp(&b.pass))
     }
 
+    /// What all hosts may admit beyond the rate, by the last answer.
+    fn beyond(&self, limit: &Limit) -> f64 {
+        self.burst * (limit.quota.burst + limit.credit())
+    }
+
+    /// Whether nothing was decided yet.
+    fn is_new(&self) -> bool {
+        self.share.is_none() && self.admitted == 0 && self.refused == 0
+    }
+
     fn share(&self, hosts: usize) -> f64 {
         self.share.unwrap_or(1.0 / hosts.max(1) as f64)
     }
@@ -198,38 +231,50 @@
     /// up already where the workspace was limited, or is not known. A request that
     /// is larger passes by chance, so that many hosts do not all overdraw theirs.
     fn room(&self, limit: &Limit, hosts: usize, now: Duration) -> f64 {
-        let beyond = match self.share {
-            None => limit.credit(),
-            Some(_) if self.has_burst => limit.quota.burst + limit.credit(),
-            Some(_) => 0.0,
+        let window = limit.tolerance.window;
+        let (beyond, span) = match self.share {
+            None => (limit.credit(), window / UNKNOWN_PART),
+            Some(_) => (self.beyond(limit), window / ALONE_PART),
         };
         let room = |span: Duration| {
             let rate = limit.quota.rate * now.min(span).as_secs_f64();
             self.share(hosts) * (rate + beyond) - self.spent(now.saturating_sub(span))
         };
-        room(limit.tolerance.window).min(room(ALONE_SPAN))
+        room(window).min(room(span))
     }
 
     /// Units admitted since `since`, within the last window.
     fn spent(&self, since: Duration) -> f64 {
-        let slots = self.slots.iter().filter(|(at, _)| *at >= since);
-        slots.map(|(_, units)| *units).sum::<u64>() as f64
+        let slots = self.slots.iter().filter(|slot| slot.begun >= since);
+        slots.map(|slot| slot.units).sum::<u64>() as f64
+    }
+
+    /// Whether what was admitted last is what the accounts can know of: a load
+    /// that rises many times over is held at this host's share until they
+    /// answer, but for one request that is larger.
+    fn is_steady(&self, limit: &Limit, now: Duration) -> bool {
+        let held = limit.quota.rate * STEADY_SPAN.as_secs_f64() + self.beyond(limit);
+        let largest = self.slots.iter().map(|slot| slot.largest).max().unwrap_or_default();
+        let share = self.share.unwrap_or_default();
+        self.spent(now.saturating_sub(STEADY_SPAN)) <= share * held + largest as f64
     }
 
     /// Forgets what was admitted before the last window.
     fn expire(&mut self, limit: &Limit, now: Duration) {
-        while self.slots.front().is_some_and(|(at, _)| *at + limit.tolerance.window <= now) {
+        let window = limit.tolerance.window;
+        while self.slots.front().is_some_and(|slot| slot.begun + window <= now) {
             self.slots.pop_front();
         }
     }
 
     fn admit(&mut self, cost: u64, now: Duration) {
         self.admitted += cost as i64;
-        if self.slots.back().is_none_or(|(at, _)| *at + REPORT_INTERVAL <= now) {
-            self.slots.push_back((now, 0));
+        if self.slots.back().is_none_or(|slot| slot.begun + REPORT_INTERVAL <= now) {
+            self.slots.push_back(Slot { begun: now, units: 0, largest: 0 });
         }
-        if let Some((_, units)) = self.slots.back_mut() {
-            *units += cost;
+        if let Some(slot) = self.slots.back_mut() {
+            slot.units += cost;
+            slot.largest = slot.largest.max(cost);
         }
     }
 }
--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -74,6 +74,8 @@
     pub pass: f32,
     /// The host's share of the quota while no account answers it.
     pub share: f32,
+    /// The part of the burst that is left, 0 to 1.
+    pub burst: f32,
     /// Milliseconds after which those refused should come back.
     pub wait: u32,
 }
@@ -115,8 +117,8 @@
     at: Duration,
     /// Its share; as it was, of one that is not heard.
     share: f64,
-    /// It was last answered that all requests pass.
-    free: bool,
+    /// The part of the burst that was left when it was last answered.
+    burst: f64,
     /// What was kept back of the burst for it.
     kept: f64,
     /// It is not heard.
@@ -152,6 +154,7 @@
     usual: f64,
     equal: f64,
     pass: f64,
+    burst: f64,
     wait: Duration,
 }
 
@@ -234,7 +237,7 @@
                 false => account.level -= admitted,
             }
         }
-        let share = line.map_or(0.0, |line| line.share);
+        let share = share(f64::from(usage.usual), account.usual, account.equal);
         let line = Line {
             life: sender.life,
             admitted: usage.admitted,
@@ -242,7 +245,7 @@
             usual: Flow::new(f64::from(usage.usual), now),
             at: now,
             share,
-            free: account.pass >= 1.0,
+            burst: account.burst,
             kept: 0.0,
             silent: false,
             lapsed: false,
@@ -260,6 +263,11 @@
         }
     }
 
+    /// Whether the account of `workspace` has been settled since it was opened.
+    pub fn is_settled(&self, workspace: u64) -> bool {
+        self.accounts.get(&workspace).is_some_and(|account| account.settled.is_some())
+    }
+
     /// What `host` may admit of the requests of `workspace`, as last settled.
     pub fn verdict(&self, workspace: u64, host: u64) -> Option<Verdict> {
         let account = self.accounts.get(&workspace)?;
@@ -269,6 +277,7 @@
             workspace,
             pass: account.pass as f32,
             share: line.share as f32,
+            burst: account.burst as f32,
             wait: account.wait.as_millis() as u32,
         })
     }
@@ -303,7 +312,7 @@
             if line.silent && !line.lapsed {
                 // It has gone on since its last report, and has its part of a burst.
                 let span = now.saturating_sub(line.at).as_secs_f64();
-                line.kept = if line.free { line.share * limit.quota.burst } else { 0.0 };
+                line.kept = line.share * line.burst * limit.quota.burst;
                 self.level -= line.share * limit.quota.rate * span + line.kept;
                 line.lapsed = true;
             }
@@ -343,6 +352,8 @@
         let spend = (rate + left / SETTLE.as_secs_f64()).max(0.0);
         let demand = self.demand(now);
         self.pass = if demand > spend { spend / demand } else { 1.0 };
+        let full = (limit.quota.burst * part).max(f64::MIN_POSITIVE);
+        self.burst = if demand > spend { 0.0 } else { (self.level / full).clamp(0.0, 1.0) };
         let wait = Duration::try_from_secs_f64(-left / rate.max(f64::MIN_POSITIVE));
         self.wait = wait.unwrap_or_default().clamp(WAIT_MIN, WAIT_MAX);
     }
--- a/crates/core/tests/quota_model/world.rs
+++ b/crates/core/tests/quota_model/world.rs
@@ -276,6 +276,10 @@
         for usage in usages {
             host.ledger.report(sender, usage, own);
         }
+        if !host.ledger.is_settled(WORKSPACE) {
+            let limit = self.limits.last().expect("the first one").1;
+            host.ledger.settle(WORKSPACE, &limit, &host.hosts, own);
+        }
         host.ledger.verdict(WORKSPACE, sender.host).filter(|_| host.hosts.may_account())
     }
 
--- a/crates/router/src/proxy/quota.rs
+++ b/crates/router/src/proxy/quota.rs
@@ -24,6 +24,9 @@
 const RETRY_MAX: Duration = Duration::from_secs(8);
 const RETRY_SPREAD: f64 = 0.5;
 
+/// Pause after a report made for a workspace's first request.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
 /// Usages or verdicts in one datagram: some 30 bytes each.
 const MAX_TOLD: usize = 200;
 
@@ -40,7 +43,7 @@
 impl Charge {
     /// Gives it back: the request has not run.
     pub fn refund(self, site: &Site) {
-        site.quotas.gate.borrow_mut().refund(self.workspace, self.cost);
+        site.quotas.gate.borrow_mut().refund(self.workspace, self.cost, site.now());
     }
 }
 
@@ -65,14 +68,14 @@
         id => xxh3_64_with_seed(id, DRAW) as f64 / u64::MAX as f64,
     };
     let hosts = site.peers.count();
-    let admission = site.quotas.gate.borrow_mut().admit(
-        charge.workspace,
-        charge.cost,
-        draw,
-        &limit(site, quota),
-        hosts,
-        site.now(),
-    );
+    let admission = {
+        let (limit, now) = (limit(site, quota), site.now());
+        let mut gate = site.quotas.gate.borrow_mut();
+        if gate.is_unknown(charge.workspace) {
+            site.quotas.first.notify_one();
+        }
+        gate.admit(charge.workspace, charge.cost, draw, &limit, hosts, now)
+    };
     match admission {
         Admission::Admitted => Ok(Some(charge)),
         Admission::Refused(wait) => {
@@ -87,12 +90,16 @@
 /// the process ends.
 pub async fn run(site: Rc<Site>) {
     loop {
-        tokio::time::sleep(REPORT_INTERVAL).await;
+        let next = site.at(site.now() + REPORT_INTERVAL);
+        let first = tokio::time::timeout_at(next, site.quotas.first.notified()).await.is_ok();
         if let Some(catalog) = site.catalog().filter(|c| c.workspaces.is_some()) {
             let quotas = quotas(&catalog);
             settle(&site, &quotas);
             report(&site, &quotas);
         }
+        if first {
+            tokio::time::sleep(FIRST_PAUSE).await;
+        }
     }
 }
 
@@ -177,10 +184,20 @@
     let now = site.now();
     let mut ledger = site.quotas.ledger.borrow_mut();
     usages.iter().for_each(|usage| ledger.report(sender, usage, now));
-    match site.quotas.hosts.borrow().may_account() {
-        true => usages.iter().filter_map(|u| ledger.verdict(u.workspace, sender.host)).collect(),
-        false => Vec::new(),
+    let hosts = site.quotas.hosts.borrow();
+    if !hosts.may_account() {
+        return Vec::new();
+    }
+    let opened = |usage: &&Usage| !ledger.is_settled(usage.workspace);
+    let opened: Vec<u64> = usages.iter().filter(opened).map(|usage| usage.workspace).collect();
+    if let Some(catalog) = site.catalog().filter(|_| !opened.is_empty()) {
+        let quotas = quotas(&catalog);
+        for workspace in opened {
+            let Some((_, quota)) = quotas.get(&workspace) else { continue };
+            ledger.settle(workspace, &limit(site, *quota), &hosts, now);
+        }
     }
+    usages.iter().filter_map(|usage| ledger.verdict(usage.workspace, sender.host)).collect()
 }
 
 /// Takes in what the account at the host `account` answers.
