--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`admission`]: whether to take a request on under load.
 //! - [`cache`]: the router's picture of which engine holds which block.
 //! - [`claims`]: at-most-once calls to plain services, ordered by the log.
+//! - [`params`]: routing parameters of templates and workspaces.
 //! - [`policy`]: the routing policies, behind one small trait.
 //! - [`config`]: operator configuration read from the log service.
 //! - [`wire`]: the JSON shapes spoken over HTTP.
@@ -68,6 +69,7 @@
 pub mod members;
 pub mod news;
 pub mod pace;
+pub mod params;
 pub mod place;
 pub mod plain;
 pub mod poison;
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -23,8 +23,8 @@
 
 use crate::Error;
 use crate::cache::Slot;
-use crate::config::Params;
 use crate::ids::Tokens;
+use crate::params::Params;
 use crate::prefix::Prefix;
 
 /// One engine that may take a request.
@@ -120,7 +120,7 @@
     ///
     /// ```
     /// use marjoram_core::cache::Slot;
-    /// use marjoram_core::config::Params;
+    /// use marjoram_core::params::Params;
     /// use marjoram_core::ids::Tokens;
     /// use marjoram_core::policy::{Ask, Candidate, PolicyName, Router};
     /// use marjoram_core::prefix::Prefix;
--- a/crates/core/tests/policies.rs
+++ b/crates/core/tests/policies.rs
@@ -2,8 +2,8 @@
 //! workspace salting of block hashes, and each policy's choice.
 
 use marjoram_core::cache::Slot;
-use marjoram_core::config::Params;
 use marjoram_core::ids::{ModelVersion, Tokens, WorkspaceId};
+use marjoram_core::params::Params;
 use marjoram_core::policy::{Ask, Candidate, MaglevTable, PolicyName, Router};
 use marjoram_core::prefix::Prefix;
 use test_case::test_case;
