Clean-up: refusals, and calls to the store, no longer import what imports them

quota and request imported each other, and follow and poison's records; the types and calls that both use have modules of their own (refusal, storelink). Moved, no behaviour change.

--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -11,8 +11,9 @@
 use super::conn::Conn;
 use super::counters;
 use super::http1::{self, BadMessage, Body, Framing, Piece, RequestHead, ResponseWriter};
+use super::refusal::Refusal;
 use super::relay::{self, Outcome};
-use super::request::{Exchange, Refusal, Request};
+use super::request::{Exchange, Request};
 use super::site::Site;
 
 /// How long a connection with unread bytes is kept after its last answer.
--- a/crates/router/src/proxy/duty/membership.rs
+++ b/crates/router/src/proxy/duty/membership.rs
@@ -12,9 +12,9 @@
 
 use super::{Duty, GROUP, TOPIC, is_pending, lease, leave};
 use crate::clock;
-use crate::proxy::follow::SLOW;
 use crate::proxy::site::Site;
 use crate::proxy::storeclient::Caller;
+use crate::proxy::storelink::SLOW;
 use crate::proxy::traffic::Totals;
 
 /// The partition that is the duty.
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -12,12 +12,12 @@
 
 use marjoram_core::era::Era;
 use marjoram_core::relay::Span;
-use marjoram_platform::store::{self, Call, Record};
+use marjoram_platform::store::{self, Record};
 
 use super::site::Site;
-use super::storeclient::{CallError, Caller, Reply};
+use super::storeclient::Caller;
+use super::storelink::{ANSWER, Link, SLOW, call};
 use hosts::Hosts;
-pub use hosts::{Listed, write};
 use operators::Operators;
 pub use operators::{name_weights, put_in_force};
 use upstreams::Upstreams;
@@ -34,17 +34,6 @@
 /// How long the store is asked to wait for a record.
 const WAIT: Duration = Duration::from_secs(25);
 
-/// Time for an answer beyond what the store was asked to wait.
-const ANSWER: Duration = Duration::from_millis(1_500);
-
-/// An answer that takes longer shows that the store is not sound: it takes a
-/// few milliseconds.
-pub const SLOW: Duration = Duration::from_millis(150);
-
-/// First and longest pause after a call that failed.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
-const MAX_PAUSE: Duration = Duration::from_millis(900);
-
 /// Where to read on, in the era to which the offset belongs.
 #[derive(Debug, Clone, Copy)]
 struct Offset {
@@ -105,7 +94,7 @@
 /// Follows a topic for as long as the process runs.
 async fn follow<S: Sink>(site: Rc<Site>, mut sink: S) {
     let mut caller = Caller::new(site.settings.load().store.addr);
-    let mut link = Link { topic: S::TOPIC, down: false, pause: FIRST_PAUSE };
+    let mut link = Link::new(S::TOPIC);
     let mut from: Option<Offset> = None;
     loop {
         let asked = site.now();
@@ -181,48 +170,6 @@
     }
 }
 
-/// The state of one way to the store.
-struct Link {
-    topic: &'static str,
-    down: bool,
-    pause: Duration,
-}
-
-impl Link {
-    /// A call worked; true if the one before did not.
-    fn up(&mut self) -> bool {
-        self.pause = FIRST_PAUSE;
-        let was_down = std::mem::replace(&mut self.down, false);
-        if was_down {
-            tracing::info!(target: "store", topic = self.topic, "store regained");
-        }
-        was_down
-    }
-
-    /// A call failed; how long to pause.
-    fn failed(&mut self, why: &str) -> Duration {
-        if !std::mem::replace(&mut self.down, true) {
-            tracing::warn!(target: "store", topic = self.topic, why, "store lost");
-        }
-        let pause = self.pause;
-        self.pause = (pause * 2).min(MAX_PAUSE);
-        pause
-    }
-}
-
-async fn call(
-    site: &Site,
-    caller: &mut Caller,
-    call: &Call,
-    limit: Duration,
-) -> Result<Reply, String> {
-    let reply = caller.call(call, &[], limit).await.map_err(|e: CallError| e.to_string())?;
-    match site.note_era(reply.era) {
-        true => Ok(reply),
-        false => Err(format!("answer of era {}, before the store's last return", reply.era)),
-    }
-}
-
 /// Reads the newest record of each key; where to read on, `None` to list
 /// again. `last` is where the records were read up to before.
 async fn list<S: Sink>(
--- a/crates/router/src/proxy/follow/hosts.rs
+++ b/crates/router/src/proxy/follow/hosts.rs
@@ -15,11 +15,11 @@
 use marjoram_core::place::FRESH_HOSTS;
 use marjoram_platform::store::{self, Record};
 
-use super::{ANSWER, FIRST_PAUSE, Link, Sink, call};
+use super::Sink;
 use crate::proxy::hosts::HostRecord;
 use crate::proxy::poison;
 use crate::proxy::site::Site;
-use crate::proxy::storeclient::Caller;
+use crate::proxy::storelink::{Listed, write};
 
 /// Time between reads of the hosts' records; longer the more hosts there are,
 /// any of which tells the others of one that it finds.
@@ -29,9 +29,6 @@
 /// a copy; longer the more hosts there are, which would all list them at once.
 const RELIST: Duration = Duration::from_millis(250);
 
-/// Newest records of a list, by key.
-pub type Listed = HashMap<String, Vec<u8>>;
-
 /// The hosts' records.
 pub(super) struct Hosts {
     /// What the list that is being read has shown so far.
@@ -111,21 +108,3 @@
     write(&site, &Record { key, value: Some(value) }).await;
     written.set(true);
 }
-
-/// Writes a record for the hosts until the store has it.
-pub async fn write(site: &Site, record: &Record) {
-    let write = store::write(store::HOSTS, record);
-    let mut link = Link { topic: store::HOSTS, down: false, pause: FIRST_PAUSE };
-    loop {
-        let mut caller = Caller::new(site.settings.load().store.addr);
-        let why = match call(site, &mut caller, &write, ANSWER).await {
-            Ok(reply) if reply.status == 200 => {
-                link.up();
-                return;
-            }
-            Ok(reply) => format!("write: status {}", reply.status),
-            Err(why) => why,
-        };
-        tokio::time::sleep(link.failed(&why)).await;
-    }
-}
--- a/crates/router/src/proxy/poison/records.rs
+++ b/crates/router/src/proxy/poison/records.rs
@@ -10,8 +10,8 @@
 
 use super::{DETECTION, detection};
 use crate::clock;
-use crate::proxy::follow::{self, Listed};
 use crate::proxy::site::Site;
+use crate::proxy::storelink::{self, Listed};
 
 /// Prefix of the keys of entries among the hosts' records.
 const KEY_PREFIX: &str = "quarantine/";
@@ -89,7 +89,7 @@
             Some((request, entry)) => {
                 let value =
                     entry.as_ref().map(|v| serde_json::to_vec(v).expect("a plain structure"));
-                follow::write(&site, &Record { key: format!("{KEY_PREFIX}{request}"), value })
+                storelink::write(&site, &Record { key: format!("{KEY_PREFIX}{request}"), value })
                     .await;
                 let mut writes = site.poison.writes.borrow_mut();
                 // It may have been queued anew meanwhile.
--- a/crates/router/src/proxy/quota.rs
+++ b/crates/router/src/proxy/quota.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::hosts::Message;
-use super::request::Refusal;
+use super::refusal::Refusal;
 use super::site::Site;
 
 /// Bounds of the time after which those refused for a quota come back, and how
--- a/crates/router/src/proxy/relay.rs
+++ b/crates/router/src/proxy/relay.rs
@@ -10,8 +10,9 @@
 use super::failure::Failure;
 use super::fleet::Flight;
 use super::http1::{LAST_CHUNK, ResponseWriter, write_chunk};
+use super::refusal::Refusal;
 use super::reports;
-use super::request::{Answer, Exchange, Refusal};
+use super::request::{Answer, Exchange};
 use super::site::Site;
 
 /// Silence inside a stream after which its upstream is probed; the stream is
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -20,8 +20,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Exchange, Refusal, millis};
+use super::{Exchange, millis};
 use crate::proxy::fleet::Upstream;
+use crate::proxy::refusal::Refusal;
 
 /// Prompt tokens that an engine is taken to read in a millisecond before
 /// anything has been measured.
