--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -35,8 +35,8 @@
 use super::site::{Broken, Site};
 use crate::clock;
 
-pub use detection::{hear_quarantined, refuses, take_quarantined};
-pub use records::{keep, restore_records, take_record};
+pub use detection::{hear_quarantined, refuses, take_quarantined, take_record};
+pub use records::{keep, restore_records};
 
 /// Time in which a host notices all of its requests that an upstream ended.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
--- a/crates/router/src/proxy/poison/detection.rs
+++ b/crates/router/src/proxy/poison/detection.rs
@@ -112,6 +112,21 @@
     }
 }
 
+/// Handles the record under `key`, if it is an entry's; whether it is.
+pub fn take_record(site: &Site, key: &str, value: Option<&[u8]>) -> bool {
+    let Some(request) = key.strip_prefix(records::KEY_PREFIX) else { return false };
+    let parsed = value.map(serde_json::from_slice::<Quarantined>);
+    match parsed {
+        // Removed once its term had passed.
+        None => {}
+        Some(Ok(entry)) if entry.request.to_string() == request => {
+            take_quarantined(site, vec![entry], records::STORE);
+        }
+        Some(_) => tracing::error!(target: "poison", key, "record of no entry"),
+    }
+    true
+}
+
 /// For how long `request`, sent by the attempt `id`, is still refused.
 pub fn refuses(site: &Site, request: Fingerprint, id: &str) -> Option<Duration> {
     let left = site.poison.quarantine.borrow().refuses(request, clock::wall())?;
--- a/crates/router/src/proxy/poison/records.rs
+++ b/crates/router/src/proxy/poison/records.rs
@@ -8,13 +8,13 @@
 use marjoram_platform::store::Record;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{DETECTION, detection};
+use super::DETECTION;
 use crate::clock;
 use crate::proxy::site::Site;
 use crate::proxy::storelink::{self, Listed};
 
 /// Prefix of the keys of entries among the hosts' records.
-const KEY_PREFIX: &str = "quarantine/";
+pub(super) const KEY_PREFIX: &str = "quarantine/";
 
 /// Where an entry was learnt.
 pub(super) const STORE: &str = "store";
@@ -28,21 +28,6 @@
 /// Records that may wait to be written while the store is away.
 const MAX_WAITING: usize = 1_024;
 
-/// Handles the record under `key`, if it is an entry's; whether it is.
-pub fn take_record(site: &Site, key: &str, value: Option<&[u8]>) -> bool {
-    let Some(request) = key.strip_prefix(KEY_PREFIX) else { return false };
-    let parsed = value.map(serde_json::from_slice::<Quarantined>);
-    match parsed {
-        // Removed once its term had passed.
-        None => {}
-        Some(Ok(entry)) if entry.request.to_string() == request => {
-            detection::take_quarantined(site, vec![entry], STORE);
-        }
-        Some(_) => tracing::error!(target: "poison", key, "record of no entry"),
-    }
-    true
-}
-
 /// Has the entries in force written again that a whole list of records lacks, or
 /// has an earlier one of: the store returned from a copy without them.
 pub fn restore_records(site: &Site, listed: &Listed) {
