--- a/crates/router/src/proxy/quota.rs
+++ b/crates/router/src/proxy/quota.rs
@@ -19,8 +19,8 @@
 use super::refusal::Refusal;
 use super::site::Site;
 
-/// Bounds of the time after which those refused for a quota come back, and how
-/// far they are spread, so that they do not come back together.
+/// Longest time after which those refused for a quota come back, and the part of
+/// it by which they are spread, so that they do not come back together.
 const RETRY_MAX: Duration = Duration::from_secs(8);
 const RETRY_SPREAD: f64 = 0.5;
 
@@ -30,7 +30,7 @@
 /// Usages or verdicts in one datagram: some 30 bytes each.
 const MAX_TOLD: usize = 200;
 
-/// Draws for a request that states no attempt.
+/// Seed of the number drawn for a request by its attempt.
 const DRAW: u64 = 1;
 
 /// What a request counts against the quota of its workspace.
