Quarantine: requests are compared by crashes that all hosts have reported

Cause: requests were compared before all hosts had reported. Traced: at 23.292 s the host of the innocent one reported the fifth crash, at 23.293 that of the cause; the detection at 23.295 had heard the first alone, found it at five crashes against four, and took these away from the cause. The wait for reports also ran for each request by itself (an innocent one was judged 11 ms before its rival), ties went to the shorter sum of runs, which is the one that began later, and of two attempts at a crash the one reported first counted. Meanwhile the request was sent on, a crash each 50 ms.

Ruled out: late looks and lost datagrams (all crashes reported within 25 ms, all reports heard within 5 ms); a longer wait alone, which costs a crash each 50 ms.

Fix: a crash counts once the time for reports has passed since any host's first one. Of requests at the same crashes the one whose crashes came at the same point of it is found, or none below five crashes: the next one decides. A request that was at enough crashes is held until they are judged, some 100 ms, on the platform path and the own interface; routers of the latter wait for the reports that they read each half second.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -14,6 +14,7 @@
 
 mod quarantine;
 mod recent;
+mod suspect;
 mod suspects;
 
 use std::cmp::Reverse;
@@ -26,7 +27,8 @@
 
 pub use quarantine::{Admission, Quarantine};
 pub use recent::Recent;
-pub use suspects::{CRASHES, SETTLE, Suspects};
+pub use suspect::CRASHES;
+pub use suspects::{SETTLE, Suspects};
 
 /// How long a request is kept from upstreams when it is first found; doubled
 /// each time it crashes one again. Its caller, or what runs it, has most likely
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -35,6 +35,8 @@
 const FIRST_CHUNK: Duration = Duration::from_secs(60);
 /// How often a wait looks whether the engine is still reachable.
 const WATCH: Duration = Duration::from_millis(100);
+/// Time between two looks whether crashes have been judged.
+const JUDGED_INTERVAL: Duration = Duration::from_millis(40);
 
 thread_local! {
     static CLIENT: Client = Client::build().timeout(FIRST_CHUNK).finish();
@@ -98,6 +100,7 @@
 /// Sends `job` to engines in turn until one accepts it.
 pub async fn open(node: &Arc<Node>, job: &mut Job) -> Result<Opened, Error> {
     loop {
+        until_judged(node, job).await;
         let Choice { engine, unread, ahead } = job.choose(node)?;
         let inflight = Inflight::new(node.clone(), engine.slot, unread);
         let sent = Instant::now();
@@ -134,6 +137,18 @@
     }
 }
 
+/// Waits while `job` was at crashes that are still to be judged, as long as its caller
+/// waits.
+async fn until_judged(node: &Node, job: &Job) {
+    let mut withheld = false;
+    while node.poison.withholds(job.fingerprint) && !job.is_late() {
+        if !std::mem::replace(&mut withheld, true) {
+            tracing::info!(target: "poison", "poison: {} waits until its crashes are judged.", job.id);
+        }
+        ntex::time::sleep(JUDGED_INTERVAL).await;
+    }
+}
+
 /// Sends `job` to `engine`; its answer once it has accepted.
 async fn send(node: &Node, job: &Job, engine: &Engine) -> Result<ClientResponse, Error> {
     let failed = |step, why| Error::Engine(step, engine.addr.clone(), why);
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -175,6 +175,11 @@
         Ok(())
     }
 
+    /// Whether the first token can no longer come in time.
+    pub fn is_late(&self) -> bool {
+        self.order.resume_from == 0 && self.started.elapsed() >= self.limit
+    }
+
     /// How much longer the caller waits for the first token, if it named a
     /// deadline and has not had one.
     pub fn left(&self) -> Option<Duration> {
--- a/crates/router/src/poison.rs
+++ b/crates/router/src/poison.rs
@@ -41,6 +41,9 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Pause between reads of the stream.
 const EVERY: Duration = Duration::from_millis(500);
+/// Time after a crash in which all routers have appended what they had there, and
+/// this one has read it.
+const TOLD: Duration = EVERY.saturating_add(SETTLE);
 /// Time after which an entry in force is appended anew: the log service keeps
 /// its records for a limited time.
 const RENEWED: Duration = Duration::from_secs(900);
@@ -68,7 +71,7 @@
     pub ran: Option<Duration>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     suspects: Suspects,
     quarantine: Quarantine,
@@ -83,6 +86,20 @@
     next: Offset,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            suspects: Suspects::with_settle(TOLD),
+            quarantine: Quarantine::default(),
+            well: Recent::default(),
+            broken: HashMap::new(),
+            told: HashMap::new(),
+            waiting: Vec::new(),
+            next: Offset::default(),
+        }
+    }
+}
+
 /// What a router knows of completions that crash engines.
 #[derive(Debug, Default)]
 pub struct Poison {
@@ -108,6 +125,15 @@
         self.state.lock().unwrap().suspects.contains(request)
     }
 
+    /// Whether `request` is not sent for now: it was at enough crashes and all
+    /// routers are still to report on them, or was at one fewer and its last engine
+    /// is being looked at.
+    pub fn withholds(&self, request: Fingerprint) -> bool {
+        let state = self.state.lock().unwrap();
+        let broke = || state.broken.values().flatten().any(|b| b.request == request);
+        state.suspects.withholds(request) || state.suspects.is_close(request) && broke()
+    }
+
     /// The error for `request`, if it is kept from engines.
     pub fn refuses(&self, request: Fingerprint) -> Option<Error> {
         let state = self.state.lock().unwrap();
@@ -244,7 +270,7 @@
     node.poison.add(&reports);
     node.poison.state.lock().unwrap().queue(CrashRecord::Crash(reports));
     tell(&node, &Log::new(node.settings.log_service)).await;
-    ntex::time::sleep(SETTLE).await;
+    ntex::time::sleep(TOLD).await;
     node.poison.detect();
 }
 
--- a/crates/router/src/proxy/poison/detection.rs
+++ b/crates/router/src/proxy/poison/detection.rs
@@ -26,13 +26,15 @@
 const OWN: &str = "own";
 const PEER: &str = "peer";
 
-/// Detects until no more reports arrive that may complete a suspect's crashes.
+/// Detects until no more reports arrive that may complete a suspect's crashes, and
+/// all suspects that were at enough of them are judged.
 pub(super) async fn run(site: Rc<Site>) {
     loop {
         let called = site.poison.called.get();
         tokio::time::sleep(DETECTION_DELAY).await;
         detect(&site);
-        if site.poison.called.get() == called {
+        let unjudged = site.poison.suspects.borrow().is_unjudged();
+        if site.poison.called.get() == called && !unjudged {
             site.poison.detecting.set(false);
             return;
         }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod send;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,6 +87,8 @@
     begun: Duration,
     /// An upstream may have crashed while it was there.
     crashed: bool,
+    /// It has waited for the crashes at which it was to be judged.
+    withheld: Cell<bool>,
     /// The last upstream it was sent to.
     pub last: Option<Life>,
 }
@@ -144,6 +147,7 @@
             waited: Duration::ZERO,
             begun: Duration::ZERO,
             crashed: false,
+            withheld: Cell::new(false),
             last: None,
         })
     }
@@ -246,6 +250,10 @@
     /// The next send, if one is allowed; `None` while the request waits here.
     fn next(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
         self.may_send()?;
+        if self.site.poison.withholds(self.fingerprint) {
+            self.note_withheld();
+            return Ok(None);
+        }
         let chosen = self.choose(resumed)?;
         match self.sends {
             _ if self.must_wait(&chosen) => Ok(None),
@@ -255,6 +263,15 @@
         }
     }
 
+    /// It waits here until the crashes at which it was are judged.
+    fn note_withheld(&self) {
+        if !self.withheld.replace(true) {
+            self.site.counters.count("poison.withheld");
+            tracing::info!(target: "poison", id = self.id(), fingerprint = %self.fingerprint,
+                sends = self.sends, "waits until its crashes are judged");
+        }
+    }
+
     /// Whether one more send is allowed, the budget aside; the first always is.
     fn may_send(&self) -> Result<(), Refusal> {
         if let Some(left) = poison::refuses(&self.site, self.fingerprint, self.id()) {
--- a/crates/router/src/proxy/site/poison.rs
+++ b/crates/router/src/proxy/site/poison.rs
@@ -58,6 +58,15 @@
         self.suspects.borrow().contains(request)
     }
 
+    /// Whether `request` is not sent for now: it was at enough crashes and all
+    /// hosts are still to report on them, or was at one fewer and its last
+    /// upstream is being looked at.
+    pub fn withholds(&self, request: Fingerprint) -> bool {
+        let suspects = self.suspects.borrow();
+        let broke = || self.broken.borrow().values().flatten().any(|b| b.request == request);
+        suspects.withholds(request) || suspects.is_close(request) && broke()
+    }
+
     /// Requests suspected, and those in quarantine or lately.
     pub fn counts(&self) -> (usize, usize) {
         (self.suspects.borrow().len(), self.quarantine.borrow().len())
