Own interface: no import circle round node.rs

What a router knows of completions that crash engines (quarantine.rs), the open connections to other routers (peer/links.rs) and the answers to their calls (serve/peers.rs) stand in files of their own, so node.rs, peer.rs, poison.rs, gossip.rs, warm.rs and follow/engines.rs no longer import one another in a circle. Nothing is decided otherwise: code was moved, and what poison.rs did with the state under its lock are methods of it now.

--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::job::{Choice, Job, version};
 use crate::node::{Engine, Node};
 use crate::poison;
+use crate::quarantine::Broken;
 
 /// Longest wait for an engine's first chunk: its queue may be long.
 const FIRST_CHUNK: Duration = Duration::from_secs(60);
@@ -275,7 +276,7 @@
     ran: Option<Duration>,
 ) {
     job.crashed = true;
-    let request = poison::Broken { request: job.fingerprint, attempt: job.id.0, ran };
+    let request = Broken { request: job.fingerprint, attempt: job.id.0, ran };
     poison::broke(node, engine, life, request);
 }
 
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -20,6 +20,7 @@
 mod peer;
 mod poison;
 mod proxy;
+mod quarantine;
 mod serve;
 mod warm;
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -24,8 +24,8 @@
 
 use crate::clock;
 use crate::options::Settings;
-use crate::peer::Links;
-use crate::poison::Poison;
+use crate::peer::links::Links;
+use crate::quarantine::Poison;
 
 /// Second attempts allowed, in thousandths of the requests.
 const RETRY_SHARE: u32 = 200;
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -7,26 +7,19 @@
 //! Nothing that must hold rests on this link: it carries membership news and
 //! what a starting router can use to skip a cold start.
 
+pub mod links;
 pub mod wire;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::client::SendRequest;
-use tokio::net::TcpListener;
 
 use crate::error::Error;
 use crate::link;
 use crate::node::Node;
 use wire::{Answer, Call};
 
-/// Open connections to other routers, by link address.
-#[derive(Debug, Default)]
-pub struct Links(Mutex<HashMap<SocketAddr, SendRequest<Bytes>>>);
-
 /// The link address of the router that callers reach at `addr`.
 pub fn link_addr(node: &Node, addr: &str) -> Result<SocketAddr, Error> {
     let wrong = |why: String| Error::Peer("address", addr.into(), why);
@@ -44,37 +37,25 @@
     match result {
         Ok(Ok(bytes)) => wire::decode(&bytes).map_err(|e| Error::Peer("decode", addr.into(), e)),
         Ok(Err(why)) => {
-            node.links.0.lock().unwrap().remove(&link);
+            node.links.remove(link);
             Err(Error::Peer("call", addr.into(), why))
         }
         Err(_) => {
-            node.links.0.lock().unwrap().remove(&link);
+            node.links.remove(link);
             Err(Error::Peer("call", addr.into(), format!("no answer in {limit:?}")))
         }
     }
 }
 
 async fn exchange(node: &Node, link: SocketAddr, body: Vec<u8>) -> Result<Bytes, String> {
-    let known = node.links.0.lock().unwrap().get(&link).cloned();
+    let known = node.links.get(link);
     let sender = match known {
         Some(sender) => sender,
         None => {
             let sender = link::connect(link).await?;
-            node.links.0.lock().unwrap().insert(link, sender.clone());
+            node.links.insert(link, sender.clone());
             sender
         }
     };
     link::ask(sender, link, body.into()).await
 }
-
-/// Answers other routers' calls on `listener` for ever.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    link::serve(listener, move |bytes| {
-        let answer = match wire::decode(bytes)? {
-            Call::Ping(news) => Answer::Pong(crate::gossip::answer(&node, news)),
-            Call::Warm => Answer::Warmth(crate::warm::offer(&node)),
-        };
-        wire::encode(&answer)
-    })
-    .await;
-}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -11,6 +11,7 @@
 //! run to their end, and the server closes after the drain period.
 
 mod complete;
+mod peers;
 mod route;
 mod service;
 mod state;
@@ -49,7 +50,7 @@
     let link = peer::link_addr(&node, &listen.to_string())?;
     let links =
         tokio::net::TcpListener::bind(link).await.map_err(|e| Error::Bind(link.to_string(), e))?;
-    ntex::rt::spawn(peer::serve(node.clone(), links));
+    ntex::rt::spawn(peers::serve(node.clone(), links));
     ntex::rt::spawn(follow::config(node.clone()));
     ntex::rt::spawn(follow::hosts(node.clone()));
     ntex::rt::spawn(warm::start(node.clone()));
