Quarantine: an entry names the crashes still open as well

A crash at which some hosts were still to report was explained at the finding host only, and went on counting against innocent requests at the others. No caller was seen to be harmed by it; three such crashes would have to meet one request.

Now the entry has all crashes of the request, as before. The test of the traced case asks for them: [1, 2, 6, 3]. A comment in the quota's accounts is clearer.

--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -241,12 +241,15 @@
         for (request, suspect) in self.often.iter_mut() {
             suspect.judged |= judged.contains(request);
         }
-        for (request, _) in &found {
+        for (request, upstreams) in &mut found {
             // Also the crashes on which some hosts are still to report.
-            let suspect = self.often.peek(request).expect("just found");
-            let upstreams = suspect.upstreams();
+            if let Some(suspect) = self.often.peek(request) {
+                *upstreams = suspect.upstreams();
+            }
+        }
+        for (request, upstreams) in &found {
             self.clear(*request);
-            self.explain(&upstreams);
+            self.explain(upstreams);
         }
         found
     }
--- a/crates/core/src/quota/ledger/account.rs
+++ b/crates/core/src/quota/ledger/account.rs
@@ -295,7 +295,7 @@
         let spare =
             (1.0 - self.taken(false) - self.taken(true) - self.unreported(hosts, now)).max(0.0);
         let silent = hosts.silent.iter().filter(|host| !self.lines.contains_key(host)).count();
-        // What these hold is not known, but no more than nobody else does.
+        // What these hold is not known: at most what no other host does.
         let unknown = if silent > 0 { spare.max(silent as f64 * even) } else { 0.0 };
         let free = if silent > 0 { 0.0 } else { spare };
         let wanted = |line: &Line| share(line.usual_at(now), usual, equal);
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -143,8 +143,9 @@
         suspects.add(report, report.at);
     }
     assert!(suspects.withholds(POISON) && suspects.withholds(beside));
+    // The crash that is still open is explained as well.
     let found = suspects.detect(Duration::from_millis(295));
-    assert_eq!(found.iter().map(|(request, _)| *request).collect::<Vec<_>>(), [POISON]);
+    assert_eq!(found, [(POISON, vec![1, 2, 6, 3])]);
 }
 
 /// The host of an innocent request reported some milliseconds before that of the cause,
