--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -118,15 +118,24 @@
     assert_eq!(found(&mut Suspects::new(), &reports).len(), 1);
 }
 
+/// A crash noticed `at` milliseconds, when an answer of `request` had run for `ran`.
+fn crash(request: Fingerprint, upstream: u64, attempt: u64, ran: u64, at: u64) -> CrashReport {
+    let (ran, at) = (Some(Duration::from_millis(ran)), Duration::from_millis(at));
+    CrashReport { ran, at, ..seen(request, upstream, attempt) }
+}
+
+/// A host that heard of each crash as it was noticed.
+fn heard(reports: &[CrashReport]) -> Suspects {
+    let mut suspects = Suspects::new();
+    reports.iter().for_each(|report| suspects.add(report, report.at));
+    suspects
+}
+
 /// An innocent request ran beside the cause each time, and its host was the first
 /// to report the newest crash.
 #[test]
 fn a_crash_that_not_all_hosts_have_reported_yet_counts_for_nobody() {
     let beside = Fingerprint(1);
-    let crash = |request, upstream, attempt, ran, at| {
-        let (ran, at) = (Some(Duration::from_millis(ran)), Duration::from_millis(at));
-        CrashReport { ran, at, ..seen(request, upstream, attempt) }
-    };
     let reports = [
         crash(POISON, 1, 10, 49, 90),
         crash(beside, 1, 20, 12, 93),
@@ -138,10 +147,7 @@
         crash(beside, 3, 21, 42, 237),
         crash(beside, 5, 22, 50, 292),
     ];
-    let mut suspects = Suspects::new();
-    for report in &reports {
-        suspects.add(report, report.at);
-    }
+    let mut suspects = heard(&reports);
     assert!(suspects.withholds(POISON) && suspects.withholds(beside));
     // The crash that is still open is explained as well.
     let found = suspects.detect(Duration::from_millis(295));
@@ -153,10 +159,6 @@
 #[test]
 fn a_request_whose_crashes_are_reported_first_is_not_found_in_place_of_the_cause() {
     let beside = Fingerprint(1);
-    let crash = |request, upstream, attempt, ran, at| {
-        let (ran, at) = (Some(Duration::from_millis(ran)), Duration::from_millis(at));
-        CrashReport { ran, at, ..seen(request, upstream, attempt) }
-    };
     let reports = [
         crash(beside, 1, 20, 15, 888),
         crash(POISON, 1, 10, 54, 899),
@@ -165,10 +167,7 @@
         crash(beside, 6, 21, 39, 989),
         crash(POISON, 6, 11, 54, 1_000),
     ];
-    let mut suspects = Suspects::new();
-    for report in &reports {
-        suspects.add(report, report.at);
-    }
+    let mut suspects = heard(&reports);
     for at in [1_089, 1_096, 1_105] {
         assert_eq!(suspects.detect(Duration::from_millis(at)), []);
     }
@@ -182,10 +181,6 @@
 #[test]
 fn of_two_attempts_at_a_crash_the_one_that_ran_longer_counts() {
     let beside = Fingerprint(1);
-    let crash = |request, upstream, attempt, ran, at| {
-        let (ran, at) = (Some(Duration::from_millis(ran)), Duration::from_millis(at));
-        CrashReport { ran, at, ..seen(request, upstream, attempt) }
-    };
     let reports = [
         crash(beside, 5, 20, 46, 201),
         crash(POISON, 5, 10, 52, 203),
@@ -195,10 +190,7 @@
         crash(beside, 6, 21, 43, 302),
         crash(POISON, 6, 11, 44, 303),
     ];
-    let mut suspects = Suspects::new();
-    for report in &reports {
-        suspects.add(report, report.at);
-    }
+    let mut suspects = heard(&reports);
     assert_eq!(suspects.detect(Duration::from_millis(412)), []);
 }
 
