Send nothing more to an upstream whose answers say that it leaves

Callers were served; the upstream got requests up to 4.3 s after it had told the host that it leaves, 2 s allowed, while the store that would have told all hosts was down (7.0 to 20.3 s).

Cause: the registry was the only source (first hypothesis). Ruled out: an older entry that overrides it, and requests that waited (both came 2.6 s and later). Class as with the rate limits: what an upstream says of itself in an answer was dropped with the answer.

The statement is decoded into the same typed value and kept with the incarnation, for good: no entry that says ready and no answer without it takes it back, also if the entry is removed and listed again, since conditions are kept for incarnations that are not listed any more. A restarted upstream starts without it. It holds for first sends, repeats, resumptions and requests that wait, which all choose anew. The same knowledge now also decides whether a broken connection can be a crash (poison) and whether an engine is ordered to change its weights (leadership), which went by the registry alone.

--- a/crates/core/src/conditions.rs
+++ b/crates/core/src/conditions.rs
@@ -3,7 +3,8 @@
 //!
 //! Load pattern: an upstream that cannot keep up names the rate of requests that it
 //! takes from all hosts together. Each host sends it a part of the traffic and
-//! knows only its own part.
+//! knows only its own part. An upstream that shuts down says so in its answers,
+//! possibly long before the registry does.
 //!
 //! Limits: what one incarnation states ends with it. A statement counts from the
 //! next send on, retries and queued requests included. Answers overtake each other,
@@ -105,15 +106,35 @@
 /// let mut stated = StatedConditions::default();
 /// stated.add_limit("20, many");
 /// stated.add_limit("15");
+/// stated.add_leaving("1");
 /// assert_eq!(stated.limit, Stated::Value("15".parse().unwrap()));
+/// assert_eq!(stated.leaving, Stated::Value(()));
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct StatedConditions {
     /// The rate of requests that the upstream takes from all hosts together.
     pub limit: Stated<RateLimit>,
+    /// The upstream is shutting down and takes no new requests.
+    pub leaving: Stated<()>,
 }
 
 impl StatedConditions {
+    /// Adds the statement `text` on whether the upstream is leaving: "1" if it is,
+    /// "0" if not. Of several in one answer, one that says so holds.
+    pub fn add_leaving(&mut self, text: &str) {
+        self.leaving = match (self.leaving, text.trim()) {
+            (_, "1") => Stated::Value(()),
+            (known, "0") => known,
+            (Stated::Nothing, _) => Stated::Invalid,
+            (known, _) => known,
+        };
+    }
+
+    /// Whether a statement cannot be used.
+    pub fn has_invalid(&self) -> bool {
+        self.limit == Stated::Invalid || self.leaving == Stated::Invalid
+    }
+
     /// Adds the rate limit in `text`. Of several limits in one answer the lowest
     /// holds; values that cannot be used are ignored beside one that can.
     pub fn add_limit(&mut self, text: &str) {
@@ -145,6 +166,15 @@
     pub age_ms: u32,
 }
 
+/// What an answer changed in the conditions of an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Changes {
+    /// Its rate limit.
+    pub limit: Option<LimitChange>,
+    /// It has said for the first time that it is leaving.
+    pub leaving: bool,
+}
+
 /// A change of the rate limit in force: the former one and the new one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitChange {
@@ -158,30 +188,45 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use marjoram_core::conditions::{Conditions, Stated, StatedConditions};
+/// use marjoram_core::conditions::{Conditions, StatedConditions};
 /// let ms = Duration::from_millis;
-/// let limit = |rate: &str| StatedConditions { limit: Stated::Value(rate.parse().unwrap()) };
+/// let (none, mut limited) = (StatedConditions::default(), StatedConditions::default());
+/// limited.add_limit("15");
 /// let mut conditions = Conditions::default();
-/// conditions.record(&limit("15"), ms(100), ms(150));
+/// conditions.record(&limited, ms(100), ms(150));
 /// // The answer to an earlier request states none: it was overtaken.
-/// assert_eq!(conditions.record(&StatedConditions::default(), ms(120), ms(160)), None);
+/// conditions.record(&none, ms(120), ms(160));
 /// assert_eq!(conditions.limit(), Some("15".parse().unwrap()));
-/// conditions.record(&StatedConditions::default(), ms(170), ms(190));
+/// conditions.record(&none, ms(170), ms(190));
 /// assert_eq!(conditions.limit(), None);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Conditions {
     limit: Option<LimitStatement>,
+    leaving: bool,
 }
 
 impl Conditions {
     /// Records what an answer states that was received at `received`, to a request
-    /// sent at `sent`. Returns the change of the rate limit, if there is one.
+    /// sent at `sent`. An upstream that leaves does so for good: this is not
+    /// withdrawn by an answer that does not say so.
     pub fn record(
         &mut self,
         stated: &StatedConditions,
         sent: Duration,
         received: Duration,
+    ) -> Changes {
+        let limit = self.record_limit(stated, sent, received);
+        let leaving = stated.leaving == Stated::Value(()) && !self.leaving;
+        self.leaving |= leaving;
+        Changes { limit, leaving }
+    }
+
+    fn record_limit(
+        &mut self,
+        stated: &StatedConditions,
+        sent: Duration,
+        received: Duration,
     ) -> Option<LimitChange> {
         let statement = match (stated.limit, self.limit()) {
             (Stated::Invalid, _) | (Stated::Nothing, None) => return None,
@@ -219,6 +264,11 @@
         (former != statement.limit).then_some(LimitChange { former, limit: statement.limit })
     }
 
+    /// Whether the upstream has said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// The rate limit in force.
     pub fn limit(&self) -> Option<RateLimit> {
         self.limit.and_then(|statement| statement.limit)
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -10,7 +10,9 @@
 
 use std::time::Duration;
 
-use marjoram_core::conditions::{Conditions, RateLimit, ReportedLimit, Stated, StatedConditions};
+use marjoram_core::conditions::{
+    Changes, Conditions, RateLimit, ReportedLimit, Stated, StatedConditions,
+};
 use proptest::prelude::*;
 use test_case::test_case;
 use world::{Event, Fault, Load, World};
@@ -90,7 +92,7 @@
         let mut conditions = Conditions::default();
         for (received, sent, rate) in answers {
             let value = rate.map_or(Stated::Nothing, |rate| Stated::Value(limit(f64::from(rate))));
-            let stated = StatedConditions { limit: value };
+            let stated = StatedConditions { limit: value, ..Default::default() };
             let ms = Duration::from_millis;
             conditions.record(&stated, ms(sent), ms(received));
         }
@@ -109,9 +111,9 @@
     let (mut stated, mut conditions) = (StatedConditions::default(), Conditions::default());
     stated.add_limit(text);
     assert_eq!(stated.limit, Stated::Invalid);
-    assert_eq!(conditions.record(&stated, secs(1.0), secs(1.1)), None);
+    assert_eq!(conditions.record(&stated, secs(1.0), secs(1.1)), Changes::default());
     assert_eq!(conditions.limit(), None);
-    let valid = StatedConditions { limit: Stated::Value(limit(5.0)) };
+    let valid = StatedConditions { limit: Stated::Value(limit(5.0)), ..Default::default() };
     conditions.record(&valid, secs(2.0), secs(2.1));
     conditions.record(&stated, secs(3.0), secs(3.1));
     assert_eq!(conditions.limit(), Some(limit(5.0)));
@@ -120,8 +122,8 @@
 #[test]
 fn a_host_takes_newer_statements_of_others_and_no_older_ones() {
     let mut conditions = Conditions::default();
-    let stated = |rate| StatedConditions { limit: Stated::Value(limit(rate)) };
-    conditions.record(&stated(5.0), secs(9.0), secs(10.0));
+    let stated = StatedConditions { limit: Stated::Value(limit(5.0)), ..Default::default() };
+    conditions.record(&stated, secs(9.0), secs(10.0));
     let older = ReportedLimit { limit: None, age_ms: 3_000 };
     assert_eq!(conditions.apply_reported(older, secs(12.0)), None);
     assert_eq!(conditions.limit(), Some(limit(5.0)));
--- a/crates/router/src/proxy/conditions.rs
+++ b/crates/router/src/proxy/conditions.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::conditions::{LimitChange, ReportedLimit, Stated};
+use marjoram_core::conditions::{LimitChange, ReportedLimit};
 use marjoram_core::exchange::ResponseMetadata;
 
 use super::fleet::Upstream;
@@ -22,13 +22,20 @@
         return;
     }
     let stated = &answer.conditions;
-    if stated.limit == Stated::Invalid {
+    if stated.has_invalid() {
         handle_invalid(site, upstream);
     }
     let now = site.now();
-    let change = upstream.conditions.borrow_mut().record(stated, sent, now);
-    if let Some(change) = change {
-        apply_limit(site, upstream, change, now.saturating_sub(sent), "answer");
+    let age = now.saturating_sub(sent);
+    let changes = upstream.conditions.borrow_mut().record(stated, sent, now);
+    if let Some(change) = changes.limit {
+        apply_limit(site, upstream, change, age, "answer");
+    }
+    if changes.leaving {
+        site.counters.count("upstream.said_leaving");
+        tracing::info!(target: "conditions", upstream = %upstream.life,
+            listed_leaving = upstream.entry.borrow().leaving, age_ms = age.as_millis() as u64,
+            source = "answer", "upstream is leaving, gets no more requests");
     }
 }
 
@@ -46,7 +53,7 @@
     site.counters.count("upstream.conditions_invalid");
     if !upstream.invalid_logged.replace(true) {
         tracing::warn!(target: "conditions", upstream = %upstream.life,
-            "ignored an invalid rate limit; further ones are only counted");
+            "ignored an invalid statement of its conditions; further ones are only counted");
     }
 }
 
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -161,7 +161,7 @@
             let health = u.health.borrow();
             serde_json::json!({
                 "id": u.life.id, "born": u.life.born, "service": entry.service, "addr": entry.addr, "dc": entry.dc,
-                "leaving": entry.leaving, "weights": entry.weights,
+                "leaving": u.is_leaving(), "weights": entry.weights,
                 "limit": rate_limits::state(site, u),
                 "closed": u.is_closed(now), "paused": health.is_paused(now),
                 "silent_ms": health.stalled_for(now).as_millis() as u64,
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -197,6 +197,11 @@
         self.closed.get().is_some_and(|until| now < until)
     }
 
+    /// Whether it is leaving, according to its entry or to an answer.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.borrow().leaving || self.conditions.borrow().is_leaving()
+    }
+
     /// Whether `entry` describes this incarnation, in the same service.
     fn is_updated_by(&self, entry: &Entry) -> bool {
         entry.life == self.life && entry.service == self.entry.borrow().service
--- a/crates/router/src/proxy/leadership.rs
+++ b/crates/router/src/proxy/leadership.rs
@@ -145,7 +145,7 @@
 /// Whether `upstream` serves weights older than `newest` and is not leaving.
 fn is_outdated(upstream: &Upstream, newest: &Weights) -> bool {
     let older = upstream.weights(&newest.model).is_some_and(|v| v < newest.version);
-    older && !upstream.entry.borrow().leaving
+    older && !upstream.is_leaving()
 }
 
 /// The upstreams whose service the configuration declares as an engine. Entries
@@ -297,7 +297,7 @@
     for weights in newest_weights(site) {
         let listed: Vec<Rc<Upstream>> = engines(site)
             .into_iter()
-            .filter(|u| !u.entry.borrow().leaving && u.weights(&weights.model).is_some())
+            .filter(|u| !u.is_leaving() && u.weights(&weights.model).is_some())
             .collect();
         let states = leadership.engine_states.borrow();
         let engines: Vec<rollout::Engine> = listed
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -74,7 +74,7 @@
     request: Broken,
 ) -> bool {
     let now = site.now();
-    let in_service = site.fleet.get(&upstream.life).is_some() && !upstream.entry.borrow().leaving;
+    let in_service = site.fleet.get(&upstream.life).is_some() && !upstream.is_leaving();
     if !matches!(failure, Failure::Closed(..)) || !in_service || upstream.is_closed(now) {
         return false;
     }
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -259,7 +259,7 @@
         let now = self.site.now();
         let share = self.connection_share();
         let available = |u: &Rc<Upstream>| {
-            let in_service = !u.entry.borrow().leaving && !u.is_closed(now);
+            let in_service = !u.is_leaving() && !u.is_closed(now);
             let untried = !self.tried.contains(&u.life) && !self.unreachable.contains(&u.life);
             in_service && untried && u.pool.in_use() < share
         };
