Rate limits: spread the retries of refused callers where the wait is long

A refusal for the limits of all upstreams capped Retry-After at 2 s after it had been spread, so that callers told to wait longer would all have returned at the same moment. The cap is now the one of quotas (8 s), and what is added, up to half of the time and 200 ms, is added after it.

--- a/crates/router/src/proxy/quota.rs
+++ b/crates/router/src/proxy/quota.rs
@@ -21,7 +21,7 @@
 use super::site::Site;
 
 /// Longest time in `Retry-After` of a refusal for a quota.
-const RETRY_MAX: Duration = Duration::from_secs(8);
+pub const RETRY_MAX: Duration = Duration::from_secs(8);
 /// Largest fraction by which that time is randomly extended, so that callers
 /// refused together do not retry together.
 pub const RETRY_JITTER: f64 = 0.5;
--- a/crates/router/src/proxy/refusal.rs
+++ b/crates/router/src/proxy/refusal.rs
@@ -4,7 +4,8 @@
 
 use marjoram_core::quota::Quota;
 
-/// Shortest and longest time in `Retry-After`, except for quotas and quarantine.
+/// Shortest and longest time in `Retry-After`, except where it is known when requests
+/// are taken again.
 pub const RETRY_MIN: Duration = Duration::from_millis(50);
 pub const RETRY_MAX: Duration = Duration::from_secs(2);
 
@@ -34,6 +35,12 @@
         Self { status: 503, retry: Some(retry), why, quota: None }
     }
 
+    /// The same, for upstreams that take no requests for a known time: `retry` may be
+    /// longer.
+    pub fn not_run_until(why: &'static str, retry: Duration) -> Self {
+        Self { status: 503, retry: Some(retry.max(RETRY_MIN)), why, quota: None }
+    }
+
     /// The workspace has used up `quota`: the request has not run, and will be
     /// admitted again after `retry`.
     pub fn over_quota(quota: Quota, retry: Duration) -> Self {
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -36,6 +36,10 @@
 /// changed its weights.
 const MAX_WEIGHTS_TRIES: u32 = 2;
 
+/// Time over which the retries of callers that are refused together are spread at
+/// least, where they are told when upstreams take requests again.
+const MIN_SPREAD: Duration = Duration::from_millis(200);
+
 /// Time between checks while a request waits at the router.
 const WAIT_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -319,14 +323,21 @@
 
     /// The refusal when the request is not sent any more, for the reason `why`.
     fn give_up(&self, why: &'static str) -> Refusal {
-        self.give_up_for(why, self.retry_after())
+        match self.may_have_run {
+            true => Refusal::with_status(502, why),
+            false => Refusal::not_run(why, self.retry_after()),
+        }
     }
 
-    /// The same, with the time after which the caller should retry.
-    fn give_up_for(&self, why: &'static str, retry: Duration) -> Refusal {
+    /// The same, where upstreams are expected to take requests again after `wait`.
+    /// Callers are told to retry up to half of that later, and spread over
+    /// [`MIN_SPREAD`] at least, so that they do not all return at once.
+    fn give_up_until(&self, why: &'static str, wait: Duration) -> Refusal {
+        let wait = wait.min(quota::RETRY_MAX);
+        let spread = (wait.mul_f64(quota::RETRY_JITTER) + MIN_SPREAD).mul_f64(rand::random());
         match self.may_have_run {
             true => Refusal::with_status(502, why),
-            false => Refusal::not_run(why, retry),
+            false => Refusal::not_run_until(why, wait + spread),
         }
     }
 
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -26,8 +26,8 @@
 
 use super::{Exchange, millis};
 use crate::proxy::fleet::Upstream;
+use crate::proxy::rate_limits;
 use crate::proxy::refusal::Refusal;
-use crate::proxy::{quota, rate_limits};
 
 /// Prefill throughput, in prompt tokens per millisecond, that is assumed for an
 /// engine until it has been measured: 1,000 tokens then take 25 ms.
@@ -223,12 +223,11 @@
         }
     }
 
-    /// The refusal of a request that no upstream takes because of its rate limit;
-    /// the caller is to retry after `retry` or up to half of that later.
+    /// The refusal of a request that no upstream takes because of its rate limit.
+    /// One more request is expected to be allowed after `retry`.
     fn refuse_over_limits(&self, retry: Duration) -> Refusal {
         self.site.counters.count("request.limits_reached");
-        let jitter = 1.0 + quota::RETRY_JITTER * rand::random::<f64>();
-        self.give_up_for("rate limits of the upstreams reached", retry.mul_f64(jitter))
+        self.give_up_until("rate limits of the upstreams reached", retry)
     }
 
     /// Those of `all` that are assigned to this request because it was in flight at
