Leave an upstream alone for as long as it asks for

Callers whose route allows one attempt got a 503 although other upstreams were free; the upstream, which had turned a host away and asked for 3 s of rest, got 14 requests from it in that time, two allowed.

Cause: hosts did not read the time (first hypothesis) and paused 120 ms, which any answer of the upstream ended (second hypothesis, beside the first: the test of an answer to an earlier request failed by itself: 36 requests after it). Ruled out: that it was used because all others were paused, eleven others were free. Class: as with limits and leaving.

The time is decoded into the same typed value, kept with the incarnation, and is an exclusion, not a preference: no first send, repeat or resumption, and no query of the engine's state, which a refusal used to start. Other hosts are not concerned: each rest is between one host and the upstream. If nothing but resting upstreams is left, callers are refused at once and told when the first has rested, spread over half of that time more. Values that are no number of seconds are ignored and counted; more than a minute counts as one.

--- a/crates/core/src/conditions.rs
+++ b/crates/core/src/conditions.rs
@@ -4,7 +4,8 @@
 //! Load pattern: an upstream that cannot keep up names the rate of requests that it
 //! takes from all hosts together. Each host sends it a part of the traffic and
 //! knows only its own part. An upstream that shuts down says so in its answers,
-//! possibly long before the registry does.
+//! possibly long before the registry does. One that is overloaded turns requests
+//! away and asks each host for a time without any.
 //!
 //! Limits: what one incarnation states ends with it. A statement counts from the
 //! next send on, retries and queued requests included. Answers overtake each other,
@@ -28,6 +29,9 @@
 const OVERAGE: f64 = 0.5;
 const SLACK: f64 = 5.0;
 
+/// Longest time for which an upstream gets no requests because it asked for rest.
+const MAX_REST: Duration = Duration::from_secs(60);
+
 /// Bounds of a rate limit, in requests a second. With a lower rate no request
 /// would be sent whose answer could withdraw the limit.
 const MIN_RATE: f64 = 0.25;
@@ -116,6 +120,9 @@
     pub limit: Stated<RateLimit>,
     /// The upstream is shutting down and takes no new requests.
     pub leaving: Stated<()>,
+    /// How long the upstream, which has turned a request away, wants no other from
+    /// this host.
+    pub rest: Stated<Duration>,
 }
 
 impl StatedConditions {
@@ -130,9 +137,34 @@
         };
     }
 
+    /// Adds the statement `text` of how many seconds the upstream rests. Of several
+    /// in one answer the longest holds; times beyond a minute count as that.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use marjoram_core::conditions::{Stated, StatedConditions};
+    /// let mut stated = StatedConditions::default();
+    /// stated.add_rest("2.5");
+    /// assert_eq!(stated.rest, Stated::Value(Duration::from_millis(2_500)));
+    /// stated.add_rest("1e9");
+    /// assert_eq!(stated.rest, Stated::Value(Duration::from_secs(60)));
+    /// ```
+    pub fn add_rest(&mut self, text: &str) {
+        let seconds = text.trim().parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
+        let rest = seconds.map(|s| Duration::from_secs_f64(s.min(MAX_REST.as_secs_f64())));
+        self.rest = match (self.rest, rest) {
+            (Stated::Value(known), Some(rest)) => Stated::Value(known.max(rest)),
+            (_, Some(rest)) => Stated::Value(rest),
+            (Stated::Nothing, None) => Stated::Invalid,
+            (known, None) => known,
+        };
+    }
+
     /// Whether a statement cannot be used.
     pub fn has_invalid(&self) -> bool {
-        self.limit == Stated::Invalid || self.leaving == Stated::Invalid
+        self.limit == Stated::Invalid
+            || self.leaving == Stated::Invalid
+            || self.rest == Stated::Invalid
     }
 
     /// Adds the rate limit in `text`. Of several limits in one answer the lowest
@@ -173,6 +205,8 @@
     pub limit: Option<LimitChange>,
     /// It has said for the first time that it is leaving.
     pub leaving: bool,
+    /// It rests for this long from now on, and did not rest that long before.
+    pub rest: Option<Duration>,
 }
 
 /// A change of the rate limit in force: the former one and the new one.
@@ -204,6 +238,8 @@
 pub struct Conditions {
     limit: Option<LimitStatement>,
     leaving: bool,
+    /// Until when the upstream wants no requests from this host.
+    rest_until: Duration,
 }
 
 impl Conditions {
@@ -219,7 +255,12 @@
         let limit = self.record_limit(stated, sent, received);
         let leaving = stated.leaving == Stated::Value(()) && !self.leaving;
         self.leaving |= leaving;
-        Changes { limit, leaving }
+        let rest = match stated.rest {
+            Stated::Value(rest) if received + rest > self.rest_until => Some(rest),
+            _ => None,
+        };
+        self.rest_until = self.rest_until.max(received + rest.unwrap_or_default());
+        Changes { limit, leaving, rest }
     }
 
     fn record_limit(
@@ -264,6 +305,11 @@
         (former != statement.limit).then_some(LimitChange { former, limit: statement.limit })
     }
 
+    /// How long at `now` the upstream still wants no requests from this host.
+    pub fn rest_left(&self, now: Duration) -> Option<Duration> {
+        Some(self.rest_until.saturating_sub(now)).filter(|left| !left.is_zero())
+    }
+
     /// Whether the upstream has said that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -90,7 +90,7 @@
             .map_err(|e| Failure::from(("answer head", e)))?;
         let framing = http1::response_framing(method, &head)
             .map_err(|e| Failure::InvalidAnswer("answer head", e.to_string()))?;
-        let stated = headers::stated_conditions(head.headers.raw());
+        let stated = headers::stated_conditions(head.status, head.headers.raw());
         let mark = headers::response_metadata(head.status, stated, |name| head.headers.get(name));
         conditions::record_answer(site, upstream, &mark, sent_at);
         let mut body = Body::from(framing);
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -202,6 +202,11 @@
         self.entry.borrow().leaving || self.conditions.borrow().is_leaving()
     }
 
+    /// How long at `now` it still wants no requests from this host.
+    pub fn rest_left(&self, now: Duration) -> Option<Duration> {
+        self.conditions.borrow().rest_left(now)
+    }
+
     /// Whether `entry` describes this incarnation, in the same service.
     fn is_updated_by(&self, entry: &Entry) -> bool {
         entry.life == self.life && entry.service == self.entry.borrow().service
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -223,6 +223,21 @@
         }
     }
 
+    /// The refusal of a request for which no upstream is free. If one of them only
+    /// rests, the caller is to retry after that, or somewhat later.
+    fn refuse_without_upstream(&self) -> Refusal {
+        let now = self.site.now();
+        let service = self.site.fleet.service(&self.service);
+        let resting = service.iter().filter(|u| !u.is_leaving()).filter_map(|u| u.rest_left(now));
+        match resting.min() {
+            Some(left) => {
+                self.site.counters.count("request.upstreams_rest");
+                self.give_up_until("upstreams ask for rest", left)
+            }
+            None => self.give_up("no upstream free"),
+        }
+    }
+
     /// The refusal of a request that no upstream takes because of its rate limit.
     /// One more request is expected to be allowed after `retry`.
     fn refuse_over_limits(&self, retry: Duration) -> Refusal {
@@ -245,7 +260,7 @@
     /// runs engines and the request has a prompt, else by load alone.
     fn choose_among(&self, all: &[Rc<Upstream>], resumed: bool) -> Result<Chosen, Refusal> {
         match (&self.request.asked.prompt, self.catalog.engine(&self.service)) {
-            _ if all.is_empty() => Err(self.give_up("no upstream free")),
+            _ if all.is_empty() => Err(self.refuse_without_upstream()),
             (Some(prompt), Some(spec)) => self.choose_engine(prompt, spec, all, resumed),
             _ => self.choose_plain(all),
         }
@@ -258,7 +273,7 @@
         let now = self.site.now();
         let share = self.connection_share();
         let available = |u: &Rc<Upstream>| {
-            let in_service = !u.is_leaving() && !u.is_closed(now);
+            let in_service = !u.is_leaving() && !u.is_closed(now) && u.rest_left(now).is_none();
             let untried = !self.tried.contains(&u.life) && !self.unreachable.contains(&u.life);
             in_service && untried && u.pool.in_use() < share
         };
