Own interface: leave an engine alone for as long as it asks for

The same fault on the other request path: an engine that refuses a request may state in the standard header for how long it wants none; the router ignored it and tried the engine again with the next request.

If all engines rest, callers get 503 at once with a Retry-After of the time left and up to half more.

--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -7,6 +7,10 @@
 use ntex::http::client::error::{ConnectError, SendRequestError};
 use quick_error::quick_error;
 
+/// Fraction of the time until engines take requests again by which refused callers
+/// are told to retry later at most, so that they do not all return at once.
+const RETRY_SPREAD: f64 = 0.5;
+
 quick_error! {
     /// A failure while serving one request or running the node.
     #[derive(Debug)]
@@ -44,6 +48,10 @@
         NoEngine(workspace: String) {
             display("route request of {workspace}: no live engine")
         }
+        /// All engines that could serve the request want none from this router for now.
+        Resting(workspace: String, left: Duration) {
+            display("route request of {workspace}: the engines take no requests for {left:?}")
+        }
         /// The request is quarantined because engines crashed while running it.
         Quarantined(request: String, left: Duration) {
             display("route request {request}: engines crashed under it, so it is sent to none for {left:?}")
@@ -123,6 +131,7 @@
             Self::TooLarge(..) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownWorkspace(..) => StatusCode::NOT_FOUND,
             Self::NoEngine(..)
+            | Self::Resting(..)
             | Self::Quarantined(..)
             | Self::Late(..)
             | Self::NoService(..)
@@ -145,11 +154,15 @@
     }
 
     /// Time after which the caller may retry, if a retry may help: when the queue should
-    /// be short enough again, when the quarantine ends, or else one second.
+    /// be short enough again, when the quarantine ends, when engines take requests again,
+    /// or else one second.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Late(_, wait, limit) => Some(wait.saturating_sub(*limit)),
             Self::Quarantined(_, left) => Some(*left),
+            Self::Resting(_, left) => {
+                Some(left.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
+            }
             _ => match self.status() {
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT => {
                     Some(Duration::from_secs(1))
@@ -169,6 +182,7 @@
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
             Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
             Self::NoEngine(_)
+            | Self::Resting(..)
             | Self::Quarantined(..)
             | Self::Late(..)
             | Self::NoService(_)
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -23,7 +23,7 @@
 use futures::{Stream, StreamExt};
 use marjoram_core::cache::{CacheGeneration, Slot};
 use marjoram_core::ids::{ModelVersion, Tokens};
-use marjoram_core::wire::{Chunk, NOT_EXECUTED, Usage, WEIGHTS_VERSION};
+use marjoram_core::wire::{Chunk, NOT_EXECUTED, RETRY_AFTER, Usage, WEIGHTS_VERSION};
 use ntex::http::client::{Client, ClientResponse};
 
 use crate::error::{self, Error};
@@ -168,6 +168,7 @@
     match sent {
         Ok(response) if response.status().is_success() => Ok(response),
         Ok(response) if response.headers().contains_key(NOT_EXECUTED) => {
+            record_rest(node, engine, &response);
             Err(Error::Refused(engine.addr.clone(), format!("status {}", response.status())))
         }
         Ok(response) => Err(failed("answer", format!("status {}", response.status()))),
@@ -176,6 +177,21 @@
     }
 }
 
+/// Records for how long an engine that refused a request wants no others.
+fn record_rest(node: &Node, engine: &Engine, response: &ClientResponse) {
+    let Some(value) = response.headers().get(RETRY_AFTER) else { return };
+    let text = String::from_utf8_lossy(value.as_bytes());
+    match node.rests.record(engine.slot, node.incarnation(engine.slot), &text, node.uptime()) {
+        Some(rest) => {
+            node.counters.rests.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(target: "forward", "forward: engine {} asks for {rest:?} without requests.", engine.addr);
+        }
+        None => {
+            tracing::warn!(target: "forward", "forward: engine {} sent an invalid {RETRY_AFTER}: {text:?}.", engine.addr)
+        }
+    }
+}
+
 /// The weights version stated in the headers of an engine's answer.
 fn response_version(response: &ClientResponse) -> Option<ModelVersion> {
     response.headers().get(WEIGHTS_VERSION)?.to_str().ok()?.parse().ok()
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -122,6 +122,7 @@
             .filter(|e| {
                 !e.leaving && !node.is_down(e.slot) && !self.failed_engines.contains(&e.addr)
             })
+            .filter(|e| node.rest_left(e.slot).is_none())
             .map(|e| (e, version(node.cache_index.life(e.slot))))
             .filter(|(_, version)| {
                 self.engine_request.expect_version.is_none_or(|due| due == *version)
@@ -147,7 +148,7 @@
         let (policy, params) = (self.routing.policy, self.routing.params);
         let policy_input = PolicyInput { prefix: self.prefix(newest), params: &params };
         let Some(index) = node.policies.pick(policy, policy_input, &candidates) else {
-            return Err(self.give_up());
+            return Err(self.give_up_without_engine(node));
         };
         let cached = u64::from(candidates[index].matched) * BLOCK_TOKENS as u64;
         let (engine, version) = engines[index];
@@ -228,6 +229,18 @@
         };
     }
 
+    /// The error to return to the caller if no engine can be chosen.
+    fn give_up_without_engine(&mut self, node: &Node) -> Error {
+        let pool = node.pool.load();
+        let engines = pool.engines.iter().filter(|e| !e.leaving && !node.is_down(e.slot));
+        match (self.last_error.take(), engines.filter_map(|e| node.rest_left(e.slot)).min()) {
+            (Some(error @ Error::Engine(..)), _) => error,
+            (_, Some(left)) => Error::Resting(self.workspace.to_string(), left),
+            (Some(error), None) => error,
+            (None, None) => Error::NoEngine(self.workspace.to_string()),
+        }
+    }
+
     /// The error to return to the caller.
     fn give_up(&mut self) -> Error {
         self.last_error.take().unwrap_or_else(|| Error::NoEngine(self.workspace.to_string()))
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -21,6 +21,7 @@
 mod poison;
 mod proxy;
 mod quarantine;
+mod rests;
 mod serve;
 mod startup;
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use cadence::{BufferedUdpMetricSink, QueuingMetricSink, StatsdClient};
@@ -26,6 +27,7 @@
 use crate::options::Settings;
 use crate::peer::links::Links;
 use crate::quarantine::Poison;
+use crate::rests::Rests;
 
 /// Retries allowed, in thousandths of the requests.
 const RETRY_BUDGET_PER_MILLE: u32 = 200;
@@ -95,6 +97,8 @@
     pub late: AtomicU64,
     /// Retries not made because the retry budget was used up.
     pub unretried: AtomicU64,
+    /// Refusals with which engines asked for a time without requests.
+    pub rests: AtomicU64,
     /// Streams resumed on another engine after a break.
     pub resumed: AtomicU64,
     /// Cache events applied.
@@ -127,6 +131,8 @@
     pub remote_load: [AtomicU32; MAX_SLOTS],
     /// Engines this node could not reach, by slot.
     pub down: [AtomicBool; MAX_SLOTS],
+    /// Engines that have asked this node for a time without requests.
+    pub rests: Rests,
     /// A configuration has been put in force, or the stream has been read to its end.
     pub configured: AtomicBool,
     /// The start-up reads are done and callers are accepted (see `startup`).
@@ -153,6 +159,7 @@
     pub contender: Mutex<Contender>,
     /// Connections to other routers.
     pub links: Links,
+    started: Instant,
     next_id: AtomicU64,
 }
 
@@ -177,6 +184,7 @@
             budget: Budget::new(RETRY_BUDGET_PER_MILLE, RETRY_BURST),
             remote_load: std::array::from_fn(|_| AtomicU32::new(0)),
             down: std::array::from_fn(|_| AtomicBool::new(false)),
+            rests: Rests::default(),
             configured: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -190,6 +198,7 @@
             entries: ArcSwap::default(),
             contender: Mutex::new(contender),
             links: Links::default(),
+            started: Instant::now(),
             next_id: AtomicU64::new(nonce << ID_BITS),
         }
     }
@@ -238,6 +247,21 @@
         Tokens(self.pending[usize::from(slot.0)].load(Ordering::Relaxed))
     }
 
+    /// The incarnation of the engine in `slot`, once it is known.
+    pub fn incarnation(&self, slot: Slot) -> Option<Incarnation> {
+        self.cache_index.life(slot).map(|generation| generation.incarnation)
+    }
+
+    /// Time since this node was started.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// How long the engine in `slot` still wants no requests from this node.
+    pub fn rest_left(&self, slot: Slot) -> Option<Duration> {
+        self.rests.left(slot, self.incarnation(slot), self.uptime())
+    }
+
     /// Whether this node cannot reach the engine in `slot`.
     pub fn is_down(&self, slot: Slot) -> bool {
         self.down[usize::from(slot.0)].load(Ordering::Relaxed)
--- a/crates/router/tests/upstreams.rs
+++ b/crates/router/tests/upstreams.rs
@@ -102,3 +102,22 @@
         assert!(text.contains(r#""not_run":true"#), "{text}");
     });
 }
+
+#[test]
+fn an_engine_that_asks_for_rest_gets_no_requests_from_the_router() {
+    let site = Site::start(2, 1, &["--refuse", "true", "--retry-after", "3"]);
+    run(async move {
+        let offset = site.configure("kili-checks", "round-robin").await;
+        site.wait_config_applied(offset).await;
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(2_500) {
+            let (status, text) = post(&url, &completion("kili-checks", 32, 1, false)).await;
+            assert_eq!(status, 503, "{text}");
+            assert!(text.contains(r#""not_run":true"#), "{text}");
+            ntex::time::sleep(Duration::from_millis(20)).await;
+        }
+        let dump = state(&site.routers[0]).await.expect("a state dump");
+        assert_eq!(dump["counters"]["retried"], 2, "one request for each engine");
+    });
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -26,7 +26,8 @@
 use marjoram_core::ids::{Fencing, Incarnation, ModelVersion};
 use marjoram_core::prefix::Prefix;
 use marjoram_core::wire::{
-    CacheEvents, EngineRequest, LoadReport, NOT_EXECUTED, WEIGHTS_VERSION, WeightsOrder,
+    CacheEvents, EngineRequest, LoadReport, NOT_EXECUTED, RETRY_AFTER, WEIGHTS_VERSION,
+    WeightsOrder,
 };
 use ntex::web::{self, HttpResponse, types};
 use rand::Rng;
@@ -124,7 +125,12 @@
     let request = body.into_inner();
     let version = engine.version();
     if engine.opts.refuse {
-        return HttpResponse::ServiceUnavailable().header(NOT_EXECUTED, "true").body("full");
+        let mut refusal = HttpResponse::ServiceUnavailable();
+        refusal.header(NOT_EXECUTED, "true");
+        if !engine.opts.retry_after.is_empty() {
+            refusal.header(RETRY_AFTER, engine.opts.retry_after.as_str());
+        }
+        return refusal.body("full");
     }
     if request.expect_version.is_some_and(|expected| expected != version) {
         return HttpResponse::Conflict()
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -60,6 +60,8 @@
     pub weights_ms: u64,
     /// Refuse every request as not executed, as an engine at capacity does.
     pub refuse: bool,
+    /// Seconds without requests that refusals ask for; none if empty.
+    pub retry_after: String,
     /// Crash when a request whose prompt contains this text is admitted; never if
     /// empty.
     pub crash_on: String,
@@ -203,6 +205,7 @@
         "refuse every request, as an engine at capacity does [false]",
         "BOOL",
     );
+    opts.optopt("", "retry-after", "seconds without requests that refusals ask for []", "S");
     opts.optopt("", "crash-on", "crash when running a prompt that contains this text []", "TEXT");
     opts.optopt(
         "",
@@ -230,6 +233,7 @@
         fenced: setting(&m, "fenced", true)?,
         weights_ms: setting(&m, "weights-ms", 200)?,
         refuse: setting(&m, "refuse", false)?,
+        retry_after: setting(&m, "retry-after", String::new())?,
         crash_on: setting(&m, "crash-on", String::new())?,
         cross_every: setting(&m, "cross-every", 0)?,
         seed: setting(&m, "seed", 1)?,
