Say back-off where the code said rest

The usual term of the field, in names, log lines, metrics and pages; "rest" was the users' word. No logic changes.

--- a/crates/core/src/conditions.rs
+++ b/crates/core/src/conditions.rs
@@ -1,11 +1,11 @@
 //! The conditions under which an upstream takes requests, as it states them in the
 //! headers of its answers.
 //!
-//! Load pattern: an upstream that cannot keep up names the rate of requests that it
+//! Load pattern: an upstream that cannot keep up states the rate of requests that it
 //! takes from all hosts together. Each host sends it a part of the traffic and
 //! knows only its own part. An upstream that shuts down says so in its answers,
 //! possibly long before the registry does. One that is overloaded turns requests
-//! away and asks each host for a time without any.
+//! away and states for how long each host is to back off.
 //!
 //! Limits: what one incarnation states ends with it. A statement counts from the
 //! next send on, retries and queued requests included. Answers overtake each other,
@@ -29,8 +29,8 @@
 const OVERAGE: f64 = 0.5;
 const SLACK: f64 = 5.0;
 
-/// Longest time for which an upstream gets no requests because it asked for rest.
-const MAX_REST: Duration = Duration::from_secs(60);
+/// Longest time for which a host backs off from an upstream that asks for it.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
 /// Bounds of a rate limit, in requests a second. With a lower rate no request
 /// would be sent whose answer could withdraw the limit.
@@ -120,9 +120,9 @@
     pub limit: Stated<RateLimit>,
     /// The upstream is shutting down and takes no new requests.
     pub leaving: Stated<()>,
-    /// How long the upstream, which has turned a request away, wants no other from
-    /// this host.
-    pub rest: Stated<Duration>,
+    /// How long this host is to back off from the upstream, which has refused a
+    /// request.
+    pub backoff: Stated<Duration>,
 }
 
 impl StatedConditions {
@@ -137,24 +137,24 @@
         };
     }
 
-    /// Adds the statement `text` of how many seconds the upstream rests. Of several
-    /// in one answer the longest holds; times beyond a minute count as that.
+    /// Adds the statement `text` of how many seconds this host is to back off. Of
+    /// several in one answer the longest holds; times beyond a minute count as that.
     ///
     /// ```
     /// use std::time::Duration;
     /// use marjoram_core::conditions::{Stated, StatedConditions};
     /// let mut stated = StatedConditions::default();
-    /// stated.add_rest("2.5");
-    /// assert_eq!(stated.rest, Stated::Value(Duration::from_millis(2_500)));
-    /// stated.add_rest("1e9");
-    /// assert_eq!(stated.rest, Stated::Value(Duration::from_secs(60)));
+    /// stated.add_backoff("2.5");
+    /// assert_eq!(stated.backoff, Stated::Value(Duration::from_millis(2_500)));
+    /// stated.add_backoff("1e9");
+    /// assert_eq!(stated.backoff, Stated::Value(Duration::from_secs(60)));
     /// ```
-    pub fn add_rest(&mut self, text: &str) {
+    pub fn add_backoff(&mut self, text: &str) {
         let seconds = text.trim().parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
-        let rest = seconds.map(|s| Duration::from_secs_f64(s.min(MAX_REST.as_secs_f64())));
-        self.rest = match (self.rest, rest) {
-            (Stated::Value(known), Some(rest)) => Stated::Value(known.max(rest)),
-            (_, Some(rest)) => Stated::Value(rest),
+        let backoff = seconds.map(|s| Duration::from_secs_f64(s.min(MAX_BACKOFF.as_secs_f64())));
+        self.backoff = match (self.backoff, backoff) {
+            (Stated::Value(known), Some(time)) => Stated::Value(known.max(time)),
+            (_, Some(time)) => Stated::Value(time),
             (Stated::Nothing, None) => Stated::Invalid,
             (known, None) => known,
         };
@@ -164,7 +164,7 @@
     pub fn has_invalid(&self) -> bool {
         self.limit == Stated::Invalid
             || self.leaving == Stated::Invalid
-            || self.rest == Stated::Invalid
+            || self.backoff == Stated::Invalid
     }
 
     /// Adds the rate limit in `text`. Of several limits in one answer the lowest
@@ -205,8 +205,8 @@
     pub limit: Option<LimitChange>,
     /// It has said for the first time that it is leaving.
     pub leaving: bool,
-    /// It rests for this long from now on, and did not rest that long before.
-    pub rest: Option<Duration>,
+    /// This host is to back off for this long from now on, longer than before.
+    pub backoff: Option<Duration>,
 }
 
 /// A change of the rate limit in force: the former one and the new one.
@@ -238,8 +238,8 @@
 pub struct Conditions {
     limit: Option<LimitStatement>,
     leaving: bool,
-    /// Until when the upstream wants no requests from this host.
-    rest_until: Duration,
+    /// Until when this host backs off from the upstream.
+    backoff_until: Duration,
 }
 
 impl Conditions {
@@ -255,12 +255,12 @@
         let limit = self.record_limit(stated, sent, received);
         let leaving = stated.leaving == Stated::Value(()) && !self.leaving;
         self.leaving |= leaving;
-        let rest = match stated.rest {
-            Stated::Value(rest) if received + rest > self.rest_until => Some(rest),
+        let backoff = match stated.backoff {
+            Stated::Value(time) if received + time > self.backoff_until => Some(time),
             _ => None,
         };
-        self.rest_until = self.rest_until.max(received + rest.unwrap_or_default());
-        Changes { limit, leaving, rest }
+        self.backoff_until = self.backoff_until.max(received + backoff.unwrap_or_default());
+        Changes { limit, leaving, backoff }
     }
 
     fn record_limit(
@@ -305,9 +305,9 @@
         (former != statement.limit).then_some(LimitChange { former, limit: statement.limit })
     }
 
-    /// How long at `now` the upstream still wants no requests from this host.
-    pub fn rest_left(&self, now: Duration) -> Option<Duration> {
-        Some(self.rest_until.saturating_sub(now)).filter(|left| !left.is_zero())
+    /// How long at `now` this host still backs off from the upstream.
+    pub fn backoff_left(&self, now: Duration) -> Option<Duration> {
+        Some(self.backoff_until.saturating_sub(now)).filter(|left| !left.is_zero())
     }
 
     /// Whether the upstream has said that it is leaving.
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -18,8 +18,8 @@
 /// Response header of an engine that says it did not execute the request.
 pub const NOT_EXECUTED: &str = "not-executed";
 
-/// Response header of an engine that refuses a request: seconds for which it wants no
-/// other from this router.
+/// Response header of an engine that refuses a request: seconds for which this
+/// router is to back off.
 pub const RETRY_AFTER: &str = "retry-after";
 
 /// Request header that carries the caller's idempotency key.
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -48,9 +48,9 @@
         NoEngine(workspace: String) {
             display("route request of {workspace}: no live engine")
         }
-        /// All engines that could serve the request want none from this router for now.
-        Resting(workspace: String, left: Duration) {
-            display("route request of {workspace}: the engines take no requests for {left:?}")
+        /// All engines that could serve the request have asked this router to back off.
+        BackedOff(workspace: String, left: Duration) {
+            display("route request of {workspace}: the engines have asked to back off for {left:?} more")
         }
         /// The request is quarantined because engines crashed while running it.
         Quarantined(request: String, left: Duration) {
@@ -131,7 +131,7 @@
             Self::TooLarge(..) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownWorkspace(..) => StatusCode::NOT_FOUND,
             Self::NoEngine(..)
-            | Self::Resting(..)
+            | Self::BackedOff(..)
             | Self::Quarantined(..)
             | Self::Late(..)
             | Self::NoService(..)
@@ -160,7 +160,7 @@
         match self {
             Self::Late(_, wait, limit) => Some(wait.saturating_sub(*limit)),
             Self::Quarantined(_, left) => Some(*left),
-            Self::Resting(_, left) => {
+            Self::BackedOff(_, left) => {
                 Some(left.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
             }
             _ => match self.status() {
@@ -182,7 +182,7 @@
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
             Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
             Self::NoEngine(_)
-            | Self::Resting(..)
+            | Self::BackedOff(..)
             | Self::Quarantined(..)
             | Self::Late(..)
             | Self::NoService(_)
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -168,7 +168,7 @@
     match sent {
         Ok(response) if response.status().is_success() => Ok(response),
         Ok(response) if response.headers().contains_key(NOT_EXECUTED) => {
-            record_rest(node, engine, &response);
+            record_backoff(node, engine, &response);
             Err(Error::Refused(engine.addr.clone(), format!("status {}", response.status())))
         }
         Ok(response) => Err(failed("answer", format!("status {}", response.status()))),
@@ -177,14 +177,14 @@
     }
 }
 
-/// Records for how long an engine that refused a request wants no others.
-fn record_rest(node: &Node, engine: &Engine, response: &ClientResponse) {
+/// Records for how long an engine that refused a request asks to back off.
+fn record_backoff(node: &Node, engine: &Engine, response: &ClientResponse) {
     let Some(value) = response.headers().get(RETRY_AFTER) else { return };
     let text = String::from_utf8_lossy(value.as_bytes());
-    match node.rests.record(engine.slot, node.incarnation(engine.slot), &text, node.uptime()) {
-        Some(rest) => {
-            node.counters.rests.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(target: "forward", "forward: engine {} asks for {rest:?} without requests.", engine.addr);
+    match node.backoffs.record(engine.slot, node.incarnation(engine.slot), &text, node.uptime()) {
+        Some(backoff) => {
+            node.counters.backoffs.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(target: "forward", "forward: engine {} asks to back off for {backoff:?}.", engine.addr);
         }
         None => {
             tracing::warn!(target: "forward", "forward: engine {} sent an invalid {RETRY_AFTER}: {text:?}.", engine.addr)
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -122,7 +122,7 @@
             .filter(|e| {
                 !e.leaving && !node.is_down(e.slot) && !self.failed_engines.contains(&e.addr)
             })
-            .filter(|e| node.rest_left(e.slot).is_none())
+            .filter(|e| node.backoff_left(e.slot).is_none())
             .map(|e| (e, version(node.cache_index.life(e.slot))))
             .filter(|(_, version)| {
                 self.engine_request.expect_version.is_none_or(|due| due == *version)
@@ -233,9 +233,9 @@
     fn give_up_without_engine(&mut self, node: &Node) -> Error {
         let pool = node.pool.load();
         let engines = pool.engines.iter().filter(|e| !e.leaving && !node.is_down(e.slot));
-        match (self.last_error.take(), engines.filter_map(|e| node.rest_left(e.slot)).min()) {
+        match (self.last_error.take(), engines.filter_map(|e| node.backoff_left(e.slot)).min()) {
             (Some(error @ Error::Engine(..)), _) => error,
-            (_, Some(left)) => Error::Resting(self.workspace.to_string(), left),
+            (_, Some(left)) => Error::BackedOff(self.workspace.to_string(), left),
             (Some(error), None) => error,
             (None, None) => Error::NoEngine(self.workspace.to_string()),
         }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -6,6 +6,7 @@
 //! the host list.
 
 mod at_most_once;
+mod backoffs;
 mod clock;
 mod error;
 mod follow;
@@ -21,7 +22,6 @@
 mod poison;
 mod proxy;
 mod quarantine;
-mod rests;
 mod serve;
 mod startup;
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -23,11 +23,11 @@
 use marjoram_core::wire::HostEntry;
 use serde::Serialize;
 
+use crate::backoffs::Backoffs;
 use crate::clock;
 use crate::options::Settings;
 use crate::peer::links::Links;
 use crate::quarantine::Poison;
-use crate::rests::Rests;
 
 /// Retries allowed, in thousandths of the requests.
 const RETRY_BUDGET_PER_MILLE: u32 = 200;
@@ -97,8 +97,8 @@
     pub late: AtomicU64,
     /// Retries not made because the retry budget was used up.
     pub unretried: AtomicU64,
-    /// Refusals with which engines asked for a time without requests.
-    pub rests: AtomicU64,
+    /// Refusals with which engines asked to back off.
+    pub backoffs: AtomicU64,
     /// Streams resumed on another engine after a break.
     pub resumed: AtomicU64,
     /// Cache events applied.
@@ -131,8 +131,8 @@
     pub remote_load: [AtomicU32; MAX_SLOTS],
     /// Engines this node could not reach, by slot.
     pub down: [AtomicBool; MAX_SLOTS],
-    /// Engines that have asked this node for a time without requests.
-    pub rests: Rests,
+    /// Engines that have asked this node to back off.
+    pub backoffs: Backoffs,
     /// A configuration has been put in force, or the stream has been read to its end.
     pub configured: AtomicBool,
     /// The start-up reads are done and callers are accepted (see `startup`).
@@ -184,7 +184,7 @@
             budget: Budget::new(RETRY_BUDGET_PER_MILLE, RETRY_BURST),
             remote_load: std::array::from_fn(|_| AtomicU32::new(0)),
             down: std::array::from_fn(|_| AtomicBool::new(false)),
-            rests: Rests::default(),
+            backoffs: Backoffs::default(),
             configured: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -257,9 +257,9 @@
         self.started.elapsed()
     }
 
-    /// How long the engine in `slot` still wants no requests from this node.
-    pub fn rest_left(&self, slot: Slot) -> Option<Duration> {
-        self.rests.left(slot, self.incarnation(slot), self.uptime())
+    /// How long this node still backs off from the engine in `slot`, as it has asked.
+    pub fn backoff_left(&self, slot: Slot) -> Option<Duration> {
+        self.backoffs.left(slot, self.incarnation(slot), self.uptime())
     }
 
     /// Whether this node cannot reach the engine in `slot`.
--- a/crates/router/src/proxy/conditions.rs
+++ b/crates/router/src/proxy/conditions.rs
@@ -37,11 +37,11 @@
             listed_leaving = upstream.entry.borrow().leaving, age_ms = age.as_millis() as u64,
             source = "answer", "upstream is leaving, gets no more requests");
     }
-    if let Some(rest) = changes.rest {
-        site.counters.count("upstream.rests");
+    if let Some(backoff) = changes.backoff {
+        site.counters.count("upstream.backoffs");
         tracing::info!(target: "conditions", upstream = %upstream.life,
-            rest_ms = rest.as_millis() as u64, age_ms = age.as_millis() as u64,
-            source = "answer", "upstream asks for rest, gets no requests from this host");
+            backoff_ms = backoff.as_millis() as u64, age_ms = age.as_millis() as u64,
+            source = "answer", "backing off from upstream, as its answer asks");
     }
 }
 
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -90,10 +90,10 @@
     site.fleet.all().iter().filter(|u| u.health.borrow().is_paused(now)).count() as u64
 }
 
-/// Number of upstreams that want no requests from this host for a while.
-fn resting(site: &Site) -> u64 {
+/// Number of upstreams from which this host backs off, as they have asked.
+fn backed_off(site: &Site) -> u64 {
     let now = site.now();
-    site.fleet.all().iter().filter(|u| u.rest_left(now).is_some()).count() as u64
+    site.fleet.all().iter().filter(|u| u.backoff_left(now).is_some()).count() as u64
 }
 
 /// Counters, histograms and a few gauges as text.
@@ -109,7 +109,7 @@
         ("upstreams", site.fleet.all().len() as u64),
         ("upstreams_paused", paused(site)),
         ("upstreams_limited", rate_limits::limited(site)),
-        ("upstreams_resting", resting(site)),
+        ("upstreams_backed_off", backed_off(site)),
         ("upstream_requests", sum(|u| u64::from(u.local_load.get().running))),
         ("unread_tokens", sum(|u| u.load().unread)),
         ("requests_suspected", site.poison.counts().0 as u64),
@@ -170,7 +170,7 @@
                 "id": u.life.id, "born": u.life.born, "service": entry.service, "addr": entry.addr, "dc": entry.dc,
                 "leaving": u.is_leaving(), "weights": entry.weights,
                 "limit": rate_limits::state(site, u),
-                "rest_ms": u.rest_left(now).unwrap_or_default().as_millis() as u64,
+                "backoff_ms": u.backoff_left(now).unwrap_or_default().as_millis() as u64,
                 "closed": u.is_closed(now), "paused": health.is_paused(now),
                 "silent_ms": health.stalled_for(now).as_millis() as u64,
                 "failures": health.failures(), "pace": health.prefill_throughput(),
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -202,9 +202,9 @@
         self.entry.borrow().leaving || self.conditions.borrow().is_leaving()
     }
 
-    /// How long at `now` it still wants no requests from this host.
-    pub fn rest_left(&self, now: Duration) -> Option<Duration> {
-        self.conditions.borrow().rest_left(now)
+    /// How long at `now` this host still backs off from it, as it has asked.
+    pub fn backoff_left(&self, now: Duration) -> Option<Duration> {
+        self.conditions.borrow().backoff_left(now)
     }
 
     /// Whether `entry` describes this incarnation, in the same service.
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -223,16 +223,17 @@
         }
     }
 
-    /// The refusal of a request for which no upstream is free. If one of them only
-    /// rests, the caller is to retry after that, or somewhat later.
+    /// The refusal of a request for which no upstream is free. If this host only backs
+    /// off from one of them, the caller is to retry after that, or somewhat later.
     fn refuse_without_upstream(&self) -> Refusal {
         let now = self.site.now();
         let service = self.site.fleet.service(&self.service);
-        let resting = service.iter().filter(|u| !u.is_leaving()).filter_map(|u| u.rest_left(now));
-        match resting.min() {
+        let backoffs =
+            service.iter().filter(|u| !u.is_leaving()).filter_map(|u| u.backoff_left(now));
+        match backoffs.min() {
             Some(left) => {
-                self.site.counters.count("request.upstreams_rest");
-                self.give_up_until("upstreams ask for rest", left)
+                self.site.counters.count("request.backed_off");
+                self.give_up_until("upstreams have asked to back off", left)
             }
             None => self.give_up("no upstream free"),
         }
@@ -273,7 +274,7 @@
         let now = self.site.now();
         let share = self.connection_share();
         let available = |u: &Rc<Upstream>| {
-            let in_service = !u.is_leaving() && !u.is_closed(now) && u.rest_left(now).is_none();
+            let in_service = !u.is_leaving() && !u.is_closed(now) && u.backoff_left(now).is_none();
             let untried = !self.tried.contains(&u.life) && !self.unreachable.contains(&u.life);
             in_service && untried && u.pool.in_use() < share
         };
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -225,9 +225,9 @@
             },
             _ => {
                 upstream.health.borrow_mut().pause_for(now, REFUSAL_PAUSE);
-                // A query would be one more call that it does not want.
-                let rests = upstream.rest_left(now).is_some();
-                if let Some(prompt) = self.request.asked.prompt.as_ref().filter(|_| !rests) {
+                // While this host backs off, it does not query the engine either.
+                let backs_off = upstream.backoff_left(now).is_some();
+                if let Some(prompt) = self.request.asked.prompt.as_ref().filter(|_| !backs_off) {
                     reports::handle_unexplained_refusal(&self.site, &upstream, &prompt.model);
                 }
                 opened.finish(now);
--- a/crates/router/tests/upstreams.rs
+++ b/crates/router/tests/upstreams.rs
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn an_engine_that_asks_for_rest_gets_no_requests_from_the_router() {
+fn an_engine_that_asks_to_back_off_gets_no_requests_from_the_router() {
     let site = Site::start(2, 1, &["--refuse", "true", "--retry-after", "3"]);
     run(async move {
         let offset = site.configure("kili-checks", "round-robin").await;
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -60,7 +60,7 @@
     pub weights_ms: u64,
     /// Refuse every request as not executed, as an engine at capacity does.
     pub refuse: bool,
-    /// Seconds without requests that refusals ask for; none if empty.
+    /// Seconds for which refusals ask routers to back off; none if empty.
     pub retry_after: String,
     /// Crash when a request whose prompt contains this text is admitted; never if
     /// empty.
@@ -205,7 +205,7 @@
         "refuse every request, as an engine at capacity does [false]",
         "BOOL",
     );
-    opts.optopt("", "retry-after", "seconds without requests that refusals ask for []", "S");
+    opts.optopt("", "retry-after", "seconds for which refusals ask to back off []", "S");
     opts.optopt("", "crash-on", "crash when running a prompt that contains this text []", "TEXT");
     opts.optopt(
         "",
