--- a/crates/core/src/conditions.rs
+++ b/crates/core/src/conditions.rs
@@ -4,8 +4,8 @@
 //! Load pattern: an upstream that cannot keep up states the rate of requests that it
 //! takes from all hosts together. Each host sends it a part of the traffic and
 //! knows only its own part. An upstream that shuts down says so in its answers,
-//! possibly long before the registry does. One that is overloaded turns requests
-//! away and states for how long each host is to back off.
+//! possibly long before the registry does. One that is overloaded refuses requests
+//! and states for how long each host is to back off.
 //!
 //! Limits: what one incarnation states ends with it. A statement counts from the
 //! next send on, retries and queued requests included. Answers overtake each other,
