Ask each limited upstream once while a request waits

A request that no engine may take yet kept asking the limited ones, and each denial counted as demand there, so the ratio of requests that hosts may send fell and the rate was not used. Class: a check with a side effect in a polling loop. Denials are now kept with the request until it is sent; as its draw does not change, asking again seldom gave another answer. Requests that no rate limit denies take the same path as before.

--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -4,7 +4,7 @@
 mod choose;
 mod send;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 use super::quota::{self, Charge};
 use super::refusal::{QUARANTINED, RETRY_MAX, RETRY_MIN, Refusal};
 use super::site::{Broken, Site};
-use choose::Chosen;
+use choose::{Chosen, Denials};
 use send::Sent;
 
 /// Unreachable upstreams that one request tries before it is refused.
@@ -95,6 +95,8 @@
     begun: Duration,
     /// An upstream may have crashed while this request was in flight there.
     crashed: bool,
+    /// Upstreams to which the next send was denied because of their rate limits.
+    denials: RefCell<Denials>,
     /// It has been logged that the request waits until the crashes at which it was
     /// in flight are analysed.
     withheld: Cell<bool>,
@@ -157,6 +159,7 @@
             waited: Duration::ZERO,
             begun: Duration::ZERO,
             crashed: false,
+            denials: RefCell::default(),
             withheld: Cell::new(false),
             last: None,
         })
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -83,6 +83,22 @@
     pub cache: CacheId,
 }
 
+/// Upstreams to which a send was denied because of their rate limits. They are not
+/// asked again while the request waits, as each time would count as demand.
+#[derive(Default)]
+pub struct Denials {
+    upstreams: Vec<Instance>,
+    /// After which time one of them is expected to allow a request.
+    retry: Option<Duration>,
+}
+
+impl Denials {
+    fn add(&mut self, upstream: &Instance, retry: Duration) {
+        self.upstreams.push(upstream.clone());
+        self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
+    }
+}
+
 /// An engine or cache store from which cached prompt parts can be copied.
 struct CopySource {
     /// The engine; `None` for a cache store.
@@ -197,12 +213,11 @@
     /// limit; `None` if the request has to wait at the router. Upstreams to which
     /// this host may not send it are passed over.
     pub(super) fn choose_within_limits(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
-        let mut denied = Vec::new();
-        let mut retry = Duration::MAX;
+        let mut denials = self.denials.borrow_mut();
         loop {
-            let chosen = match self.choose(resumed, &denied) {
-                Err(_) if !denied.is_empty() => return Err(self.refuse_over_limits(retry)),
-                chosen => chosen?,
+            let chosen = match (self.choose(resumed, &denials.upstreams), denials.retry) {
+                (Err(_), Some(retry)) => return Err(self.refuse_over_limits(retry)),
+                (chosen, _) => chosen?,
             };
             if self.must_wait(&chosen) {
                 return Ok(None);
@@ -212,13 +227,12 @@
             }
             match rate_limits::admit(&self.site, &chosen.upstream, self.id()) {
                 Admission::Admitted => return Ok(Some(chosen)),
-                Admission::Refused(wait) => retry = retry.min(wait),
+                Admission::Refused(retry) => denials.add(&chosen.upstream.life, retry),
             }
-            denied.push(chosen.upstream.life.clone());
-            if denied.len() >= MAX_DENIALS {
+            if denials.upstreams.len() >= MAX_DENIALS {
                 let service = self.site.fleet.service(&self.service);
                 let limited = service.iter().filter(|u| u.conditions.borrow().limit().is_some());
-                denied.extend(limited.map(|u| u.life.clone()));
+                denials.upstreams.extend(limited.map(|u| u.life.clone()));
             }
         }
     }
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -97,6 +97,7 @@
             running = upstream.load().running, wait_ms = chosen.expected_wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
+        self.denials.take();
         self.last = Some(upstream.life.clone());
         self.tried.push(upstream.life.clone());
         let begun = site.now();
