--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -2,6 +2,7 @@
 //! is retried, and what the caller gets if no upstream answers.
 
 mod choose;
+mod limits;
 mod send;
 
 use std::cell::{Cell, RefCell};
@@ -26,7 +27,8 @@
 use super::quota::{self, Charge};
 use super::refusal::{QUARANTINED, RETRY_MAX, RETRY_MIN, Refusal};
 use super::site::{Broken, Site};
-use choose::{Chosen, Denials};
+use choose::Chosen;
+use limits::Denials;
 use send::Sent;
 
 /// Unreachable upstreams that one request tries before it is refused.
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -16,7 +16,6 @@
 use marjoram_core::place::{self, Candidate, Choice, CopyableCache, Need, WeightsAge};
 use marjoram_core::plain::{self, PlainUpstream};
 use marjoram_core::poison;
-use marjoram_core::quota::gate::Admission;
 use marjoram_core::rollout::AnnouncedVersions;
 use marjoram_core::store_availability::StoreAvailability;
 use marjoram_core::switches::Mechanism;
@@ -26,7 +25,6 @@
 
 use super::{Exchange, millis};
 use crate::proxy::fleet::Upstream;
-use crate::proxy::rate_limits;
 use crate::proxy::refusal::Refusal;
 
 /// Prefill throughput, in prompt tokens per millisecond, that is assumed for an
@@ -48,10 +46,6 @@
 /// when that scores better.
 const SMALL_PROMPT_SHARE: f64 = 0.3;
 
-/// Upstreams whose rate limits are tried for one send. After that only upstreams
-/// without a limit are, so that a choice stays cheap where most have one.
-const MAX_DENIALS: usize = 4;
-
 /// Factor by which a copy between data centres is assumed to take longer than
 /// one within a data centre.
 const CROSS_DC_FACTOR: f64 = 2.0;
@@ -83,22 +77,6 @@
     pub cache: CacheId,
 }
 
-/// Upstreams to which a send was denied because of their rate limits. They are not
-/// asked again while the request waits, as each time would count as demand.
-#[derive(Default)]
-pub struct Denials {
-    upstreams: Vec<Instance>,
-    /// After which time one of them is expected to allow a request.
-    retry: Option<Duration>,
-}
-
-impl Denials {
-    fn add(&mut self, upstream: &Instance, retry: Duration) {
-        self.upstreams.push(upstream.clone());
-        self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
-    }
-}
-
 /// An engine or cache store from which cached prompt parts can be copied.
 struct CopySource {
     /// The engine; `None` for a cache store.
@@ -196,7 +174,7 @@
     /// A request that was in flight when an upstream crashed is first tried on the
     /// few upstreams that [`poison::retry_upstreams`] assigns to it, so that it can
     /// be distinguished from the others that were in flight there.
-    fn choose(&self, resumed: bool, denied: &[Instance]) -> Result<Chosen, Refusal> {
+    pub(super) fn choose(&self, resumed: bool, denied: &[Instance]) -> Result<Chosen, Refusal> {
         let mut all = self.candidates();
         all.retain(|u| !denied.contains(&u.life));
         let separate = (self.crashed || self.site.poison.suspects(self.fingerprint))
@@ -209,34 +187,6 @@
         }
     }
 
-    /// Selects the upstream for the next send and counts the send towards its rate
-    /// limit; `None` if the request has to wait at the router. Upstreams to which
-    /// this host may not send it are passed over.
-    pub(super) fn choose_within_limits(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
-        let mut denials = self.denials.borrow_mut();
-        loop {
-            let chosen = match (self.choose(resumed, &denials.upstreams), denials.retry) {
-                (Err(_), Some(retry)) => return Err(self.refuse_over_limits(retry)),
-                (chosen, _) => chosen?,
-            };
-            if self.must_wait(&chosen) {
-                return Ok(None);
-            }
-            if self.sends > 0 && !self.site.might_repeat(&self.service) {
-                return Err(self.give_up("repeat budget used up"));
-            }
-            match rate_limits::admit(&self.site, &chosen.upstream, self.id()) {
-                Admission::Admitted => return Ok(Some(chosen)),
-                Admission::Refused(retry) => denials.add(&chosen.upstream.life, retry),
-            }
-            if denials.upstreams.len() >= MAX_DENIALS {
-                let service = self.site.fleet.service(&self.service);
-                let limited = service.iter().filter(|u| u.conditions.borrow().limit().is_some());
-                denials.upstreams.extend(limited.map(|u| u.life.clone()));
-            }
-        }
-    }
-
     /// The refusal of a request for which no upstream is free. If this host only backs
     /// off from one of them, the caller is to retry after that, or somewhat later.
     fn refuse_without_upstream(&self) -> Refusal {
@@ -253,13 +203,6 @@
         }
     }
 
-    /// The refusal of a request that no upstream takes because of its rate limit.
-    /// One more request is expected to be allowed after `retry`.
-    fn refuse_over_limits(&self, retry: Duration) -> Refusal {
-        self.site.counters.count("request.limits_reached");
-        self.give_up_until("rate limits of the upstreams reached", retry)
-    }
-
     /// Those of `all` that are assigned to this request because it was in flight at
     /// a crash. Other requests in flight at that crash are mostly assigned other
     /// upstreams.
--- /dev/null
+++ b/crates/router/src/proxy/request/limits.rs
@@ -0,0 +1,68 @@
+//! Keeps the choice of an upstream within the rate limits that upstreams state.
+
+use std::time::Duration;
+
+use marjoram_core::quota::gate::Admission;
+use marjoram_core::upstream::Instance;
+
+use super::Exchange;
+use super::choose::Chosen;
+use crate::proxy::rate_limits;
+use crate::proxy::refusal::Refusal;
+
+/// Upstreams whose rate limits are tried for one send. After that only upstreams
+/// without a limit are, so that a choice stays cheap where most have one.
+const MAX_DENIALS: usize = 4;
+
+/// Upstreams to which a send was denied because of their rate limits. They are not
+/// asked again while the request waits, as each time would count as demand.
+#[derive(Default)]
+pub struct Denials {
+    upstreams: Vec<Instance>,
+    /// After which time one of them is expected to allow a request.
+    retry: Option<Duration>,
+}
+
+impl Denials {
+    fn add(&mut self, upstream: &Instance, retry: Duration) {
+        self.upstreams.push(upstream.clone());
+        self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
+    }
+}
+
+impl Exchange {
+    /// Selects the upstream for the next send and counts the send towards its rate
+    /// limit; `None` if the request has to wait at the router. Upstreams to which
+    /// this host may not send it are passed over.
+    pub(super) fn choose_within_limits(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
+        let mut denials = self.denials.borrow_mut();
+        loop {
+            let chosen = match (self.choose(resumed, &denials.upstreams), denials.retry) {
+                (Err(_), Some(retry)) => return Err(self.refuse_over_limits(retry)),
+                (chosen, _) => chosen?,
+            };
+            if self.must_wait(&chosen) {
+                return Ok(None);
+            }
+            if self.sends > 0 && !self.site.might_repeat(&self.service) {
+                return Err(self.give_up("repeat budget used up"));
+            }
+            match rate_limits::admit(&self.site, &chosen.upstream, self.id()) {
+                Admission::Admitted => return Ok(Some(chosen)),
+                Admission::Refused(retry) => denials.add(&chosen.upstream.life, retry),
+            }
+            if denials.upstreams.len() >= MAX_DENIALS {
+                let service = self.site.fleet.service(&self.service);
+                let limited = service.iter().filter(|u| u.conditions.borrow().limit().is_some());
+                denials.upstreams.extend(limited.map(|u| u.life.clone()));
+            }
+        }
+    }
+
+    /// The refusal of a request that no upstream takes because of its rate limit.
+    /// One more request is expected to be allowed after `retry`.
+    fn refuse_over_limits(&self, retry: Duration) -> Refusal {
+        self.site.counters.count("request.limits_reached");
+        self.give_up_until("rate limits of the upstreams reached", retry)
+    }
+}
