Backlog accounts: which services are coordinated, the ledger of claims

Large prompts are late because hosts learn of each other's sends with heartbeats, 0.5 s later (docs/design/demand.md). The ledger keeps claims by engine and measures each engine's throughput from the prompts of all hosts. Not used yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,8 @@
 //!   cached.
 //! - [`cache_updates`]: cache updates that hosts send to each other.
 //! - [`place`]: selects the engine for a prompt.
+//! - [`coordination`]: selects the services for which hosts coordinate prompts.
+//! - [`backlog`]: accounts of the large prompts outstanding at each engine.
 //! - [`plain`]: selects the upstream for a request to a plain service.
 //! - [`poison`]: detects requests that crash the upstreams that run them.
 //! - [`budget`]: the retry budget shared by all hosts.
@@ -60,6 +62,7 @@
 
 pub mod admission;
 pub mod announce;
+pub mod backlog;
 pub mod broadcast;
 pub mod budget;
 pub mod cache;
@@ -69,6 +72,7 @@
 pub mod claims;
 pub mod conditions;
 pub mod config;
+pub mod coordination;
 pub mod era;
 pub mod error;
 pub mod events;
