Place large prompts by the accounts of two coordinators

Cause: hosts learn of each other's large prompts with heartbeats, 0.5 s later, and a large prompt is read in 0.3 s. Hosts now report each one to two hosts and query these before they choose an engine; the accounts also give the throughput measured from all hosts' prompts. Only for services whose streaming routes all have a target of 600 ms or more, and beyond 17 hosts.

Ruled out: lost datagrams (10 of 2,344 choices were made without an answer).

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -35,7 +35,7 @@
 
 use crate::part_index;
 use crate::policy::PolicyName;
-pub use partition::{SINGLE_ROUND_HOSTS, pool_partition, sample};
+pub use partition::{SINGLE_ROUND_HOSTS, pool_partition, sample, sample_each};
 use score::score;
 
 /// Time after their replacement during which weights count as current.
@@ -234,13 +234,38 @@
 /// assert_eq!((choice.engine, choice.copies), (0, true));
 /// ```
 pub fn place(need: Need, candidates: &[Candidate]) -> Option<Choice> {
+    let compared = compared(need, candidates).into_iter();
+    let scored = compared
+        .map(|(index, found)| score(need, &candidates[index], index, found == Found::Preferred));
+    scored.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
+}
+
+/// Why an engine is compared for a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Found {
+    /// It is the preferred engine of the prompt's prefix path, for its weights.
+    Preferred,
+    /// It has shared parts of the prompt cached.
+    Caching,
+    /// It is in the sample.
+    Sampled,
+}
+
+/// The `candidates` that [`place`] compares for a prompt with the need `need`, by index.
+pub fn compared(need: Need, candidates: &[Candidate]) -> Vec<(usize, Found)> {
     let preferred_engines = preferred_engines(candidates);
-    let scored = candidates.iter().enumerate().filter_map(|(index, c)| {
+    let may_share = need.shared >= part_index::LARGE_PART;
+    let found = |index: usize, c: &Candidate| {
         let preferred = preferred_engines.iter().any(|(_, engine)| *engine == index);
-        let may_have_parts = need.shared >= part_index::LARGE_PART && (preferred || c.held > 0);
-        (c.sampled || may_have_parts).then(|| score(need, c, index, preferred))
-    });
-    scored.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
+        match preferred {
+            true if may_share || c.sampled => Some(Found::Preferred),
+            false if may_share && c.held > 0 => Some(Found::Caching),
+            false if c.sampled => Some(Found::Sampled),
+            true | false => None,
+        }
+    };
+    let indexed = candidates.iter().enumerate();
+    indexed.filter_map(|(index, c)| Some((index, found(index, c)?))).collect()
 }
 
 /// Index of the preferred engine for the prompt's prefix path among the
--- a/crates/core/src/place/partition.rs
+++ b/crates/core/src/place/partition.rs
@@ -33,6 +33,21 @@
     partition
 }
 
+/// Which engines are compared for a request with the key `request`: `count` of its `partition`
+/// and as many others, drawn by hashing.
+pub fn sample_each(request: u64, places: &[u64], partition: &[bool], count: usize) -> Vec<bool> {
+    let mut sampled = vec![false; places.len()];
+    for inside in [true, false] {
+        let mut order: Vec<(u64, usize)> = (0..places.len())
+            .filter(|&i| partition[i] == inside)
+            .map(|i| (rank(request, places[i]), i))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().take(count).for_each(|(_, i)| sampled[i] = true);
+    }
+    sampled
+}
+
 /// Which engines are compared for a request with the key `request` when there
 /// are `hosts` hosts: all of them at up to [`SINGLE_ROUND_HOSTS`], else a few of its
 /// `partition` and a few others.
@@ -49,14 +64,5 @@
     if hosts <= SINGLE_ROUND_HOSTS {
         return vec![true; places.len()];
     }
-    let mut sampled = vec![false; places.len()];
-    for inside in [true, false] {
-        let mut order: Vec<(u64, usize)> = (0..places.len())
-            .filter(|&i| partition[i] == inside)
-            .map(|i| (rank(request, places[i]), i))
-            .collect();
-        order.sort_unstable();
-        order.into_iter().take(SAMPLE_PER_PARTITION).for_each(|(_, i)| sampled[i] = true);
-    }
-    sampled
+    sample_each(request, places, partition, SAMPLE_PER_PARTITION)
 }
--- a/crates/core/src/switches.rs
+++ b/crates/core/src/switches.rs
@@ -41,10 +41,17 @@
     /// For each workspace, a few hosts act as quota coordinators. Without this,
     /// each host keeps to a fixed share of the quota.
     QuotaCoordinators,
+    /// For each coordinated service, two hosts keep accounts of the large prompts that
+    /// are outstanding at its engines. Without this, hosts know of each other's prompts by
+    /// heartbeats.
+    BacklogAccounts,
+    /// Requests for a coordinated service wait in an ordered queue while no engine has
+    /// room for them.
+    WaitQueue,
 }
 
 /// All mechanisms with the names that `--without` takes.
-const NAMES: [(Mechanism, &str); 11] = [
+const NAMES: [(Mechanism, &str); 13] = [
     (Mechanism::PreferredEngines, "homes"),
     (Mechanism::Copies, "copies"),
     (Mechanism::Stores, "stores"),
@@ -56,6 +63,8 @@
     (Mechanism::UnreachableReports, "doubts"),
     (Mechanism::Reports, "reports"),
     (Mechanism::QuotaCoordinators, "accounts"),
+    (Mechanism::BacklogAccounts, "backlog"),
+    (Mechanism::WaitQueue, "queue"),
 ];
 
 impl fmt::Display for Mechanism {
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempt;
+mod backlog;
 mod cachefeed;
 mod callers;
 mod conditions;
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -14,7 +14,7 @@
 use super::fleet::Upstream;
 use super::http1::{self, ResponseWriter};
 use super::site::Site;
-use super::{quota, rate_limits};
+use super::{backlog, quota, rate_limits};
 use crate::clock;
 
 /// Longest head of a request, in bytes.
@@ -112,6 +112,7 @@
         ("upstreams_backed_off", backed_off(site)),
         ("upstream_requests", sum(|u| u64::from(u.local_load.get().running))),
         ("unread_tokens", sum(|u| u.load().unread)),
+        ("backlog_claims", site.backlog.ledger.borrow().claims() as u64),
         ("requests_suspected", site.poison.counts().0 as u64),
         ("requests_quarantined", site.poison.counts().1 as u64),
         ("log_lines_dropped", dropped.dropped_lines() as u64),
@@ -187,6 +188,7 @@
         "handled": site.handled.get(),
         "quarantine": quarantine(site),
         "quotas": quota::state(site),
+        "backlog": backlog::state(site),
         "suspected": site.poison.counts().0,
         "hosts": site.peers.state(now),
         "upstreams": upstreams,
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -79,6 +79,8 @@
     pub pool: Pool,
     /// This host's requests there.
     pub local_load: Cell<Load>,
+    /// Prefill throughput that other hosts measured, in prompt tokens per millisecond.
+    pub reported_throughput: Cell<Option<f64>>,
     /// Other hosts' requests there, from their last heartbeats.
     pub remote_load: Cell<Load>,
     /// Until when other hosts' unreachable reports count.
@@ -106,6 +108,7 @@
             health: RefCell::default(),
             pool: Pool::default(),
             local_load: Cell::default(),
+            reported_throughput: Cell::default(),
             remote_load: Cell::default(),
             reported_unreachable_until: Cell::default(),
             cache_index: RefCell::default(),
--- a/crates/router/src/proxy/follow/operators.rs
+++ b/crates/router/src/proxy/follow/operators.rs
@@ -2,7 +2,6 @@
 //! Both change rarely, so the store is asked to wait for new ones.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use marjoram_core::catalog::Catalog;
@@ -69,7 +68,7 @@
     }
     tracing::info!(target: "config", version = new.version, before = known, source,
         routes = new.routes().count(), "configuration in force");
-    site.catalog.store(Some(Arc::new(new)));
+    site.set_catalog(new);
 }
 
 /// Processes an announced weights version. `fresh` is set if it was announced just
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -9,7 +9,7 @@
 mod message;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -240,6 +240,15 @@
         }
     }
 
+    /// Hashes of the names of the other hosts that have not been gone for long.
+    pub fn present_names(&self) -> HashSet<u64> {
+        let (now, gone) = (self.now.get(), self.peer_timeout() * GONE_FACTOR);
+        let known = self.known.borrow();
+        let present =
+            known.iter().filter(|(_, p)| now < p.last_heartbeat.unwrap_or(p.added) + gone);
+        present.map(|(name, _)| xxh3_64(name.as_bytes())).collect()
+    }
+
     /// Addresses at which the other hosts take callers, of those that do.
     pub fn open(&self) -> Vec<SocketAddr> {
         let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
--- a/crates/router/src/proxy/hosts/message.rs
+++ b/crates/router/src/proxy/hosts/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use marjoram_core::backlog::{Account, ClaimChange};
 use marjoram_core::broadcast::Slice;
 use marjoram_core::cache_updates::CacheUpdate;
 use marjoram_core::candidacy::ControlCapacity;
@@ -53,6 +54,12 @@
     /// What the receiver may send to these upstreams. The number is the hash of the
     /// name of the host that coordinates their rate limits.
     LimitAnswers(u64, Vec<LimitAnswer>),
+    /// Asks for the accounts of the engines with these keys.
+    BacklogQuery { id: u64, upstreams: Vec<u64> },
+    /// The accounts that a query asked for, by the keys of the engines.
+    BacklogAnswer { id: u64, accounts: Vec<(u64, Account)> },
+    /// Changes of the sender's large prompts at engines.
+    Claims(Sender, Vec<ClaimChange>),
 }
 
 /// What one host knows of an upstream's rate limit, and what it sent it.
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -20,7 +20,7 @@
 use super::fleet::Upstream;
 use super::hosts::{Message, PERIOD};
 use super::site::Site;
-use super::{cachefeed, notices, poison, quota, rate_limits, state_transfer};
+use super::{backlog, cachefeed, notices, poison, quota, rate_limits, state_transfer};
 use heartbeat::apply_announcement_ages;
 pub use heartbeat::send_heartbeats;
 
@@ -116,6 +116,13 @@
         Message::LimitAnswers(coordinator, answers) => {
             rate_limits::apply_answers(site, coordinator, &answers)
         }
+        Message::BacklogQuery { id, upstreams } => {
+            backlog::handle_query(site, id, &upstreams, from)
+        }
+        Message::BacklogAnswer { id, accounts } => {
+            site.backlog.answer(id, accounts.into_iter().collect())
+        }
+        Message::Claims(sender, changes) => backlog::handle_claims(site, sender, &changes),
         // A message is forwarded only once.
         Message::Forward(..) => {}
     }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -1,6 +1,7 @@
 //! The life cycle of a caller's request: which upstreams it is sent to, when it
 //! is retried, and what the caller gets if no upstream answers.
 
+mod accounts;
 mod choose;
 mod limits;
 mod send;
@@ -20,13 +21,14 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::StartedAnswer;
+use super::backlog::Claim;
 use super::failure::Failure;
 use super::fleet::{Flight, Upstream};
 use super::http1::RequestHead;
 use super::poison;
 use super::quota::{self, Charge};
 use super::refusal::{QUARANTINED, RETRY_MAX, RETRY_MIN, Refusal};
-use super::site::{Broken, Site};
+use super::site::{Accounts, Broken, Site};
 use choose::Chosen;
 use limits::Denials;
 use send::Sent;
@@ -97,6 +99,10 @@
     begun: Duration,
     /// An upstream may have crashed while this request was in flight there.
     crashed: bool,
+    /// The last send, as reported to other hosts; `None` for requests that are not.
+    claim: Option<Claim>,
+    /// The engines' accounts of outstanding prompts, as last queried.
+    accounts: RefCell<Accounts>,
     /// Upstreams to which the next send was denied because of their rate limits.
     denials: RefCell<Denials>,
     /// It has been logged that the request waits until the crashes at which it was
@@ -161,6 +167,8 @@
             waited: Duration::ZERO,
             begun: Duration::ZERO,
             crashed: false,
+            claim: None,
+            accounts: RefCell::default(),
             denials: RefCell::default(),
             withheld: Cell::new(false),
             last: None,
@@ -239,6 +247,7 @@
         let mut failed: Option<(StartedAnswer, BytesMut)> = None;
         let mut weights_tries = 0;
         loop {
+            self.query_backlog().await;
             let chosen = match self.next(resumed.is_some()) {
                 Ok(Some(chosen)) => chosen,
                 Ok(None) => {
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -46,6 +46,10 @@
 /// when that scores better.
 const SMALL_PROMPT_SHARE: f64 = 0.3;
 
+/// Engines sampled inside and outside the partition for a prompt whose accounts are queried: these are
+/// recent, so more engines can be compared without all hosts choosing the same one.
+const REPORTED_SAMPLE: usize = 4;
+
 /// Factor by which a copy between data centres is assumed to take longer than
 /// one within a data centre.
 const CROSS_DC_FACTOR: f64 = 2.0;
@@ -297,16 +301,11 @@
     ) -> Result<Chosen, Refusal> {
         let limit = self.replaced_weights_limit(&prompt.model);
         let weights = |u: &Upstream| u.weights(&prompt.model).unwrap_or_default();
-        let allowed: Vec<&Rc<Upstream>> = all.iter().filter(|u| limit.allows(weights(u))).collect();
+        let allowed = self.allowed(prompt, all, &limit);
         let shared = prompt.shared_parts();
         let sources = self.copy_sources(prompt, shared, spec);
         let views = self.views(prompt, shared, spec, &allowed, &sources, &limit);
-        let need = Need {
-            input: prompt.input,
-            shared: prompt.shared(),
-            output: prompt.output,
-            target: self.route.target.as_secs_f64() * 1e3,
-        };
+        let need = self.need(prompt);
         let turn = self.site.turn.replace(self.site.turn.get().wrapping_add(1));
         let Some(choice) = place::place_by(self.site.policy, need, &views, turn) else {
             return Err(self.give_up("no engine on weights in force"));
@@ -337,6 +336,51 @@
         })
     }
 
+    /// Those of `all` whose weights may be used and, if accounts were queried, whose
+    /// account is known: engines are compared by equally recent figures.
+    fn allowed<'a>(
+        &self,
+        prompt: &Prompt,
+        all: &'a [Rc<Upstream>],
+        limit: &ReplacedWeightsLimit,
+    ) -> Vec<&'a Rc<Upstream>> {
+        let accounts = self.accounts.borrow();
+        let weights = |u: &Upstream| u.weights(&prompt.model).unwrap_or_default();
+        let allowed: Vec<_> = all.iter().filter(|u| limit.allows(weights(u))).collect();
+        let known: Vec<_> =
+            allowed.iter().copied().filter(|u| accounts.contains_key(&u.key)).collect();
+        if known.is_empty() { allowed } else { known }
+    }
+
+    /// What the placement functions need to know of `prompt`.
+    fn need(&self, prompt: &Prompt) -> Need {
+        Need {
+            input: prompt.input,
+            shared: prompt.shared(),
+            output: prompt.output,
+            target: self.route.target.as_secs_f64() * 1e3,
+        }
+    }
+
+    /// Keys of the engines to compare for the prompt, at most `count`: first those that
+    /// may have its parts cached.
+    pub(super) fn engines_to_compare(&self, count: usize) -> Vec<u64> {
+        let (Some(prompt), Some(spec)) =
+            (&self.request.asked.prompt, self.catalog.engine(&self.service))
+        else {
+            return Vec::new();
+        };
+        let all = self.candidates();
+        let limit = self.replaced_weights_limit(&prompt.model);
+        let allowed = self.allowed(prompt, &all, &limit);
+        let shared = prompt.shared_parts();
+        let sources = self.copy_sources(prompt, shared, spec);
+        let views = self.views(prompt, shared, spec, &allowed, &sources, &limit);
+        let mut compared = place::compared(self.need(prompt), &views);
+        compared.sort_by_key(|(_, found)| *found);
+        compared.into_iter().take(count).map(|(index, _)| allowed[index].key).collect()
+    }
+
     /// Where to try to copy shared parts that no engine or store is known to have
     /// cached, if enough of them are missing: from the preferred engine of their
     /// prefix path, or, if that is the engine chosen, from the cache store to which
@@ -409,20 +453,26 @@
             small_share,
             prompt.input >= place::LARGE_PROMPT,
         );
+        let accounts = self.accounts.borrow();
         let hosts = if has(Mechanism::EngineSampling) { self.site.peers.count() } else { 1 };
-        let sampled = place::sample(request, &address_hashes, &partition, hosts);
+        let sampled = match self.is_reported() {
+            true => place::sample_each(request, &address_hashes, &partition, REPORTED_SAMPLE),
+            false => place::sample(request, &address_hashes, &partition, hosts),
+        };
         let view = |((u, in_partition), sampled): ((&&Rc<Upstream>, bool), bool)| {
             let (load, health, entry) = (u.load(), u.health.borrow(), u.entry.borrow());
             let weights = u.weights(&prompt.model).unwrap_or_default();
             let source = best_source(sources, weights, &u.life, &entry.dc);
+            let account = accounts.get(&u.key);
+            let throughput = u.reported_throughput.get().or_else(|| health.prefill_throughput());
             Candidate {
                 rank: place::rank(prefix_path, u.address_hash),
-                unread: load.unread,
+                unread: account.map_or(load.unread, |a| a.unread),
                 running: load.running,
                 slots: entry.slots,
-                memory: load.memory,
+                memory: account.map_or(load.memory, |a| a.memory.max(load.memory)),
                 capacity: spec.capacity,
-                pace: health.prefill_throughput().unwrap_or(DEFAULT_THROUGHPUT),
+                pace: throughput.unwrap_or(DEFAULT_THROUGHPUT),
                 held: u.cached_tokens(self.cache(weights), shared, now),
                 copy: source.map(|s| s.copy_cost(&entry.dc)),
                 failures: health.failures(),
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -12,6 +12,7 @@
 use super::Exchange;
 use super::choose::Chosen;
 use crate::proxy::attempt::{self, StartedAnswer};
+use crate::proxy::backlog::Claim;
 use crate::proxy::failure::Failure;
 use crate::proxy::fleet::Flight;
 use crate::proxy::http1::RequestWriter;
@@ -89,12 +90,14 @@
         let envelope = self.envelope(chosen, resumed);
         let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.prefill, memory, site.now());
+        self.claim = self.new_claim(chosen, memory);
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
             fingerprint = %self.fingerprint,
             chain = prompt.map(|p| p.prefix_hash()), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
             salt = envelope.salt, fetch = envelope.fetch, save = envelope.save,
             input = prompt.map(|p| p.input), unread = chosen.prefill, ahead,
-            running = upstream.load().running, wait_ms = chosen.expected_wait.as_millis() as u64,
+            running = upstream.load().running, accounts = self.accounts.borrow().len(),
+            backlog = self.accounts.borrow().get(&upstream.key).map(|a| a.unread), wait_ms = chosen.expected_wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
         self.denials.take();
@@ -119,6 +122,9 @@
         let result = result.unwrap_or_else(|_| Err(Failure::TimedOut(site.now() - begun)));
         let now = site.now();
         self.waited = now - begun;
+        if !matches!(&result, Ok(opened) if !opened.mark.not_run) {
+            self.claim = None;
+        }
         match result {
             Err(Failure::Unreachable(why)) => {
                 self.may_have_run = may_have_run_before;
@@ -157,12 +163,21 @@
                     upstream.record_weights(&prompt.model, version);
                 }
                 let shared = prompt.map(|p| p.shared_parts()).unwrap_or_default();
+                self.claim.iter().for_each(Claim::read);
                 record_prefill(&mut flight, chosen, shared, ahead, begun, now);
                 self.check_answer(opened, flight).await
             }
         }
     }
 
+    /// The report of the prompt that is about to be sent to the engine chosen; `None` if other hosts need
+    /// not know of it.
+    fn new_claim(&self, chosen: &Chosen, memory: u64) -> Option<Claim> {
+        self.is_reported().then(|| {
+            Claim::new(&self.site, &self.service, &chosen.upstream, chosen.prefill, memory)
+        })
+    }
+
     /// How long to wait for the first byte of the answer: until the caller's
     /// deadline if the request cannot go to another upstream.
     fn first_byte_timeout(&self, expected: Duration) -> Duration {
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -15,7 +15,7 @@
 use super::options::ProxyOptions;
 use super::site::Site;
 use super::{
-    cachefeed, callers, entry, follow, logs, notices, peers, poison, quota, rate_limits,
+    backlog, cachefeed, callers, entry, follow, logs, notices, peers, poison, quota, rate_limits,
     state_transfer,
 };
 use crate::error::Error;
@@ -73,6 +73,7 @@
     ntex::rt::spawn(poison::maintain_records(site.clone()));
     ntex::rt::spawn(quota::run(site.clone()));
     ntex::rt::spawn(rate_limits::run(site.clone()));
+    ntex::rt::spawn(backlog::run(site.clone()));
     let state_listener = listen(site.peers.record.peers)?;
     ntex::rt::spawn(state_transfer::serve(site.clone(), state_listener));
     let leadership = leadership::start(&site);
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -1,6 +1,7 @@
 //! State shared by the parts of one process. This module imports none of those
 //! parts.
 
+mod backlog;
 mod notices;
 mod poison;
 mod quotas;
@@ -16,9 +17,11 @@
 use marjoram_core::cache_updates::UpdateQueue;
 use marjoram_core::candidacy::ControlCapacity;
 use marjoram_core::catalog::Catalog;
+use marjoram_core::coordination::Coordination;
 use marjoram_core::era::Era;
 use marjoram_core::host::HostSettings;
 use marjoram_core::leadership::CandidateStatus;
+use marjoram_core::place;
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::AnnouncedVersions;
 use marjoram_core::stop::Stop;
@@ -34,6 +37,7 @@
 use super::relays::Relays;
 use super::stores::Stores;
 use super::traffic::Traffic;
+pub use backlog::{Accounts, Backlog};
 pub use notices::Notices;
 pub use poison::{Broken, Poison};
 pub use quotas::Quotas;
@@ -72,6 +76,8 @@
     pub quotas: Quotas,
     /// Upstreams' rate limits and their usage.
     pub rate_limits: Quotas,
+    /// Accounts of outstanding large prompts.
+    pub backlog: Backlog,
     pub counters: Counters,
     /// Counts messages and calls other than callers' requests.
     pub traffic: Rc<Traffic>,
@@ -104,6 +110,8 @@
     /// Number of requests in progress.
     pub handled: Cell<u32>,
     budgets: RefCell<HashMap<String, Budget>>,
+    /// The coordinated services of the configuration in force.
+    coordinated: RefCell<HashMap<String, Rc<Coordination>>>,
     start: Instant,
 }
 
@@ -129,6 +137,7 @@
             poison: Poison::default(),
             quotas: Quotas::default(),
             rate_limits: Quotas::default(),
+            backlog: Backlog::default(),
             counters: Counters::new(),
             traffic,
             stopping: Cell::default(),
@@ -145,6 +154,7 @@
             rollout_check: Notify::new(),
             handled: Cell::default(),
             budgets: RefCell::default(),
+            coordinated: RefCell::default(),
             start: Instant::now(),
         })
     }
@@ -215,6 +225,20 @@
         self.catalog.load_full()
     }
 
+    /// Puts `catalog` in force.
+    pub fn set_catalog(&self, catalog: Catalog) {
+        let services = Coordination::services(&catalog).into_iter();
+        *self.coordinated.borrow_mut() = services.map(|(name, s)| (name, Rc::new(s))).collect();
+        self.catalog.store(Some(Arc::new(catalog)));
+    }
+
+    /// How `service` is coordinated; `None` if it is not. With few hosts, heartbeats reach all of them in
+    /// one round, and coordination gains nothing.
+    pub fn coordination(&self, service: &str) -> Option<Rc<Coordination>> {
+        let many = self.peers.count() > place::SINGLE_ROUND_HOSTS;
+        self.coordinated.borrow().get(service).filter(|_| many).cloned()
+    }
+
     /// Counts a caller's request for `service` towards the retry budget.
     pub fn count_request(&self, service: &str) {
         let now = self.now();
