--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 //! - [`place`]: selects the engine for a prompt.
 //! - [`coordination`]: selects the services for which hosts coordinate prompts.
 //! - [`backlog`]: accounts of the large prompts outstanding at each engine.
+//! - [`part_directory`]: directory of the engines that have recently prefilled parts.
 //! - [`plain`]: selects the upstream for a request to a plain service.
 //! - [`poison`]: detects requests that crash the upstreams that run them.
 //! - [`budget`]: the retry budget shared by all hosts.
@@ -88,6 +89,7 @@
 pub mod members;
 pub mod pace;
 pub mod params;
+pub mod part_directory;
 pub mod part_index;
 pub mod place;
 pub mod plain;
--- a/crates/router/src/proxy/backlog.rs
+++ b/crates/router/src/proxy/backlog.rs
@@ -13,9 +13,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::fleet::Upstream;
-use super::hosts::Message;
+use super::hosts::{BacklogAnswer, BacklogQuery, ClaimReport, Message};
 use super::quota::{coordinators, sender};
-use super::site::{Accounts, Site};
+use super::site::Site;
 
 /// Time for an answer from one coordinator: ten times a round trip within a region.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(15);
@@ -32,47 +32,54 @@
 }
 
 /// A query in progress; forgotten when dropped, also if the caller of the request leaves.
-struct Query<'a> {
+struct PendingQuery<'a> {
     site: &'a Site,
     id: u64,
 }
 
-impl Drop for Query<'_> {
+impl Drop for PendingQuery<'_> {
     fn drop(&mut self) {
         self.site.backlog.end(self.id);
     }
 }
 
-/// Queries the accounts of the engines with the keys `upstreams`; empty if no coordinator answers in
-/// time.
-pub async fn query(site: &Site, service: &str, upstreams: Vec<u64>) -> Accounts {
-    if upstreams.is_empty() || !site.backlog.is_available(site.now()) {
-        return Accounts::default();
+/// Asks the coordinators of `service`; `None` if none answers in time.
+pub async fn query(site: &Site, service: &str, query: BacklogQuery) -> Option<BacklogAnswer> {
+    if !site.backlog.is_available(site.now()) {
+        return None;
     }
     let mut coordinators = service_coordinators(site, service);
     if site.backlog.prefers_second(site.now()) {
         coordinators.reverse();
     }
-    let query = Query { site, id: rand::random() };
-    let mut answer = site.backlog.begin(query.id);
+    let pending = PendingQuery { site, id: rand::random() };
+    let mut answer = site.backlog.begin(pending.id);
     for (index, coordinator) in coordinators.into_iter().enumerate() {
-        let Some(addr) = coordinator else { return accounts(site, &upstreams) };
-        let message = Message::BacklogQuery { id: query.id, upstreams: upstreams.clone() };
+        let Some(addr) = coordinator else { return Some(answer_query(site, &query)) };
+        let message = Message::BacklogQuery { id: pending.id, query: query.clone() };
         site.peers.send_to(addr, &message);
-        if let Ok(Ok(accounts)) = tokio::time::timeout(ANSWER_TIMEOUT, &mut answer).await {
+        if let Ok(Ok(answer)) = tokio::time::timeout(ANSWER_TIMEOUT, &mut answer).await {
             site.backlog.record_answer(index == 0, site.now());
-            return accounts;
+            return Some(answer);
         }
     }
     site.backlog.record_silence(site.now());
     site.counters.count("backlog.unanswered");
-    Accounts::default()
+    None
 }
 
-/// The accounts of the engines with the keys `upstreams`, as kept by this host.
-fn accounts(site: &Site, upstreams: &[u64]) -> Accounts {
-    let (ledger, now) = (site.backlog.ledger.borrow(), site.now());
-    upstreams.iter().map(|key| (*key, ledger.account(*key, fill(site, *key), now))).collect()
+/// The answer to `query` by the accounts kept here.
+fn answer_query(site: &Site, query: &BacklogQuery) -> BacklogAnswer {
+    let (ledger, directory) = (site.backlog.ledger.borrow(), site.backlog.parts.borrow());
+    let now = site.now();
+    let engines: Vec<Vec<u64>> =
+        query.parts.iter().map(|part| directory.engines(*part, now)).collect();
+    let mut keys = query.upstreams.clone();
+    keys.extend(engines.iter().flatten());
+    keys.sort_unstable();
+    keys.dedup();
+    let account = |key: u64| (key, ledger.account(key, fill(site, key), now));
+    BacklogAnswer { accounts: keys.into_iter().map(account).collect(), engines }
 }
 
 /// Share of the slots that are taken at the engine with the key `upstream`.
@@ -83,15 +90,16 @@
 }
 
 /// Answers a query of the host at `from`.
-pub fn handle_query(site: &Site, id: u64, upstreams: &[u64], from: SocketAddr) {
-    let accounts = accounts(site, upstreams).into_iter().collect();
-    site.peers.send_to(from, &Message::BacklogAnswer { id, accounts });
+pub fn handle_query(site: &Site, id: u64, query: &BacklogQuery, from: SocketAddr) {
+    let answer = answer_query(site, query);
+    site.peers.send_to(from, &Message::BacklogAnswer { id, answer });
 }
 
-/// Applies changes of another host's claims.
-pub fn handle_claims(site: &Site, sender: Sender, changes: &[ClaimChange]) {
-    let fill = |key| fill(site, key);
-    site.backlog.ledger.borrow_mut().apply(sender, changes, fill, site.now());
+/// Applies a change of a claim of the host `sender`.
+pub fn handle_claim(site: &Site, sender: Sender, report: &ClaimReport) {
+    let (change, now) = (report.change, site.now());
+    site.backlog.ledger.borrow_mut().apply(sender, &[change], |key| fill(site, key), now);
+    site.backlog.parts.borrow_mut().record(&report.parts, change.upstream, now);
 }
 
 /// A large prompt of this host at an engine. It is reported as ended when dropped.
@@ -114,24 +122,25 @@
     ) -> Self {
         let (site, service) = (site.clone(), service.to_string());
         let claim = Self { site, service, request: rand::random(), upstream: upstream.key };
-        claim.report(Change::Sent { tokens, memory });
+        claim.report(Change::Sent { tokens, memory }, Vec::new());
         claim
     }
 
-    /// Reports that the prompt has been prefilled.
-    pub fn read(&self) {
-        self.report(Change::Read);
+    /// Reports that the prompt has been prefilled, so that its shared `parts` are cached.
+    pub fn read(&self, parts: Vec<u64>) {
+        self.report(Change::Read, parts);
     }
 
-    fn report(&self, change: Change) {
-        let changes = vec![ClaimChange { request: self.request, upstream: self.upstream, change }];
+    fn report(&self, change: Change, parts: Vec<u64>) {
+        let change = ClaimChange { request: self.request, upstream: self.upstream, change };
+        let report = ClaimReport { change, parts };
         for coordinator in service_coordinators(&self.site, &self.service) {
             match coordinator {
                 Some(addr) => {
-                    let message = Message::Claims(sender(&self.site), changes.clone());
+                    let message = Message::Claim(sender(&self.site), report.clone());
                     self.site.peers.send_to(addr, &message);
                 }
-                None => handle_claims(&self.site, sender(&self.site), &changes),
+                None => handle_claim(&self.site, sender(&self.site), &report),
             }
         }
     }
@@ -139,7 +148,7 @@
 
 impl Drop for Claim {
     fn drop(&mut self) {
-        self.report(Change::Ended);
+        self.report(Change::Ended, Vec::new());
     }
 }
 
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -26,7 +26,8 @@
 use super::fleet::Load;
 use super::traffic::Traffic;
 pub use message::{
-    Heartbeat, HostRecord, LimitAnswer, LimitReport, Message, Notice, StateVersions,
+    BacklogAnswer, BacklogQuery, ClaimReport, Heartbeat, HostRecord, LimitAnswer, LimitReport,
+    Message, Notice, StateVersions,
 };
 
 /// Time between two rounds of heartbeats, each to the next few peers.
--- a/crates/router/src/proxy/hosts/message.rs
+++ b/crates/router/src/proxy/hosts/message.rs
@@ -54,12 +54,40 @@
     /// What the receiver may send to these upstreams. The number is the hash of the
     /// name of the host that coordinates their rate limits.
     LimitAnswers(u64, Vec<LimitAnswer>),
-    /// Asks for the accounts of the engines with these keys.
-    BacklogQuery { id: u64, upstreams: Vec<u64> },
-    /// The accounts that a query asked for, by the keys of the engines.
-    BacklogAnswer { id: u64, accounts: Vec<(u64, Account)> },
-    /// Changes of the sender's large prompts at engines.
-    Claims(Sender, Vec<ClaimChange>),
+    /// Asks for the accounts of engines, and for the engines that have parts cached.
+    BacklogQuery { id: u64, query: BacklogQuery },
+    /// The answer to a query.
+    BacklogAnswer { id: u64, answer: BacklogAnswer },
+    /// A change of one of the sender's large prompts.
+    Claim(Sender, ClaimReport),
+}
+
+/// What a host asks before it chooses an engine for a large prompt.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct BacklogQuery {
+    /// Keys of the engines whose accounts are asked for.
+    pub upstreams: Vec<u64>,
+    /// Keys of the prompt's shared parts in the caches that may be used.
+    pub parts: Vec<u64>,
+}
+
+/// The answer to a [`BacklogQuery`].
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct BacklogAnswer {
+    /// The accounts, by the keys of the engines: those asked for, and those that have
+    /// parts cached.
+    pub accounts: Vec<(u64, Account)>,
+    /// For each part asked for, in order, the keys of the engines that have it cached.
+    pub engines: Vec<Vec<u64>>,
+}
+
+/// A change of one large prompt.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ClaimReport {
+    /// The change.
+    pub change: ClaimChange,
+    /// Keys of the shared parts that have been prefilled.
+    pub parts: Vec<u64>,
 }
 
 /// What one host knows of an upstream's rate limit, and what it sent it.
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -116,13 +116,9 @@
         Message::LimitAnswers(coordinator, answers) => {
             rate_limits::apply_answers(site, coordinator, &answers)
         }
-        Message::BacklogQuery { id, upstreams } => {
-            backlog::handle_query(site, id, &upstreams, from)
-        }
-        Message::BacklogAnswer { id, accounts } => {
-            site.backlog.answer(id, accounts.into_iter().collect())
-        }
-        Message::Claims(sender, changes) => backlog::handle_claims(site, sender, &changes),
+        Message::BacklogQuery { id, query } => backlog::handle_query(site, id, &query, from),
+        Message::BacklogAnswer { id, answer } => site.backlog.complete(id, answer),
+        Message::Claim(sender, report) => backlog::handle_claim(site, sender, &report),
         // A message is forwarded only once.
         Message::Forward(..) => {}
     }
--- a/crates/router/src/proxy/request/accounts.rs
+++ b/crates/router/src/proxy/request/accounts.rs
@@ -1,11 +1,18 @@
 //! Queries the accounts of outstanding large prompts before an engine is chosen.
 
 use marjoram_core::backlog::MAX_QUERIED;
+use marjoram_core::exchange::Prompt;
+use marjoram_core::part_directory::part_key;
+use marjoram_core::part_index::CacheId;
 use marjoram_core::place;
 use marjoram_core::switches::Mechanism;
 
 use super::Exchange;
 use crate::proxy::backlog;
+use crate::proxy::hosts::{BacklogAnswer, BacklogQuery};
+
+/// Versions of the weights whose caches are asked for: during a rollout there are two or three.
+const MAX_VERSIONS: usize = 3;
 
 impl Exchange {
     /// Whether other hosts are told of this request's sends, and it is placed by their accounts: a large
@@ -17,21 +24,55 @@
             && self.site.coordination(&self.service).is_some()
     }
 
+    /// Keys of the prompt's shared parts in `cache`.
+    pub(super) fn part_keys(&self, cache: CacheId) -> Vec<u64> {
+        let shared = self.request.asked.prompt.iter().flat_map(Prompt::shared_parts);
+        shared.map(|part| part_key(cache, part.id)).collect()
+    }
+
     /// Queries the accounts of the engines that are compared for this request, if it is placed by them.
     pub(super) async fn query_backlog(&self) {
         if !self.is_reported() {
             return;
         }
         self.accounts.borrow_mut().clear();
-        let engines = self.engines_to_compare(MAX_QUERIED);
-        let accounts = backlog::query(&self.site, &self.service, engines).await;
-        for (key, account) in &accounts {
-            if let (Some(upstream), Some(throughput)) =
-                (self.site.fleet.by_key(*key), account.throughput)
-            {
+        let caches = self.usable_caches();
+        let query = BacklogQuery {
+            upstreams: self.engines_to_compare(MAX_QUERIED),
+            parts: caches.iter().flat_map(|cache| self.part_keys(*cache)).collect(),
+        };
+        if let Some(answer) = backlog::query(&self.site, &self.service, query).await {
+            self.apply_accounts(answer, &caches);
+        }
+    }
+
+    /// The caches of the newest versions of the weights that engines serve.
+    fn usable_caches(&self) -> Vec<CacheId> {
+        let Some(prompt) = &self.request.asked.prompt else { return Vec::new() };
+        let engines = self.site.fleet.service(&self.service);
+        let mut versions: Vec<u64> =
+            engines.iter().filter_map(|u| u.weights(&prompt.model)).collect();
+        versions.sort_unstable_by(|a, b| b.cmp(a));
+        versions.dedup();
+        versions.into_iter().take(MAX_VERSIONS).map(|version| self.cache(version)).collect()
+    }
+
+    /// Records the throughput of engines, and the shared parts that they have in `caches`.
+    fn apply_accounts(&self, answer: BacklogAnswer, caches: &[CacheId]) {
+        let (fleet, now) = (&self.site.fleet, self.site.now());
+        for (key, account) in &answer.accounts {
+            if let (Some(upstream), Some(throughput)) = (fleet.by_key(*key), account.throughput) {
                 upstream.reported_throughput.set(Some(f64::from(throughput)));
             }
         }
-        *self.accounts.borrow_mut() = accounts;
+        let shared: Vec<_> =
+            self.request.asked.prompt.iter().flat_map(Prompt::shared_parts).collect();
+        let parts = caches.iter().flat_map(|cache| shared.iter().map(move |part| (*cache, *part)));
+        for ((cache, part), engines) in parts.zip(&answer.engines) {
+            for upstream in engines.iter().filter_map(|key| fleet.by_key(*key)) {
+                upstream.note_cached(cache, std::slice::from_ref(part), now);
+            }
+        }
+        *self.accounts.borrow_mut() = answer.accounts.into_iter().collect();
     }
 }
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -163,7 +163,9 @@
                     upstream.record_weights(&prompt.model, version);
                 }
                 let shared = prompt.map(|p| p.shared_parts()).unwrap_or_default();
-                self.claim.iter().for_each(Claim::read);
+                if let Some(claim) = &self.claim {
+                    claim.read(self.part_keys(chosen.cache));
+                }
                 record_prefill(&mut flight, chosen, shared, ahead, begun, now);
                 self.check_answer(opened, flight).await
             }
--- a/crates/router/src/proxy/site/backlog.rs
+++ b/crates/router/src/proxy/site/backlog.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use marjoram_core::backlog::{Account, Ledger};
+use marjoram_core::part_directory::PartDirectory;
 use tokio::sync::oneshot;
 
+use crate::proxy::hosts::BacklogAnswer;
+
 /// Accounts by the keys of their engines' incarnations.
 pub type Accounts = HashMap<u64, Account>;
 
@@ -15,8 +18,10 @@
 pub struct Backlog {
     /// The accounts for which this host is coordinator.
     pub ledger: RefCell<Ledger>,
+    /// The engines that have recently prefilled parts, kept with the accounts.
+    pub parts: RefCell<PartDirectory>,
     /// Queries that wait for an answer.
-    queries: RefCell<HashMap<u64, oneshot::Sender<Accounts>>>,
+    queries: RefCell<HashMap<u64, oneshot::Sender<BacklogAnswer>>>,
     /// Queries in a row that no coordinator answered.
     unanswered: Cell<u32>,
     /// Until when no queries are sent.
@@ -46,7 +51,7 @@
     }
 
     /// Registers the query `id`.
-    pub fn begin(&self, id: u64) -> oneshot::Receiver<Accounts> {
+    pub fn begin(&self, id: u64) -> oneshot::Receiver<BacklogAnswer> {
         let (sender, receiver) = oneshot::channel();
         self.queries.borrow_mut().insert(id, sender);
         receiver
@@ -58,10 +63,10 @@
     }
 
     /// Completes the query `id`, unless it has ended.
-    pub fn answer(&self, id: u64, accounts: Accounts) {
+    pub fn complete(&self, id: u64, answer: BacklogAnswer) {
         if let Some(sender) = self.queries.borrow_mut().remove(&id) {
             // Fails only if the query has just ended.
-            let _ = sender.send(accounts);
+            let _ = sender.send(answer);
         }
     }
 
