Backlog accounts: claims older than 12 s do not count

Ledger::account counted the requests and the memory of every claim that expire had not removed yet, so the limit of 12 s held only as often as expire was called. The account now leaves out claims past that age.

The new test fails on the previous code (2 requests and 34,040 tokens of memory at 12 s) and passes now.

--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -88,12 +88,13 @@
 impl Engine {
     fn account(&self, fill: f64, now: Duration) -> Account {
         let throughput = self.throughput.get(fill);
-        let counted = |c: &&Claim| now.saturating_sub(c.sent) < MAX_UNREAD;
-        let unread: u64 = self.claims.iter().filter(counted).map(|c| c.unread).sum();
+        let younger = |max_age| move |c: &&Claim| now.saturating_sub(c.sent) < max_age;
+        let claims = || self.claims.iter().filter(younger(MAX_CLAIM));
+        let unread: u64 = claims().filter(younger(MAX_UNREAD)).map(|c| c.unread).sum();
         Account {
             unread: unread.saturating_sub(self.progress(throughput, now)),
-            requests: self.claims.len() as u32,
-            memory: self.claims.iter().map(|c| c.memory).sum(),
+            requests: claims().count() as u32,
+            memory: claims().map(|c| c.memory).sum(),
             throughput: throughput.map(|t| t as f32),
         }
     }
--- a/crates/core/tests/backlog.rs
+++ b/crates/core/tests/backlog.rs
@@ -117,3 +117,11 @@
     let account = ledger.account(1, 0.0, now);
     assert_eq!((account.unread, account.requests, account.memory), (17_000, 1, 17_020));
 }
+
+#[test]
+fn claims_count_for_12_s_even_if_old_ones_are_not_removed() {
+    let ledger = two_hosts();
+    assert_eq!(ledger.account(1, 0.0, Duration::from_millis(11_999)).requests, 2);
+    let account = ledger.account(1, 0.0, Duration::from_millis(12_000));
+    assert_eq!((account.unread, account.requests, account.memory), (0, 0, 0));
+}
