Backlog accounts: stale claims do not reduce the pending tokens

The prefill progress of the oldest unread claim is subtracted from an engine's pending tokens. That claim could be one that no longer counts (older than 4 s, its report of the prefill lost), so up to its whole prompt was subtracted from later prompts for up to 8 s. Only claims that count are considered now.

The new test fails on the previous code (0 pending tokens in place of 17,000) and passes now.

--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -101,7 +101,8 @@
 
     /// Tokens of the prompt at the head of its queue that it has probably prefilled by now.
     fn progress(&self, throughput: Option<f64>, now: Duration) -> u64 {
-        let first = self.claims.iter().filter(|c| c.unread > 0).min_by_key(|c| c.sent);
+        let counted = |c: &&Claim| c.unread > 0 && now.saturating_sub(c.sent) < MAX_UNREAD;
+        let first = self.claims.iter().filter(counted).min_by_key(|c| c.sent);
         match (first, throughput) {
             (Some(claim), Some(throughput)) => {
                 let begun = self.last_read.map_or(claim.sent, |at| at.max(claim.sent));
--- a/crates/core/tests/backlog.rs
+++ b/crates/core/tests/backlog.rs
@@ -125,3 +125,18 @@
     let account = ledger.account(1, 0.0, Duration::from_millis(12_000));
     assert_eq!((account.unread, account.requests, account.memory), (0, 0, 0));
 }
+
+#[test]
+fn a_lost_report_of_a_prefill_does_not_hide_later_prompts() {
+    let mut ledger = Ledger::new();
+    let ms = Duration::from_millis;
+    let mut report = |request, change, at| {
+        ledger.apply(Sender { host: 1, life: 1 }, &[claim(request, change)], |_| 0.0, ms(at));
+    };
+    report(1, SENT, 0);
+    report(1, Change::Read, 340);
+    // The prefill of the second prompt is never reported.
+    report(2, SENT, 400);
+    report(3, SENT, 4_500);
+    assert_eq!(ledger.account(1, 0.0, ms(4_500)).unread, 17_000);
+}
