Ordered queue of waiting requests

Requests that wait for an engine poll and compete with new arrivals, in no order (docs/design/demand.md). core::waiting orders them by effective urgency, fair shares among workspaces and arrival. Requests of one workspace, urgency and target keep their order while they age, so only the heads of these groups are compared. Not used yet.

Shares are kept for each level: with a common virtual time, urgent requests would erase the charges among the less urgent ones. note_sent takes the urgency for that.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 //! - [`place`]: selects the engine for a prompt.
 //! - [`coordination`]: selects the services for which hosts coordinate prompts.
 //! - [`backlog`]: accounts of the large prompts outstanding at each engine.
+//! - [`waiting`]: the ordered queue of requests that wait for an engine.
 //! - [`plain`]: selects the upstream for a request to a plain service.
 //! - [`poison`]: detects requests that crash the upstreams that run them.
 //! - [`budget`]: the retry budget shared by all hosts.
@@ -101,6 +102,7 @@
 pub mod store_availability;
 pub mod switches;
 pub mod upstream;
+pub mod waiting;
 pub mod wire;
 pub mod workload;
 
