Requests for coordinated services wait in order for an engine with room

Cause: a request that had to wait polled and competed with new arrivals, small prompts were sent to full engines, and route priorities had no effect beside workspace priorities. Prompts now wait in a queue by size, engines without room are passed over, engines get the workspace's and the route's priority, and Retry-After follows the queue.

--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -40,6 +40,7 @@
 mod storelink;
 mod stores;
 mod traffic;
+mod waiting;
 
 pub use options::{Parsed, parse};
 pub use run::run;
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -112,6 +112,7 @@
         ("upstreams_backed_off", backed_off(site)),
         ("upstream_requests", sum(|u| u64::from(u.local_load.get().running))),
         ("unread_tokens", sum(|u| u.load().unread)),
+        ("requests_waiting", site.waiting.len() as u64),
         ("backlog_claims", site.backlog.ledger.borrow().claims() as u64),
         ("requests_suspected", site.poison.counts().0 as u64),
         ("requests_quarantined", site.poison.counts().1 as u64),
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod limits;
 mod send;
+mod turn;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -247,13 +248,8 @@
         let mut failed: Option<(StartedAnswer, BytesMut)> = None;
         let mut weights_tries = 0;
         loop {
-            self.query_backlog().await;
-            let chosen = match self.next(resumed.is_some()) {
-                Ok(Some(chosen)) => chosen,
-                Ok(None) => {
-                    tokio::time::sleep(WAIT_INTERVAL).await;
-                    continue;
-                }
+            let chosen = match self.next_in_turn(resumed.is_some()).await {
+                Ok(chosen) => chosen,
                 Err(refusal) => {
                     return failed
                         .map(|(opened, body)| Answer::Failed(opened, body))
@@ -278,7 +274,7 @@
     /// router.
     fn next(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
         self.may_send()?;
-        if self.site.poison.is_withheld(self.fingerprint) {
+        if self.is_withheld() {
             self.note_withheld();
             return Ok(None);
         }
@@ -289,6 +285,12 @@
         Ok(chosen)
     }
 
+    /// Whether the request waits until the crashes at which it was in flight are
+    /// analysed.
+    fn is_withheld(&self) -> bool {
+        self.site.poison.is_withheld(self.fingerprint)
+    }
+
     /// Logs and counts, once, that the request waits until the crashes at which it
     /// was in flight are analysed.
     fn note_withheld(&self) {
@@ -355,17 +357,21 @@
         }
     }
 
-    /// When the caller should retry: varied by up to 200 ms by the id of the
+    /// When the caller should retry: when those that wait before it are expected to
+    /// have left, where requests wait in order, and varied by up to half of that. Else varied by up to 200 ms by the id of the
     /// attempt, so that requests refused together are not retried together.
     fn retry_after(&self) -> Duration {
-        let jitter = xxh3_64(self.id().as_bytes()) % 200;
-        let base = self.route.target / 4;
-        base + Duration::from_millis(jitter)
+        let hash = xxh3_64(self.id().as_bytes());
+        match self.retry_in_turn() {
+            Some(wait) => wait.mul_f64(1.0 + quota::RETRY_JITTER * hash as f64 / u64::MAX as f64),
+            None => self.route.target / 4 + Duration::from_millis(hash % 200),
+        }
     }
 }
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        self.notify_room();
         if let Some(charge) = self.charge.take().filter(|_| !self.may_have_run) {
             charge.refund(&self.site);
         }
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -29,7 +29,7 @@
 
 /// Prefill throughput, in prompt tokens per millisecond, that is assumed for an
 /// engine until it has been measured: 1,000 tokens then take 25 ms.
-const DEFAULT_THROUGHPUT: f64 = 40.0;
+pub(super) const DEFAULT_THROUGHPUT: f64 = 40.0;
 
 /// Replaced weights stop getting new requests this long before the operators'
 /// limit on their use: a request sent to an engine may queue there that long
@@ -337,7 +337,8 @@
     }
 
     /// Those of `all` whose weights may be used and, if accounts were queried, whose
-    /// account is known: engines are compared by equally recent figures.
+    /// account is known: engines are compared by equally recent figures. Engines without
+    /// room are passed over while another has room.
     fn allowed<'a>(
         &self,
         prompt: &Prompt,
@@ -349,7 +350,10 @@
         let allowed: Vec<_> = all.iter().filter(|u| limit.allows(weights(u))).collect();
         let known: Vec<_> =
             allowed.iter().copied().filter(|u| accounts.contains_key(&u.key)).collect();
-        if known.is_empty() { allowed } else { known }
+        let known = if known.is_empty() { allowed } else { known };
+        let with_room: Vec<_> =
+            known.iter().copied().filter(|u| self.passes_over_full() && self.has_room(u)).collect();
+        if with_room.is_empty() { known } else { with_room }
     }
 
     /// What the placement functions need to know of `prompt`.
--- a/crates/router/src/proxy/request/limits.rs
+++ b/crates/router/src/proxy/request/limits.rs
@@ -41,7 +41,7 @@
                 (Err(_), Some(retry)) => return Err(self.refuse_over_limits(retry)),
                 (chosen, _) => chosen?,
             };
-            if self.must_wait(&chosen) {
+            if self.must_wait(&chosen) || (!resumed && self.lacks_room(&chosen)) {
                 return Ok(None);
             }
             if self.sends > 0 && !self.site.might_repeat(&self.service) {
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -48,13 +48,12 @@
     /// The values that the router adds to the request in headers of its own.
     fn envelope(&self, chosen: &Chosen, resumed: Option<u64>) -> Envelope {
         let salt = chosen.weights.map(|version| self.salt(version));
-        let priority = self.workspace.as_ref().and_then(|w| w.priority);
         let engine = self.request.asked.prompt.is_some();
         Envelope {
             left: self.left(),
             upstream: Some(chosen.upstream.life.id.clone()),
             workspace: self.workspace.as_ref().map(|w| w.name.clone()),
-            rank: engine.then(|| priority.unwrap_or(self.route.priority)),
+            rank: engine.then(|| self.rank()),
             weights: chosen.weights,
             salt,
             fetch: chosen.fetch.map(|a| a.to_string()),
@@ -63,6 +62,16 @@
         }
     }
 
+    /// Priority at the engine. In a coordinated service the route's priority counts among requests of
+    /// equal workspace priority; elsewhere only where the workspace has none.
+    fn rank(&self) -> u8 {
+        let workspace = self.workspace.as_ref().and_then(|w| w.priority);
+        match (self.site.coordination(&self.service), workspace) {
+            (Some(_), _) => self.urgency().rank(),
+            (None, priority) => priority.unwrap_or(self.route.priority),
+        }
+    }
+
     /// The request as it is sent: the caller's end-to-end headers, with the router's
     /// own replaced by those of `envelope`, and the body.
     fn encode(&self, envelope: &Envelope) -> Bytes {
--- /dev/null
+++ b/crates/router/src/proxy/request/turn.rs
@@ -0,0 +1,168 @@
+//! Waits for the request's turn and for an engine with room.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_core::place;
+use marjoram_core::switches::Mechanism;
+use marjoram_core::waiting::{self, Urgency};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::choose::{Chosen, DEFAULT_THROUGHPUT};
+use super::{Exchange, WAIT_INTERVAL, millis};
+use crate::proxy::fleet::Upstream;
+use crate::proxy::refusal::Refusal;
+use crate::proxy::site::{QueueKey, WaitQueue};
+use crate::proxy::waiting::Place;
+
+/// Requests at an engine for each of its slots up to which it has room for another: as many as it runs,
+/// and half as many that start while hosts learn of free slots.
+const ROOM_PER_SLOT: f64 = 1.5;
+
+/// Divisor of the caller's time limit: a request waits for its turn and for room for at most that fraction
+/// of it. After that, what is known of the engines is less certain than their own answer.
+const MAX_WAIT_DIVISOR: u32 = 4;
+
+impl Exchange {
+    /// Whether this request waits in a queue: a prompt for a coordinated service.
+    fn is_queued(&self) -> bool {
+        self.request.asked.prompt.is_some()
+            && self.site.has(Mechanism::WaitQueue)
+            && self.site.stopping.get().is_none()
+            && self.site.coordination(&self.service).is_some()
+    }
+
+    /// Priorities of the request's workspace and route.
+    pub(super) fn urgency(&self) -> Urgency {
+        let workspace = self.workspace.as_ref().and_then(|w| w.priority);
+        Urgency::new(workspace, self.route.priority)
+    }
+
+    fn workspace_key(&self) -> u64 {
+        self.workspace.as_ref().map_or(0, |w| xxh3_64(w.name.as_bytes()))
+    }
+
+    /// Prompt tokens, the cost by which workspaces share the engines.
+    fn prompt_tokens(&self) -> u64 {
+        self.request.asked.prompt.as_ref().map_or(1, |p| p.input)
+    }
+
+    fn queue(&self) -> Rc<WaitQueue> {
+        let large = self.prompt_tokens() >= place::LARGE_PROMPT;
+        self.site.waiting.queue(QueueKey { service: self.service.clone(), large })
+    }
+
+    /// Shortest time in which the request can be answered: that for prefilling its own parts.
+    fn shortest_service(&self) -> Duration {
+        let prompt = self.request.asked.prompt.as_ref();
+        let own = prompt.map_or(0, |p| p.input.saturating_sub(p.shared()));
+        millis(own as f64 / DEFAULT_THROUGHPUT)
+    }
+
+    fn join(&self) -> Place {
+        let request = waiting::Request {
+            urgency: self.urgency(),
+            workspace: self.workspace_key(),
+            cost: self.prompt_tokens(),
+            arrived: self.request.started,
+            expires: self.expires,
+            service: self.shortest_service(),
+        };
+        Place::join(&self.site, &self.queue(), request)
+    }
+
+    /// Until when the request waits for its turn and for room.
+    fn wait_end(&self) -> Duration {
+        let limit = self.expires.saturating_sub(self.request.started);
+        self.request.started + limit / MAX_WAIT_DIVISOR
+    }
+
+    /// Whether engines without room are passed over.
+    pub(super) fn passes_over_full(&self) -> bool {
+        self.is_queued()
+    }
+
+    /// Whether `upstream` has room for one more request, as far as this host knows.
+    pub(super) fn has_room(&self, upstream: &Upstream) -> bool {
+        let slots = f64::from(upstream.entry.borrow().slots.max(1));
+        f64::from(upstream.load().running) < slots * ROOM_PER_SLOT
+    }
+
+    /// Whether the request has to wait because the engine chosen has no room for it.
+    pub(super) fn lacks_room(&self, chosen: &Chosen) -> bool {
+        self.is_queued() && !self.has_room(&chosen.upstream) && self.site.now() < self.wait_end()
+    }
+
+    /// Selects the upstream for the next send once it is the request's turn and an engine has room.
+    pub(super) async fn next_in_turn(&self, resumed: bool) -> Result<Chosen, Refusal> {
+        // A caller that already has a part of its answer does not wait behind others.
+        let queued = self.is_queued() && !resumed;
+        let mut place: Option<Place> = None;
+        if queued && self.queue().order.borrow().must_join(self.urgency()) {
+            place = Some(self.join());
+        }
+        loop {
+            if let Some(place) = &place {
+                self.check_place(place)?;
+                if !place.is_first() && self.site.now() < self.wait_end() {
+                    place.changed(self.wait_end()).await;
+                    continue;
+                }
+            }
+            self.query_backlog().await;
+            if let Some(chosen) = self.next(resumed)? {
+                self.leave(place, queued);
+                return Ok(chosen);
+            }
+            match &mut place {
+                _ if !queued || self.is_withheld() => tokio::time::sleep(WAIT_INTERVAL).await,
+                Some(place) => place.changed(self.site.now() + WAIT_INTERVAL).await,
+                None => place = Some(self.join()),
+            }
+        }
+    }
+
+    /// Refuses a request that was evicted or has too little time left to be answered.
+    fn check_place(&self, place: &Place) -> Result<(), Refusal> {
+        if place.is_evicted() {
+            return Err(self.give_up("too many requests wait"));
+        }
+        if self.left() < self.shortest_service() {
+            self.site.counters.count("queue.expired");
+            return Err(self.give_up("too little time left"));
+        }
+        Ok(())
+    }
+
+    /// Records that the request is being sent.
+    fn leave(&self, place: Option<Place>, queued: bool) {
+        match place {
+            Some(place) => {
+                tracing::info!(target: "place", id = self.id(),
+                    ms = place.waited().as_millis() as u64, "left the queue");
+                place.sent();
+            }
+            None if queued => {
+                let (urgency, tokens) = (self.urgency(), self.prompt_tokens());
+                let queue = self.queue();
+                queue.order.borrow_mut().note_sent(urgency, self.workspace_key(), tokens);
+            }
+            None => {}
+        }
+    }
+
+    /// When a caller that is refused should retry, if it is to wait for its turn again: after those that
+    /// wait before it.
+    pub(super) fn retry_in_turn(&self) -> Option<Duration> {
+        let queue = self.is_queued().then(|| self.queue())?;
+        let order = queue.order.borrow();
+        Some(order.retry_after(self.urgency(), self.left(), self.site.now()))
+    }
+
+    /// Wakes the requests that wait for an engine of this service: one of them may have room.
+    pub(super) fn notify_room(&self) {
+        if self.is_queued() {
+            self.queue().changed.notify_waiters();
+        }
+    }
+}
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -5,6 +5,7 @@
 mod notices;
 mod poison;
 mod quotas;
+mod waiting;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -41,6 +42,7 @@
 pub use notices::Notices;
 pub use poison::{Broken, Poison};
 pub use quotas::Quotas;
+pub use waiting::{QueueKey, WaitQueue, Waiting};
 
 /// State shared by the parts of one process.
 pub struct Site {
@@ -78,6 +80,8 @@
     pub rate_limits: Quotas,
     /// Accounts of outstanding large prompts.
     pub backlog: Backlog,
+    /// Requests that wait for an engine.
+    pub waiting: Waiting,
     pub counters: Counters,
     /// Counts messages and calls other than callers' requests.
     pub traffic: Rc<Traffic>,
@@ -138,6 +142,7 @@
             quotas: Quotas::default(),
             rate_limits: Quotas::default(),
             backlog: Backlog::default(),
+            waiting: Waiting::default(),
             counters: Counters::new(),
             traffic,
             stopping: Cell::default(),
