Credits divide the free places of an engine among the hosts

Each host earns its share of the free places of each round of reports, and spends one credit a small prompt.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 //! - [`coordination`]: selects the services for which hosts coordinate prompts.
 //! - [`backlog`]: accounts of the large prompts outstanding at each engine.
 //! - [`part_directory`]: directory of the engines that have recently prefilled parts.
+//! - [`credit`]: divides the free places of an engine among the hosts.
 //! - [`waiting`]: the ordered queue of requests that wait for an engine.
 //! - [`plain`]: selects the upstream for a request to a plain service.
 //! - [`poison`]: detects requests that crash the upstreams that run them.
@@ -75,6 +76,7 @@
 pub mod conditions;
 pub mod config;
 pub mod coordination;
+pub mod credit;
 pub mod era;
 pub mod error;
 pub mod events;
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -212,6 +212,12 @@
         due.map(|(_, ticket)| *ticket).filter(is_late).collect()
     }
 
+    /// The time in which the requests ahead of a new one of `urgency` are expected to leave; `None` if
+    /// no recent departures are known.
+    pub fn expected_wait(&self, urgency: Urgency, now: Duration) -> Option<Duration> {
+        self.departures.time_for(self.ahead(urgency), now)
+    }
+
     /// The time after which a refused caller should return, without jitter: the time in which the
     /// requests ahead of a new one of `urgency` are expected to leave, at most a third of the caller's
     /// remaining time `left`, but never less than 100 ms.
@@ -219,15 +225,19 @@
     /// Ahead are the requests of the same or a higher urgency, but no more than leave until the
     /// reserved turns reach the new one.
     pub fn retry_after(&self, urgency: Urgency, left: Duration, now: Duration) -> Duration {
+        let wait = self.expected_wait(urgency, now).unwrap_or(DEFAULT_RETRY);
+        wait.min(left / 3).max(MIN_RETRY)
+    }
+
+    /// Number of requests that leave before a new one of `urgency`.
+    fn ahead(&self, urgency: Urgency) -> usize {
         let ahead: usize = self.levels.range(..=urgency).map(|(_, level)| level.len()).sum();
         let same = self.levels.get(&urgency).map_or(0, Level::len);
         let others = self.waiting().skip(1).filter(|(other, _)| *other != urgency).count();
         let by_turns = RESERVED_EVERY * (others + 1) * (same + 1) - 1;
         // The most urgent level has no reserved turns.
         let has_turns = self.waiting().next().is_some_and(|(best, _)| best < urgency);
-        let ahead = if has_turns { ahead.min(by_turns) } else { ahead };
-        let wait = self.departures.time_for(ahead, now).unwrap_or(DEFAULT_RETRY);
-        wait.min(left / 3).max(MIN_RETRY)
+        if has_turns { ahead.min(by_turns) } else { ahead }
     }
 
     /// Number of requests that wait.
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -9,6 +9,7 @@
 
 use lru::LruCache;
 use marjoram_core::conditions::Conditions;
+use marjoram_core::credit::Credit;
 use marjoram_core::exchange::{Part, PartId};
 use marjoram_core::health::Health;
 use marjoram_core::host::DataCentre;
@@ -79,6 +80,8 @@
     pub pool: Pool,
     /// This host's requests there.
     pub local_load: Cell<Load>,
+    /// This host's credit for small prompts of a coordinated service.
+    pub credit: Cell<Credit>,
     /// Prefill throughput that other hosts measured, in prompt tokens per millisecond.
     pub reported_throughput: Cell<Option<f64>>,
     /// Other hosts' requests there, from their last heartbeats.
@@ -108,6 +111,7 @@
             health: RefCell::default(),
             pool: Pool::default(),
             local_load: Cell::default(),
+            credit: Cell::new(Credit::new(rand::random(), Duration::ZERO)),
             reported_throughput: Cell::default(),
             remote_load: Cell::default(),
             reported_unreachable_until: Cell::default(),
--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -15,12 +15,12 @@
 use crate::proxy::site::{QueueKey, WaitQueue};
 use crate::proxy::waiting::Place;
 
-/// Requests at an engine for each of its slots up to which it has room for another: as many as it runs,
-/// and half as many that start while hosts learn of free slots.
-const ROOM_PER_SLOT: f64 = 1.5;
+/// Requests at an engine for each of its slots up to which it has room for another: a batch that runs, as
+/// many as it completes until hosts learn of it, and half a batch that waits there.
+const ROOM_PER_SLOT: f64 = 2.5;
 
-/// Divisor of the caller's time limit: a request waits for its turn and for room for at most that fraction
-/// of it. After that, what is known of the engines is less certain than their own answer.
+/// Divisor of the caller's time limit: a large prompt waits for its turn and for room for at most that
+/// fraction of it, since its target has passed then.
 const MAX_WAIT_DIVISOR: u32 = 4;
 
 impl Exchange {
@@ -47,8 +47,12 @@
         self.request.asked.prompt.as_ref().map_or(1, |p| p.input)
     }
 
+    fn is_large(&self) -> bool {
+        self.prompt_tokens() >= place::LARGE_PROMPT
+    }
+
     fn queue(&self) -> Rc<WaitQueue> {
-        let large = self.prompt_tokens() >= place::LARGE_PROMPT;
+        let large = self.is_large();
         self.site.waiting.queue(QueueKey { service: self.service.clone(), large })
     }
 
@@ -74,7 +78,10 @@
     /// Until when the request waits for its turn and for room.
     fn wait_end(&self) -> Duration {
         let limit = self.expires.saturating_sub(self.request.started);
-        self.request.started + limit / MAX_WAIT_DIVISOR
+        match self.is_large() {
+            true => self.request.started + limit / MAX_WAIT_DIVISOR,
+            false => self.expires.saturating_sub(self.shortest_service()),
+        }
     }
 
     /// Whether engines without room are passed over.
@@ -85,7 +92,18 @@
     /// Whether `upstream` has room for one more request, as far as this host knows.
     pub(super) fn has_room(&self, upstream: &Upstream) -> bool {
         let slots = f64::from(upstream.entry.borrow().slots.max(1));
-        f64::from(upstream.load().running) < slots * ROOM_PER_SLOT
+        let free = slots * ROOM_PER_SLOT - f64::from(upstream.load().running);
+        match self.is_large() {
+            true => free > 0.0,
+            false => {
+                let peers = &self.site.peers;
+                let mut credit = upstream.credit.get();
+                let share = free / peers.count() as f64;
+                credit.earn(share, peers.heartbeat_round(), self.site.now());
+                upstream.credit.set(credit);
+                credit.is_enough()
+            }
+        }
     }
 
     /// Whether the request has to wait because the engine chosen has no room for it.
@@ -99,6 +117,7 @@
         let queued = self.is_queued() && !resumed;
         let mut place: Option<Place> = None;
         if queued && self.queue().order.borrow().must_join(self.urgency()) {
+            self.check_expected_wait()?;
             place = Some(self.join());
         }
         loop {
@@ -112,16 +131,43 @@
             self.query_backlog().await;
             if let Some(chosen) = self.next(resumed)? {
                 self.leave(place, queued);
+                self.spend_credit(&chosen.upstream);
                 return Ok(chosen);
             }
             match &mut place {
                 _ if !queued || self.is_withheld() => tokio::time::sleep(WAIT_INTERVAL).await,
                 Some(place) => place.changed(self.site.now() + WAIT_INTERVAL).await,
-                None => place = Some(self.join()),
+                None => {
+                    self.check_expected_wait()?;
+                    place = Some(self.join());
+                }
             }
         }
     }
 
+    /// Refuses a request for which those ahead of it leave too little time.
+    fn check_expected_wait(&self) -> Result<(), Refusal> {
+        let now = self.site.now();
+        let queue = self.queue();
+        let wait = queue.order.borrow().expected_wait(self.urgency(), now).unwrap_or_default();
+        match !self.is_large() && now + wait > self.wait_end() {
+            true => {
+                self.site.counters.count("queue.too_long");
+                Err(self.give_up("too many requests wait"))
+            }
+            false => Ok(()),
+        }
+    }
+
+    /// Spends this host's credit at `upstream`, which gets the request.
+    fn spend_credit(&self, upstream: &Upstream) {
+        if !self.is_large() {
+            let mut credit = upstream.credit.get();
+            credit.spend();
+            upstream.credit.set(credit);
+        }
+    }
+
     /// Refuses a request that was evicted or has too little time left to be answered.
     fn check_place(&self, place: &Place) -> Result<(), Refusal> {
         if place.is_evicted() {
