--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -16,8 +16,8 @@
 use crate::proxy::waiting::Place;
 
 /// Requests at an engine for each of its slots up to which it has room for another: a batch that runs, as
-/// many as it completes until hosts learn of it, and half a batch that waits there.
-const ROOM_PER_SLOT: f64 = 2.5;
+/// many as it completes until hosts learn of it, and a batch that waits there.
+const ROOM_PER_SLOT: f64 = 3.0;
 
 /// Divisor of the caller's time limit: a large prompt waits for its turn and for room for at most that
 /// fraction of it, since its target has passed then.
@@ -80,7 +80,7 @@
         let limit = self.expires.saturating_sub(self.request.started);
         match self.is_large() {
             true => self.request.started + limit / MAX_WAIT_DIVISOR,
-            false => self.expires.saturating_sub(self.shortest_service()),
+            false => self.request.started + limit / 2,
         }
     }
 
