--- a/crates/core/src/credit.rs
+++ b/crates/core/src/credit.rs
@@ -14,6 +14,16 @@
 /// an engine that was idle.
 const MAX_CREDIT: f64 = 1.0;
 
+/// Requests at an engine for each of its slots up to which it has room for another: a batch that runs, as
+/// many as it completes until hosts learn of it, and a batch that waits there.
+const ROOM_PER_SLOT: f64 = 3.0;
+
+/// Free places of an engine with `slots` slots at which all hosts together have `running` requests.
+/// Negative if it has more than it has room for.
+pub fn free_places(slots: u32, running: u32) -> f64 {
+    f64::from(slots.max(1)) * ROOM_PER_SLOT - f64::from(running)
+}
+
 /// A host's credit at one engine.
 ///
 /// ```
--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::place;
 use marjoram_core::switches::Mechanism;
 use marjoram_core::waiting::{self, Urgency};
+use marjoram_core::{credit, place};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::choose::{Chosen, DEFAULT_THROUGHPUT};
@@ -15,10 +15,6 @@
 use crate::proxy::site::{QueueKey, WaitQueue};
 use crate::proxy::waiting::Place;
 
-/// Requests at an engine for each of its slots up to which it has room for another: a batch that runs, as
-/// many as it completes until hosts learn of it, and a batch that waits there.
-const ROOM_PER_SLOT: f64 = 3.0;
-
 /// Divisor of the caller's time limit: a large prompt waits for its turn and for room for at most that
 /// fraction of it, since its target has passed then.
 const MAX_WAIT_DIVISOR: u32 = 4;
@@ -91,8 +87,7 @@
 
     /// Whether `upstream` has room for one more request, as far as this host knows.
     pub(super) fn has_room(&self, upstream: &Upstream) -> bool {
-        let slots = f64::from(upstream.entry.borrow().slots.max(1));
-        let free = slots * ROOM_PER_SLOT - f64::from(upstream.load().running);
+        let free = credit::free_places(upstream.entry.borrow().slots, upstream.load().running);
         match self.is_large() {
             true => free > 0.0,
             false => {
