--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -96,6 +96,9 @@
     pub ports: (u16, u16),
     /// Whether the whole system is starting for the first time.
     pub first_start: bool,
+    /// Whether an engine crashes if its requests exceed its memory, rather than preempting
+    /// some of them.
+    pub overcommit_crashes: bool,
     /// Resources that the process may use.
     pub capacity: Capacity,
     /// Time limits and ratios to keep.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -163,10 +163,28 @@
 /// time.
 const MAX_QUEUED_TOKENS: u64 = 8_000;
 
+/// Share of an engine's memory that requests may take where exceeding it crashes the engine.
+const MAX_MEMORY_SHARE: f64 = 0.9;
+
 /// Divisor of the caller's time limit: a large prompt waits at the router for at
 /// most that fraction of it.
 const MAX_WAIT_DIVISOR: u32 = 4;
 
+/// Whether an engine with memory for `capacity` tokens, of which `used` are taken, holds a prompt with
+/// the need `need` as well. A part of its memory is left free, since hosts know of each other's requests
+/// late.
+///
+/// ```
+/// use marjoram_core::place::{CostFactors, Need, fits};
+/// let factors = CostFactors::default();
+/// let need = Need { input: 17_000, shared: 13_000, output: 30, target: 800.0, factors };
+/// assert!(fits(need, 100_000, 160_000));
+/// assert!(!fits(need, 130_000, 160_000));
+/// ```
+pub fn fits(need: Need, used: u64, capacity: u64) -> bool {
+    (used + need.input + need.output) as f64 <= capacity as f64 * MAX_MEMORY_SHARE
+}
+
 /// Whether a prompt of `input` tokens has to wait at the router because `unread`
 /// tokens are queued ahead of it at the chosen engine. It has already waited for
 /// the time `waited`, and its caller allows `limit` in all. An engine accepts
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -301,11 +301,17 @@
     ) -> Result<Chosen, Refusal> {
         let limit = self.replaced_weights_limit(&prompt.model);
         let weights = |u: &Upstream| u.weights(&prompt.model).unwrap_or_default();
-        let allowed = self.allowed(prompt, all, &limit);
+        let mut allowed = self.allowed(prompt, all, &limit);
+        let need = self.need(prompt);
+        if self.site.settings.load().overcommit_crashes {
+            allowed.retain(|u| place::fits(need, self.memory_used(u), spec.capacity));
+            if allowed.is_empty() {
+                return Err(self.give_up("no engine has memory for it"));
+            }
+        }
         let shared = prompt.shared_parts();
         let sources = self.copy_sources(prompt, shared, spec);
         let views = self.views(prompt, shared, spec, &allowed, &sources, &limit);
-        let need = self.need(prompt);
         let turn = self.site.turn.replace(self.site.turn.get().wrapping_add(1));
         let Some(choice) = place::place_by(self.site.policy, need, &views, turn) else {
             return Err(self.give_up("no engine on weights in force"));
@@ -356,6 +362,13 @@
         if with_room.is_empty() { known } else { with_room }
     }
 
+    /// Tokens of the engine's memory that requests occupy, by its account or by heartbeats, whichever
+    /// knows of more.
+    fn memory_used(&self, engine: &Upstream) -> u64 {
+        let account = self.accounts.borrow().get(&engine.key).map_or(0, |a| a.memory);
+        account.max(engine.load().memory)
+    }
+
     /// What the placement functions need to know of `prompt`.
     fn need(&self, prompt: &Prompt) -> Need {
         Need {
@@ -475,7 +488,7 @@
                 unread: account.map_or(load.unread, |a| a.unread),
                 running: load.running,
                 slots: entry.slots,
-                memory: account.map_or(load.memory, |a| a.memory.max(load.memory)),
+                memory: self.memory_used(u),
                 capacity: spec.capacity,
                 pace: throughput.unwrap_or(DEFAULT_THROUGHPUT),
                 held: u.cached_tokens(self.cache(weights), shared, now),
