--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -3,9 +3,11 @@
 
 mod accounts;
 mod choose;
+mod copies;
 mod limits;
 mod send;
 mod turn;
+mod weights_limit;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -8,21 +8,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::catalog::{CacheStore, EngineSpec};
+use marjoram_core::catalog::EngineSpec;
 use marjoram_core::exchange::{Part, Prompt};
 use marjoram_core::health::STALL_TIMEOUT;
-use marjoram_core::host::DataCentre;
-use marjoram_core::part_index::{self, BLOCK_SLACK, CacheId};
-use marjoram_core::place::{self, Candidate, Choice, CopyableCache, Need, WeightsAge};
+use marjoram_core::part_index::{BLOCK_SLACK, CacheId};
+use marjoram_core::place::{self, Candidate, Need, WeightsAge};
 use marjoram_core::plain::{self, PlainUpstream};
 use marjoram_core::poison;
-use marjoram_core::rollout::AnnouncedVersions;
-use marjoram_core::store_availability::StoreAvailability;
 use marjoram_core::switches::Mechanism;
 use marjoram_core::upstream::Instance;
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::copies::{CopySource, best_source};
+use super::weights_limit::ReplacedWeightsLimit;
 use super::{Exchange, millis};
 use crate::proxy::fleet::Upstream;
 use crate::proxy::refusal::Refusal;
@@ -31,16 +30,6 @@
 /// engine until it has been measured: 1,000 tokens then take 25 ms.
 pub(super) const DEFAULT_THROUGHPUT: f64 = 40.0;
 
-/// Replaced weights stop getting new requests this long before the operators'
-/// limit on their use: a request sent to an engine may queue there that long
-/// before it begins, and it must begin before the limit.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
-
-/// A request that has not begun on replaced weights is cancelled this long before
-/// that limit. Messages within a region take a few milliseconds, so the
-/// cancellation arrives in time.
-const CANCEL_MARGIN: Duration = Duration::from_millis(250);
-
 /// Fraction of the engines that form the partition for small prompts; the other
 /// engines form the one for large prompts. A prompt is sent outside its partition
 /// when that scores better.
@@ -50,14 +39,6 @@
 /// recent, so more engines can be compared without all hosts choosing the same one.
 const REPORTED_SAMPLE: usize = 4;
 
-/// Factor by which a copy between data centres is assumed to take longer than
-/// one within a data centre.
-const CROSS_DC_FACTOR: f64 = 2.0;
-
-/// Factor by which a copy from a cache store is assumed to take longer than its
-/// link alone would allow: all engines share that link.
-const SHARED_LINK_FACTOR: f64 = 2.0;
-
 /// The upstream chosen for one send, and the parameters of that send.
 pub struct Chosen {
     /// The upstream.
@@ -81,96 +62,6 @@
     pub cache: CacheId,
 }
 
-/// An engine or cache store from which cached prompt parts can be copied.
-struct CopySource {
-    /// The engine; `None` for a cache store.
-    engine: Option<Instance>,
-    addr: SocketAddr,
-    dc: DataCentre,
-    /// Version of the weights that computed the cached parts.
-    weights: u64,
-    /// Shared tokens of the prompt that are cached there.
-    cached: u64,
-    /// Milliseconds to copy one token within a data centre.
-    token_ms: f64,
-}
-
-impl CopySource {
-    /// Size and cost of a copy to an engine in the data centre `to`.
-    fn copy_cost(&self, to: &DataCentre) -> CopyableCache {
-        let factor = if self.dc == *to { 1.0 } else { CROSS_DC_FACTOR };
-        CopyableCache { held: self.cached, token_ms: self.token_ms * factor }
-    }
-}
-
-/// The best source for the engine `engine` in `dc`, which serves `weights`: the
-/// one with the most cached tokens, and of several the one that copies fastest.
-/// Only parts computed by the same weights can be used.
-fn best_source<'a>(
-    sources: &'a [CopySource],
-    weights: u64,
-    engine: &Instance,
-    dc: &DataCentre,
-) -> Option<&'a CopySource> {
-    let others =
-        sources.iter().filter(|s| s.weights == weights && s.engine.as_ref() != Some(engine));
-    others.min_by(|a, b| {
-        let (a, b) = (a.copy_cost(dc), b.copy_cost(dc));
-        b.held.cmp(&a.held).then(a.token_ms.total_cmp(&b.token_ms))
-    })
-}
-
-/// Milliseconds to copy one token of `bytes` over a link of `link_mbps`
-/// megabits per second.
-fn copy_ms(bytes: f64, link_mbps: f64) -> f64 {
-    bytes * 8.0 / (link_mbps.max(1.0) * 1e3)
-}
-
-/// The operators' limit on how long weights may be used after newer ones have
-/// been announced.
-///
-/// Engines cannot be ordered to change weights while the platform's store is
-/// unavailable. So the limit applies to each period without a store outage
-/// separately: the time before an outage is not added to the time after it.
-struct ReplacedWeightsLimit {
-    /// The versions announced for the model, and when.
-    announced: AnnouncedVersions,
-    /// Time after which replaced weights get no new requests: the operators'
-    /// limit less [`WEIGHTS_MARGIN`].
-    cutoff: Duration,
-    /// When the store answered without errors.
-    availability: StoreAvailability,
-    now: Duration,
-}
-
-impl ReplacedWeightsLimit {
-    /// How long ago a newer version than `weights` was announced; zero if none was.
-    fn replaced_for(&self, weights: u64) -> Duration {
-        self.announced.replaced(weights, self.now).unwrap_or_default()
-    }
-
-    /// How much of that time has passed since the last store outage.
-    fn elapsed(&self, weights: u64) -> Duration {
-        self.replaced_for(weights).min(self.availability.error_free_for(self.now))
-    }
-
-    /// Whether `weights` may get new requests: the time allowed for them is not
-    /// used up in the current period, and was not in an earlier one either.
-    /// Without the second check, an outage would bring weights back into use.
-    fn allows(&self, weights: u64) -> bool {
-        let before_outage =
-            self.availability.longest_past_period(self.replaced_for(weights), self.now);
-        self.elapsed(weights) < self.cutoff && before_outage < self.cutoff + WEIGHTS_MARGIN
-    }
-
-    /// How long a request on `weights` may wait before it begins; it is
-    /// cancelled after that.
-    fn begin_within(&self, weights: u64) -> Duration {
-        let used = self.elapsed(weights) + CANCEL_MARGIN;
-        (self.cutoff + WEIGHTS_MARGIN).saturating_sub(used)
-    }
-}
-
 impl Exchange {
     /// Selects the upstream for the next send, or returns the refusal if there is
     /// none. `resumed`: the caller already has the beginning of the answer.
@@ -399,49 +290,6 @@
         compared.into_iter().take(count).map(|(index, _)| allowed[index].key).collect()
     }
 
-    /// Where to try to copy shared parts that no engine or store is known to have
-    /// cached, if enough of them are missing: from the preferred engine of their
-    /// prefix path, or, if that is the engine chosen, from the cache store to which
-    /// they are saved. This host's index of the caches' contents may be incomplete.
-    fn likely_source(
-        &self,
-        prompt: &Prompt,
-        views: &[Candidate],
-        choice: &Choice,
-        engines: &[&Rc<Upstream>],
-    ) -> Option<SocketAddr> {
-        let unshared = prompt.input.saturating_sub(prompt.shared());
-        let missing = choice.unread.saturating_sub(unshared);
-        if missing < part_index::LARGE_PART || !self.site.has(Mechanism::Copies) {
-            return None;
-        }
-        match place::preferred_engine(views, views[choice.engine].weights) {
-            Some(preferred) if preferred != choice.engine => {
-                Some(engines[preferred].entry.borrow().addr)
-            }
-            _ => self.store_of(prompt),
-        }
-    }
-
-    /// The cache store that the prompt's shared parts are saved to: the first by
-    /// rendezvous hashing of their prefix path.
-    fn store_of(&self, prompt: &Prompt) -> Option<SocketAddr> {
-        let rank =
-            |s: &&CacheStore| place::rank(prompt.prefix_hash(), self.site.stores.at(s.addr).key);
-        self.stores().max_by_key(rank).map(|s| s.addr)
-    }
-
-    /// The limit on replaced weights of `model` at this moment.
-    fn replaced_weights_limit(&self, model: &str) -> ReplacedWeightsLimit {
-        let now = self.site.now();
-        ReplacedWeightsLimit {
-            announced: self.site.announced_weights.borrow().get(model).cloned().unwrap_or_default(),
-            cutoff: self.site.settings.load().bounds.weights.saturating_sub(WEIGHTS_MARGIN),
-            availability: self.site.store_availability.borrow().clone(),
-            now,
-        }
-    }
-
     /// The state of each of `engines` as the core's placement function takes it.
     ///
     /// With [`Mechanism::PreferredEngines`], engines are ranked by the prompt's prefix
@@ -496,56 +344,11 @@
                 failures: health.failures(),
                 remote: entry.dc != *own_dc,
                 weights,
-                age: WeightsAge::new(limit.replaced_for(weights), limit.cutoff),
+                age: WeightsAge::new(limit.replaced_for(weights), limit.cutoff()),
                 in_partition,
                 sampled,
             }
         };
         engines.iter().zip(partition).zip(sampled).map(view).collect()
     }
-
-    /// The configured cache stores; none if their use is switched off.
-    fn stores(&self) -> impl Iterator<Item = &CacheStore> {
-        let enabled = self.site.has(Mechanism::Stores);
-        self.catalog.cache_stores().filter(move |_| enabled)
-    }
-
-    /// The engines and cache stores known to have cached shared parts of the prompt,
-    /// by the cache updates received. They include engines that may not get the
-    /// request themselves.
-    fn copy_sources(&self, prompt: &Prompt, shared: &[Part], spec: &EngineSpec) -> Vec<CopySource> {
-        let tokens: u64 = shared.iter().map(|p| p.tokens).sum();
-        if tokens == 0 || !self.site.has(Mechanism::Copies) {
-            return Vec::new();
-        }
-        let now = self.site.now();
-        let token_ms = copy_ms(spec.token_bytes, spec.link_mbps);
-        let engines = self.site.fleet.service(&self.service);
-        let mut versions: Vec<u64> = Vec::new();
-        let mut sources = Vec::new();
-        for engine in engines {
-            let Some(weights) = engine.weights(&prompt.model) else { continue };
-            if !versions.contains(&weights) {
-                versions.push(weights);
-            }
-            let cached = engine.cached_tokens(self.cache(weights), shared, now);
-            if cached > 0 {
-                let (life, entry) = (Some(engine.life.clone()), engine.entry.borrow());
-                let (addr, dc) = (entry.addr, entry.dc.clone());
-                sources.push(CopySource { engine: life, addr, dc, weights, cached, token_ms });
-            }
-        }
-        for store in self.stores() {
-            let known = self.site.stores.at(store.addr);
-            let token_ms = SHARED_LINK_FACTOR * copy_ms(spec.token_bytes, store.link_mbps);
-            for &weights in &versions {
-                let cached = known.cache_index.borrow().cached_tokens(self.cache(weights), shared);
-                if cached > 0 {
-                    let (addr, dc) = (store.addr, store.dc.clone());
-                    sources.push(CopySource { engine: None, addr, dc, weights, cached, token_ms });
-                }
-            }
-        }
-        sources
-    }
 }
