Fix what a review of coordinated services found

- Credit was spent for every small request, also where nothing earns it, without a bound: after hours below 18 hosts, small prompts would have waited for 45 minutes.
- A request that may not be sent again waited for its turn before it was answered.
- Memory was checked after the engines had been narrowed to a few, so that requests were refused beside free ones.
- The pool was partitioned over the narrowed engines; hosts disagreed on partitions.
- Whether a large prompt waits was judged by heartbeats, not by the accounts.
- Priorities of requests without a workspace priority were on another scale.
- A request whose turn came without a departure was not woken; one withheld for a crash held up its queue; retries after half of the time were refused at once.
- Without an answer, more engines were compared by late figures than before.
- Claims outlived failed sends, and errors counted as prefilled prompts.
- A host that is the second coordinator waited for the first.
- A route without a target made its service coordinated.
- The accounts kept claims of engines that are gone (test backlog_model failed).

The waiting, withheld and retry cases have no test of their own yet.

--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -195,21 +195,20 @@
         self.engines.get(&upstream).map_or_else(Account::default, |e| e.account(fill, now))
     }
 
-    /// Ends claims that are too old, those of hosts for which `is_present` is false, and the accounts without
-    /// claims of engines for which `is_listed` is false.
+    /// Ends claims that are too old, those of hosts for which `is_present` is false, and the accounts of
+    /// engines for which `is_listed` is false.
     pub fn expire(
         &mut self,
         is_present: impl Fn(u64) -> bool,
         is_listed: impl Fn(u64) -> bool,
         now: Duration,
     ) {
+        self.engines.retain(|key, _| is_listed(*key));
         self.lives.retain(|host, _| is_present(*host));
         self.end_claims(|host| !is_present(host));
         for engine in self.engines.values_mut() {
             engine.claims.retain(|c| now.saturating_sub(c.sent) < MAX_CLAIM);
         }
-        // Claims may arrive before this host has read the engine's entry.
-        self.engines.retain(|key, engine| is_listed(*key) || !engine.claims.is_empty());
     }
 
     fn end_claims(&mut self, of_host: impl Fn(u64) -> bool) {
--- a/crates/core/src/coordination.rs
+++ b/crates/core/src/coordination.rs
@@ -68,8 +68,11 @@
         services
     }
 
+    /// Adds a route. One whose target is not stated has its time-out as target, and asks for nothing.
     fn add(&mut self, route: &Route) {
-        self.targets.push((route.name.clone(), route.target));
+        let stated = route.target < route.timeout;
+        let target = if stated { route.target } else { Duration::ZERO };
+        self.targets.push((route.name.clone(), target));
     }
 
     /// The shortest target of the service's streaming routes other than `route`.
--- a/crates/core/src/credit.rs
+++ b/crates/core/src/credit.rs
@@ -69,8 +69,9 @@
         self.amount >= MAX_CREDIT
     }
 
-    /// Spends the credit of one request, whether there is enough or not.
+    /// Spends the credit of one request, whether there is enough or not. The debt is limited, so that
+    /// requests sent without credit do not hold up later ones for long.
     pub fn spend(&mut self) {
-        self.amount -= 1.0;
+        self.amount = (self.amount - 1.0).max(-MAX_CREDIT);
     }
 }
--- a/crates/core/src/waiting/urgency.rs
+++ b/crates/core/src/waiting/urgency.rs
@@ -12,10 +12,11 @@
 /// use marjoram_core::waiting::Urgency;
 /// assert_eq!(Urgency::new(Some(1), 2).rank(), 5);
 /// assert_eq!(Urgency::new(Some(1), 7).rank(), 5);
-/// assert_eq!(Urgency::new(None, 7).rank(), 7);
+/// assert_eq!(Urgency::new(None, 2).rank(), 6);
 /// assert_eq!(Urgency::new(Some(4), 0).rank(), 9);
 /// assert!(Urgency::new(Some(0), 2) < Urgency::new(Some(1), 0));
 /// assert!(Urgency::new(None, 1) < Urgency::new(None, 4));
+/// assert!(Urgency::new(Some(1), 2) < Urgency::new(None, 2));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Urgency {
@@ -26,12 +27,11 @@
 impl Urgency {
     /// Creates the urgency of a request whose workspace may have no priority.
     ///
-    /// Without one, the route's priority is split into a pair with the same [`rank`](Self::rank).
-    /// Comparing the routes of such a request and any other request instead would not be transitive.
+    /// Without one, the route's priority takes its place, as both are on the same scale.
     pub fn new(workspace: Option<u8>, route: u8) -> Self {
         match workspace {
             Some(workspace) => Self { workspace, route },
-            None => Self { workspace: route / STEPS, route: route % STEPS },
+            None => Self { workspace: route, route: 0 },
         }
     }
 
--- a/crates/core/tests/coordination.rs
+++ b/crates/core/tests/coordination.rs
@@ -108,3 +108,10 @@
     assert!(!is_coordinated(engines(), 800, below));
     assert!(!is_coordinated(engines(), below, 600));
 }
+
+#[test]
+fn engines_with_a_route_without_a_target_are_not_coordinated() {
+    // A target that is not stated is the time-out.
+    let large = route(LARGE, &["s"], 8_000);
+    assert!(coordinated([service("s", engines())], [large]).is_empty());
+}
--- a/crates/core/tests/credit.rs
+++ b/crates/core/tests/credit.rs
@@ -6,6 +6,9 @@
 #[path = "credit/replay.rs"]
 mod replay;
 
+use std::time::Duration;
+
+use marjoram_core::credit::Credit;
 use replay::{BURST, CLOSED, HOSTS, ISOLATED, Scenario, replay};
 
 const BURSTY: Scenario = Scenario {
@@ -90,3 +93,13 @@
         assert!(rejected < 0.1, "seed {seed}: {rejected:.4}");
     }
 }
+
+#[test]
+fn requests_sent_without_credit_leave_a_debt_that_outlasts_them() {
+    let round = Duration::from_millis(500);
+    let mut credit = Credit::new(0.0, Duration::ZERO);
+    (0..1_000).for_each(|_| credit.spend());
+    // An idle engine: a whole place in each round.
+    (1..=2).for_each(|rounds| credit.earn(1.0, round, round * rounds));
+    assert!(credit.is_enough());
+}
--- a/crates/router/src/proxy/backlog.rs
+++ b/crates/router/src/proxy/backlog.rs
@@ -49,13 +49,15 @@
         return None;
     }
     let mut coordinators = service_coordinators(site, service);
+    if coordinators.contains(&None) {
+        return Some(answer_query(site, &query));
+    }
     if site.backlog.prefers_second(site.now()) {
         coordinators.reverse();
     }
     let pending = PendingQuery { site, id: rand::random() };
     let mut answer = site.backlog.begin(pending.id);
-    for (index, coordinator) in coordinators.into_iter().enumerate() {
-        let Some(addr) = coordinator else { return Some(answer_query(site, &query)) };
+    for (index, addr) in coordinators.into_iter().flatten().enumerate() {
         let message = Message::BacklogQuery { id: pending.id, query: query.clone() };
         site.peers.send_to(addr, &message);
         if let Ok(Ok(answer)) = tokio::time::timeout(ANSWER_TIMEOUT, &mut answer).await {
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -225,6 +225,7 @@
         tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %failure,
             fingerprint = %self.fingerprint, sends = self.sends, "answer cut off by upstream");
         let ran = self.site.now().saturating_sub(self.begun);
+        self.claim = None;
         self.check_for_crash(upstream, failure, Some(ran));
     }
 
@@ -258,7 +259,11 @@
                         .ok_or(refusal);
                 }
             };
-            match self.send(&chosen, resumed).await {
+            let sent = self.send(&chosen, resumed).await;
+            if !matches!(sent, Sent::Open(..)) {
+                self.claim = None;
+            }
+            match sent {
                 Sent::Open(opened, flight) => return Ok(Answer::Open(opened, flight)),
                 Sent::Failed(opened, body) => failed = Some((opened, body)),
                 Sent::OtherWeights if weights_tries < MAX_WEIGHTS_TRIES => {
@@ -335,7 +340,7 @@
         let enabled = self.site.has(Mechanism::Waiting);
         enabled
             && prompt.is_some_and(|p| {
-                place::must_wait(p.input, chosen.upstream.load().unread, waited, limit)
+                place::must_wait(p.input, self.unread(&chosen.upstream), waited, limit)
             })
     }
 
--- a/crates/router/src/proxy/request/accounts.rs
+++ b/crates/router/src/proxy/request/accounts.rs
@@ -11,6 +11,7 @@
 
 use super::Exchange;
 use crate::proxy::backlog;
+use crate::proxy::fleet::Upstream;
 use crate::proxy::hosts::{BacklogAnswer, BacklogQuery};
 
 /// Versions of the weights whose caches are asked for: during a rollout there are two or three.
@@ -60,6 +61,12 @@
         if accounts.is_empty() { 1.0 } else { busy as f64 / accounts.len() as f64 }
     }
 
+    /// Prompt tokens that `engine` has yet to prefill, by its account if that was queried.
+    pub(super) fn unread(&self, engine: &Upstream) -> u64 {
+        let accounts = self.accounts.borrow();
+        accounts.get(&engine.key).map_or_else(|| engine.load().unread, |a| a.unread)
+    }
+
     /// Keys of the prompt's shared parts in `cache`.
     pub(super) fn part_keys(&self, cache: CacheId) -> Vec<u64> {
         let shared = self.request.asked.prompt.iter().flat_map(Prompt::shared_parts);
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -4,12 +4,13 @@
 //! weights version) into the inputs of the core crate's placement functions,
 //! which are free of I/O, and turns the result into the parameters of one send.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use marjoram_core::catalog::EngineSpec;
-use marjoram_core::exchange::{Part, Prompt};
+use marjoram_core::exchange::Prompt;
 use marjoram_core::health::STALL_TIMEOUT;
 use marjoram_core::part_index::{BLOCK_SLACK, CacheId};
 use marjoram_core::place::{self, Candidate, Need, WeightsAge};
@@ -62,6 +63,29 @@
     pub cache: CacheId,
 }
 
+/// The engines among which a prompt is placed.
+struct Pool<'a, 'b> {
+    /// The engines whose weights may be used. The pool is partitioned over all of them, so that hosts
+    /// agree on the partitions whichever engines they compare.
+    usable: &'a [&'b Rc<Upstream>],
+    /// Whether more engines are sampled, since their loads are known from accounts.
+    wide: bool,
+}
+
+impl Pool<'_, '_> {
+    /// Whether each of `engines` is in the partition for prompts of a size.
+    fn partition(&self, engines: &[&Rc<Upstream>], small_share: f64, large: bool) -> Vec<bool> {
+        let hashes: Vec<u64> = self.usable.iter().map(|u| u.address_hash).collect();
+        let inside = place::pool_partition(&hashes, small_share, large);
+        let inside: HashSet<u64> = hashes
+            .into_iter()
+            .zip(inside)
+            .filter_map(|(hash, inside)| inside.then_some(hash))
+            .collect();
+        engines.iter().map(|u| inside.contains(&u.address_hash)).collect()
+    }
+}
+
 impl Exchange {
     /// Selects the upstream for the next send, or returns the refusal if there is
     /// none. `resumed`: the caller already has the beginning of the answer.
@@ -192,17 +216,13 @@
     ) -> Result<Chosen, Refusal> {
         let limit = self.replaced_weights_limit(&prompt.model);
         let weights = |u: &Upstream| u.weights(&prompt.model).unwrap_or_default();
-        let mut allowed = self.allowed(prompt, all, &limit);
+        let usable = self.usable(prompt, all, &limit);
+        let allowed = self.compared_engines(&usable);
         let need = self.need(prompt);
-        if self.site.settings.load().overcommit_crashes {
-            allowed.retain(|u| place::fits(need, self.memory_used(u), spec.capacity));
-            if allowed.is_empty() {
-                return Err(self.give_up("no engine has memory for it"));
-            }
-        }
         let shared = prompt.shared_parts();
         let sources = self.copy_sources(prompt, shared, spec);
-        let views = self.views(prompt, shared, spec, &allowed, &sources, &limit);
+        let pool = Pool { usable: &usable, wide: !self.accounts.borrow().is_empty() };
+        let views = self.views(prompt, spec, &allowed, &pool, &sources, &limit);
         let turn = self.site.turn.replace(self.site.turn.get().wrapping_add(1));
         let Some(choice) = place::place_by(self.site.policy, need, &views, turn) else {
             return Err(self.give_up("no engine on weights in force"));
@@ -233,24 +253,43 @@
         })
     }
 
-    /// Those of `all` whose weights may be used and, if accounts were queried, whose
-    /// account is known: engines are compared by equally recent figures. Engines without
-    /// room are passed over while another has room.
-    fn allowed<'a>(
+    /// Those of `all` whose weights may be used.
+    fn usable<'a>(
         &self,
         prompt: &Prompt,
         all: &'a [Rc<Upstream>],
         limit: &ReplacedWeightsLimit,
     ) -> Vec<&'a Rc<Upstream>> {
-        let accounts = self.accounts.borrow();
         let weights = |u: &Upstream| u.weights(&prompt.model).unwrap_or_default();
-        let allowed: Vec<_> = all.iter().filter(|u| limit.allows(weights(u))).collect();
-        let known: Vec<_> =
-            allowed.iter().copied().filter(|u| accounts.contains_key(&u.key)).collect();
-        let known = if known.is_empty() { allowed } else { known };
-        let with_room: Vec<_> =
-            known.iter().copied().filter(|u| self.passes_over_full() && self.has_room(u)).collect();
-        if with_room.is_empty() { known } else { with_room }
+        all.iter().filter(|u| limit.allows(weights(u))).collect()
+    }
+
+    /// Those of `usable` to compare: if accounts were queried, those whose account is known, so that
+    /// figures are equally recent; and those with room, if there are any.
+    fn compared_engines<'a>(&self, usable: &[&'a Rc<Upstream>]) -> Vec<&'a Rc<Upstream>> {
+        let accounts = self.accounts.borrow();
+        let mut known = usable.to_vec();
+        known.retain(|u| accounts.contains_key(&u.key));
+        let known = if known.is_empty() { usable.to_vec() } else { known };
+        if !self.is_queued() {
+            return known;
+        }
+        let with_room = |engines: &[&'a Rc<Upstream>]| -> Vec<&'a Rc<Upstream>> {
+            engines.iter().copied().filter(|u| self.has_room(u)).collect()
+        };
+        let nonempty = [with_room(&known), with_room(usable)].into_iter().find(|e| !e.is_empty());
+        nonempty.unwrap_or(known)
+    }
+
+    /// Whether the engine's memory holds the request as well, where exceeding it would crash the engine.
+    pub(super) fn has_memory(&self, engine: &Upstream) -> bool {
+        let prompt = self.request.asked.prompt.as_ref();
+        match (prompt, self.catalog.engine(&self.service)) {
+            (Some(prompt), Some(spec)) if self.site.settings.load().overcommit_crashes => {
+                place::fits(self.need(prompt), self.memory_used(engine), spec.capacity)
+            }
+            _ => true,
+        }
     }
 
     /// Tokens of the engine's memory that requests occupy, by its account or by heartbeats, whichever
@@ -281,10 +320,11 @@
         };
         let all = self.candidates();
         let limit = self.replaced_weights_limit(&prompt.model);
-        let allowed = self.allowed(prompt, &all, &limit);
-        let shared = prompt.shared_parts();
-        let sources = self.copy_sources(prompt, shared, spec);
-        let views = self.views(prompt, shared, spec, &allowed, &sources, &limit);
+        let usable = self.usable(prompt, &all, &limit);
+        let allowed = self.compared_engines(&usable);
+        let sources = self.copy_sources(prompt, prompt.shared_parts(), spec);
+        let pool = Pool { usable: &usable, wide: true };
+        let views = self.views(prompt, spec, &allowed, &pool, &sources, &limit);
         let mut compared = place::compared(self.need(prompt), &views);
         compared.sort_by_key(|(_, found)| *found);
         compared.into_iter().take(count).map(|(index, _)| allowed[index].key).collect()
@@ -300,13 +340,13 @@
     fn views(
         &self,
         prompt: &Prompt,
-        shared: &[Part],
         spec: &EngineSpec,
         engines: &[&Rc<Upstream>],
+        pool: &Pool<'_, '_>,
         sources: &[CopySource],
         limit: &ReplacedWeightsLimit,
     ) -> Vec<Candidate> {
-        let now = self.site.now();
+        let (now, shared) = (self.site.now(), prompt.shared_parts());
         let own_dc = &self.site.settings.load().dc;
         let has = |mechanism| self.site.has(mechanism);
         let request = xxh3_64(self.id().as_bytes());
@@ -314,14 +354,9 @@
             if has(Mechanism::PreferredEngines) { prompt.prefix_hash() } else { request };
         let address_hashes: Vec<u64> = engines.iter().map(|u| u.address_hash).collect();
         let small_share = if has(Mechanism::SizePartitions) { SMALL_PROMPT_SHARE } else { 0.0 };
-        let partition = place::pool_partition(
-            &address_hashes,
-            small_share,
-            prompt.input >= place::LARGE_PROMPT,
-        );
-        let accounts = self.accounts.borrow();
+        let partition = pool.partition(engines, small_share, prompt.input >= place::LARGE_PROMPT);
         let hosts = if has(Mechanism::EngineSampling) { self.site.peers.count() } else { 1 };
-        let sampled = match self.is_reported() {
+        let sampled = match self.is_reported() && pool.wide {
             true => place::sample_each(request, &address_hashes, &partition, REPORTED_SAMPLE),
             false => place::sample(request, &address_hashes, &partition, hosts),
         };
@@ -329,11 +364,10 @@
             let (load, health, entry) = (u.load(), u.health.borrow(), u.entry.borrow());
             let weights = u.weights(&prompt.model).unwrap_or_default();
             let source = best_source(sources, weights, &u.life, &entry.dc);
-            let account = accounts.get(&u.key);
             let throughput = u.reported_throughput.get().or_else(|| health.prefill_throughput());
             Candidate {
                 rank: place::rank(prefix_path, u.address_hash),
-                unread: account.map_or(load.unread, |a| a.unread),
+                unread: self.unread(u),
                 running: load.running,
                 slots: entry.slots,
                 memory: self.memory_used(u),
--- a/crates/router/src/proxy/request/limits.rs
+++ b/crates/router/src/proxy/request/limits.rs
@@ -44,6 +44,9 @@
             if self.must_wait(&chosen) || (!resumed && self.lacks_room(&chosen)) {
                 return Ok(None);
             }
+            if !self.has_memory(&chosen.upstream) {
+                return Err(self.give_up("no engine has memory for it"));
+            }
             if self.sends > 0 && !self.site.might_repeat(&self.service) {
                 return Err(self.give_up("repeat budget used up"));
             }
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -131,9 +131,6 @@
         let result = result.unwrap_or_else(|_| Err(Failure::TimedOut(site.now() - begun)));
         let now = site.now();
         self.waited = now - begun;
-        if !matches!(&result, Ok(opened) if !opened.mark.not_run) {
-            self.claim = None;
-        }
         match result {
             Err(Failure::Unreachable(why)) => {
                 self.may_have_run = may_have_run_before;
@@ -172,7 +169,7 @@
                     upstream.record_weights(&prompt.model, version);
                 }
                 let shared = prompt.map(|p| p.shared_parts()).unwrap_or_default();
-                if let Some(claim) = &self.claim {
+                if let Some(claim) = self.claim.as_ref().filter(|_| is_success(&opened)) {
                     claim.read(self.part_keys(chosen.cache));
                 }
                 record_prefill(&mut flight, chosen, shared, ahead, begun, now);
@@ -296,6 +293,11 @@
     }
 }
 
+/// Whether the answer is a success that the upstream has sealed.
+fn is_success(opened: &StartedAnswer) -> bool {
+    (200..300).contains(&opened.head.status) && opened.mark.sealed
+}
+
 /// Records that the prompt sent at `begun` has been prefilled by `now`: its shared
 /// parts are cached at the engine, and its time may be a throughput sample.
 fn record_prefill(
--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -19,9 +19,13 @@
 /// fraction of it, since its target has passed then.
 const MAX_WAIT_DIVISOR: u32 = 4;
 
+/// Longest time between two looks at whether it is a request's turn: the order also changes when others
+/// join.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 impl Exchange {
     /// Whether this request waits in a queue: a prompt for a coordinated service.
-    fn is_queued(&self) -> bool {
+    pub(super) fn is_queued(&self) -> bool {
         self.request.asked.prompt.is_some()
             && self.site.has(Mechanism::WaitQueue)
             && self.site.stopping.get().is_none()
@@ -80,13 +84,12 @@
         }
     }
 
-    /// Whether engines without room are passed over.
-    pub(super) fn passes_over_full(&self) -> bool {
-        self.is_queued()
-    }
-
     /// Whether `upstream` has room for one more request, as far as this host knows.
     pub(super) fn has_room(&self, upstream: &Upstream) -> bool {
+        self.has_slot(upstream) && self.has_memory(upstream)
+    }
+
+    fn has_slot(&self, upstream: &Upstream) -> bool {
         let free = credit::free_places(upstream.entry.borrow().slots, upstream.load().running);
         match self.is_large() {
             true => free > 0.0,
@@ -110,16 +113,26 @@
     pub(super) async fn next_in_turn(&self, resumed: bool) -> Result<Chosen, Refusal> {
         // A caller that already has a part of its answer does not wait behind others.
         let queued = self.is_queued() && !resumed;
+        // A request that may not be sent again is answered without waiting for its turn.
+        self.may_send()?;
         let mut place: Option<Place> = None;
-        if queued && self.queue().order.borrow().must_join(self.urgency()) {
+        let may_wait = queued && self.site.now() < self.wait_end();
+        if may_wait && self.queue().order.borrow().must_join(self.urgency()) {
             self.check_expected_wait()?;
             place = Some(self.join());
         }
         loop {
+            self.may_send()?;
+            if self.is_withheld() {
+                self.note_withheld();
+                place = None;
+                tokio::time::sleep(WAIT_INTERVAL).await;
+                continue;
+            }
             if let Some(place) = &place {
                 self.check_place(place)?;
                 if !place.is_first() && self.site.now() < self.wait_end() {
-                    place.changed(self.wait_end()).await;
+                    place.changed(self.wait_end().min(self.site.now() + RECHECK_INTERVAL)).await;
                     continue;
                 }
             }
@@ -130,7 +143,7 @@
                 return Ok(chosen);
             }
             match &mut place {
-                _ if !queued || self.is_withheld() => tokio::time::sleep(WAIT_INTERVAL).await,
+                _ if !queued => tokio::time::sleep(WAIT_INTERVAL).await,
                 Some(place) => place.changed(self.site.now() + WAIT_INTERVAL).await,
                 None => {
                     self.check_expected_wait()?;
@@ -156,7 +169,7 @@
 
     /// Spends this host's credit at `upstream`, which gets the request.
     fn spend_credit(&self, upstream: &Upstream) {
-        if !self.is_large() {
+        if self.is_queued() && !self.is_large() {
             let mut credit = upstream.credit.get();
             credit.spend();
             upstream.credit.set(credit);
@@ -202,7 +215,7 @@
 
     /// Wakes the requests that wait for an engine of this service: one of them may have room.
     pub(super) fn notify_room(&self) {
-        if self.is_queued() {
+        if self.sends > 0 && self.is_queued() {
             self.queue().changed.notify_waiters();
         }
     }
