--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -1,12 +1,12 @@
 //! Accounts of the large prompts that all hosts have outstanding at each engine.
 //!
-//! Load pattern: a hundred large prompts a second from 75 hosts, each of which takes an engine 0.3 s to
-//! prefill. Heartbeats take 0.5 s to reach all hosts, so two in five prompts were sent to an engine with
-//! more than a second of prefill ahead of them, while half of the engines were idle.
+//! Load pattern: a hundred large prompts a second from 75 hosts, each of which takes an engine 0.3
+//! s to prefill. Heartbeats take 0.5 s to reach all hosts, so two in five prompts were sent to an
+//! engine with more than a second of prefill ahead of them, while half of the engines were idle.
 //!
-//! Hosts report each large prompt as a claim to the hosts that keep the accounts, and query these before
-//! they choose an engine. Claims are lost with their datagrams, so none counts for longer than a prompt
-//! can reasonably take.
+//! Hosts report each large prompt as a claim to the hosts that keep the accounts, and query these
+//! before they choose an engine. Claims are lost with their datagrams, so none counts for longer
+//! than a prompt can reasonably take.
 
 mod throughput;
 
@@ -153,8 +153,8 @@
         Self::default()
     }
 
-    /// Applies `changes` that `sender` reports at `now`. `fill` is the share of an engine's slots that are
-    /// taken. The claims of an earlier incarnation of the sender end.
+    /// Applies `changes` that `sender` reports at `now`. `fill` is the share of an engine's slots
+    /// that are taken. The claims of an earlier incarnation of the sender end.
     pub fn apply(
         &mut self,
         sender: Sender,
@@ -190,13 +190,14 @@
         }
     }
 
-    /// The account of the engine `upstream` at `now`; `fill` is the share of its slots that are taken.
+    /// The account of the engine `upstream` at `now`; `fill` is the share of its slots that are
+    /// taken.
     pub fn account(&self, upstream: u64, fill: f64, now: Duration) -> Account {
         self.engines.get(&upstream).map_or_else(Account::default, |e| e.account(fill, now))
     }
 
-    /// Ends claims that are too old, those of hosts for which `is_present` is false, and the accounts of
-    /// engines for which `is_listed` is false.
+    /// Ends claims that are too old, those of hosts for which `is_present` is false, and the
+    /// accounts of engines for which `is_listed` is false.
     pub fn expire(
         &mut self,
         is_present: impl Fn(u64) -> bool,
--- a/crates/core/src/backlog/throughput.rs
+++ b/crates/core/src/backlog/throughput.rs
@@ -1,7 +1,7 @@
 //! The prefill throughput of an engine, measured from the prompts of all hosts.
 //!
-//! Engines of one service differ in speed, and some slow down when nearly full, so there are two moving
-//! averages: below and above [`HIGH_FILL`].
+//! Engines of one service differ in speed, and some slow down when nearly full, so there are two
+//! moving averages: below and above [`HIGH_FILL`].
 
 use std::time::Duration;
 
@@ -14,8 +14,8 @@
 /// Weight of one sample in the moving averages: about the last five seconds of an engine count.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
-/// Bounds of a sample, in tokens a millisecond. A cache hit that was not expected, or a report that was
-/// delayed, gives samples outside.
+/// Bounds of a sample, in tokens a millisecond. A cache hit that was not expected, or a report
+/// that was delayed, gives samples outside.
 const PLAUSIBLE: std::ops::RangeInclusive<f64> = 2.0..=400.0;
 
 /// Prefill throughput of one engine.
@@ -36,8 +36,8 @@
         *average = Some(average.map_or(sample, |a| a + SAMPLE_WEIGHT * (sample - a)));
     }
 
-    /// The throughput expected with the share `fill` of the slots taken, in tokens a millisecond; that at
-    /// another fill if there is no sample for this one.
+    /// The throughput expected with the share `fill` of the slots taken, in tokens a millisecond;
+    /// that at another fill if there is no sample for this one.
     pub(super) fn get(&self, fill: f64) -> Option<f64> {
         match fill > HIGH_FILL {
             true => self.high_fill.or(self.low_fill),
--- a/crates/core/src/coordination.rs
+++ b/crates/core/src/coordination.rs
@@ -1,8 +1,8 @@
 //! Selects the services for which hosts coordinate where prompts go and in which order they wait.
 //!
-//! Coordination costs each request a message to another host and, under load, a wait at the router. It
-//! takes effect on services of engines whose callers have that time: the targets of all their streaming
-//! routes are [`MIN_TARGET`] or longer.
+//! Coordination costs each request a message to another host and, under load, a wait at the
+//! router. It takes effect on services of engines whose callers have that time: the targets of all
+//! their streaming routes are [`MIN_TARGET`] or longer.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -68,7 +68,8 @@
         services
     }
 
-    /// Adds a route. One whose target is not stated has its time-out as target, and asks for nothing.
+    /// Adds a route. One whose target is not stated has its time-out as target, and asks for
+    /// nothing.
     fn add(&mut self, route: &Route) {
         let stated = route.target < route.timeout;
         let target = if stated { route.target } else { Duration::ZERO };
--- a/crates/core/src/part_directory.rs
+++ b/crates/core/src/part_directory.rs
@@ -1,11 +1,11 @@
 //! Directory of the engines that have recently prefilled prompt parts, kept with the accounts of
 //! outstanding prompts.
 //!
-//! Load pattern: more parts than an engine has memory for, each requested again by another host within
-//! seconds. Cache events reach the other hosts a second later, so most of them do not know which engine
-//! to use or to copy from, and parts are prefilled again. Hosts therefore report the parts of each large
-//! prompt as soon as it has been prefilled. An entry may be outdated: it then costs a prefill, since the
-//! engine checks its own cache.
+//! Load pattern: more parts than an engine has memory for, each requested again by another host
+//! within seconds. Cache events reach the other hosts a second later, so most of them do not know
+//! which engine to use or to copy from, and parts are prefilled again. Hosts therefore report the
+//! parts of each large prompt as soon as it has been prefilled. An entry may be outdated: it then
+//! costs a prefill, since the engine checks its own cache.
 
 use std::num::NonZeroUsize;
 use std::time::Duration;
@@ -22,8 +22,8 @@
 /// Engines kept for a part, the most recent ones.
 const MAX_ENGINES: usize = 4;
 
-/// How long an engine is assumed to keep a part that it has prefilled or used. Under load, engines evict
-/// parts after some seconds without use.
+/// How long an engine is assumed to keep a part that it has prefilled or used. Under load, engines
+/// evict parts after some seconds without use.
 const RETENTION: Duration = Duration::from_secs(5);
 
 /// Hash of a part in one cache.
--- a/crates/core/src/waiting.rs
+++ b/crates/core/src/waiting.rs
@@ -1,7 +1,8 @@
 //! Requests that wait on one host for an engine of a coordinated service.
 //!
-//! They leave in the order of urgency, then of the fair shares of their workspaces, then of arrival. A
-//! tenth of the departures is reserved for the less urgent levels, so none of them starves.
+//! They leave in the order of urgency, then of the fair shares of their workspaces, then of
+//! arrival. A tenth of the departures is reserved for the less urgent levels, so none of them
+//! starves.
 
 mod departures;
 mod level;
@@ -110,7 +111,8 @@
     entries: SlotMap<Ticket, Entry>,
     /// Levels stay when they become empty, as their accounts are still needed.
     levels: BTreeMap<Urgency, Level>,
-    /// Requests that have left since the last one on a reserved turn, while more than one level waited.
+    /// Requests that have left since the last one on a reserved turn, while more than one level
+    /// waited.
     since_turn: usize,
     /// The level that had the last reserved turn.
     last_turn: Option<Urgency>,
@@ -170,8 +172,8 @@
     /// Removes a request that is sent, and charges its cost to its workspace.
     pub fn sent(&mut self, ticket: Ticket, now: Duration) -> Option<Request> {
         let request = *self.get(ticket)?;
-        // Requests may be sent out of order. Only those of the level whose turn it is use up the turn;
-        // otherwise frequent ones of another level would postpone it again and again.
+        // Requests may be sent out of order. Only those of the level whose turn it is use up the
+        // turn; otherwise frequent ones of another level would postpone it again and again.
         match self.turn() {
             Some(turn) if turn == request.urgency => {
                 self.since_turn = 0;
@@ -187,17 +189,18 @@
         self.take(ticket, Some(now))
     }
 
-    /// Charges a request that was sent without waiting to its workspace, among requests of `urgency`.
+    /// Charges a request that was sent without waiting to its workspace, among requests of
+    /// `urgency`.
     ///
-    /// Such requests are sent only if [`must_join`](Self::must_join) is false, so no request of this
-    /// urgency waits and the shares advance as if it had been the first in order.
+    /// Such requests are sent only if [`must_join`](Self::must_join) is false, so no request of
+    /// this urgency waits and the shares advance as if it had been the first in order.
     pub fn note_sent(&mut self, urgency: Urgency, workspace: u64, cost: u64) {
         let level = self.levels.entry(urgency).or_default();
         level.accounts.charge(workspace, cost.max(1), true);
     }
 
-    /// Whether a new request of `urgency` has to wait because others of the same or a higher urgency
-    /// wait already.
+    /// Whether a new request of `urgency` has to wait because others of the same or a higher
+    /// urgency wait already.
     pub fn must_join(&self, urgency: Urgency) -> bool {
         self.waiting().next().is_some_and(|(best, _)| best <= urgency)
     }
@@ -212,15 +215,15 @@
         due.map(|(_, ticket)| *ticket).filter(is_late).collect()
     }
 
-    /// The time in which the requests ahead of a new one of `urgency` are expected to leave; `None` if
-    /// no recent departures are known.
+    /// The time in which the requests ahead of a new one of `urgency` are expected to leave;
+    /// `None` if no recent departures are known.
     pub fn expected_wait(&self, urgency: Urgency, now: Duration) -> Option<Duration> {
         self.departures.time_for(self.ahead(urgency), now)
     }
 
     /// The time after which a refused caller should return, without jitter: the time in which the
-    /// requests ahead of a new one of `urgency` are expected to leave, at most a third of the caller's
-    /// remaining time `left`, but never less than 100 ms.
+    /// requests ahead of a new one of `urgency` are expected to leave, at most a third of the
+    /// caller's remaining time `left`, but never less than 100 ms.
     ///
     /// Ahead are the requests of the same or a higher urgency, but no more than leave until the
     /// reserved turns reach the new one.
--- a/crates/core/src/waiting/departures.rs
+++ b/crates/core/src/waiting/departures.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-/// Time with requests waiting that one period covers; the rate is that of the last one to two periods.
+/// Time with requests waiting that one period covers; the rate is that of the last one to two
+/// periods.
 const PERIOD: Duration = Duration::from_secs(2);
 
 /// Idle time after which earlier departures no longer predict the rate.
 const MAX_IDLE: Duration = Duration::from_secs(5);
 
-/// Shortest time that a rate is based on, so that one quick departure does not count as a high rate.
+/// Shortest time that a rate is based on, so that one quick departure does not count as a high
+/// rate.
 const MIN_BUSY: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Default, Clone, Copy)]
--- a/crates/core/src/waiting/level.rs
+++ b/crates/core/src/waiting/level.rs
@@ -39,9 +39,9 @@
 pub(super) struct Level {
     lanes: HashMap<u64, Lane>,
     len: usize,
-    /// Kept while no request of this urgency waits. Levels have accounts of their own because their
-    /// requests do not compete by shares: with a common virtual time, urgent requests would erase the
-    /// charges among the others.
+    /// Kept while no request of this urgency waits. Levels have accounts of their own because
+    /// their requests do not compete by shares: with a common virtual time, urgent requests would
+    /// erase the charges among the others.
     pub(super) accounts: Accounts,
 }
 
--- a/crates/core/tests/backlog.rs
+++ b/crates/core/tests/backlog.rs
@@ -1,6 +1,6 @@
-//! Load: 76 hosts send 125 large prompts a second (70 in a burst of 1.8) to 60 engines, and learn of each other's
-//! loads every 500 ms, while an engine prefills such a prompt in 0.3 s. Replayed with the accounts
-//! of outstanding prompts and without them.
+//! Load: 76 hosts send 125 large prompts a second (70 in a burst of 1.8) to 60 engines, and learn
+//! of each other's loads every 500 ms, while an engine prefills such a prompt in 0.3 s. Replayed
+//! with the accounts of outstanding prompts and without them.
 //!
 //! The model: an engine prefills prompts in order of arrival at a fixed throughput. A prompt is on
 //! time if it is prefilled within 70% of its target, which leaves the rest for the steps until the
--- a/crates/core/tests/coordination.rs
+++ b/crates/core/tests/coordination.rs
@@ -1,5 +1,5 @@
-//! Which services are coordinated. Guards against a change of behaviour for deployments whose callers
-//! have no time for it: their targets are shorter than `MIN_TARGET`.
+//! Which services are coordinated. Guards against a change of behaviour for deployments whose
+//! callers have no time for it: their targets are shorter than `MIN_TARGET`.
 
 use std::time::Duration;
 
--- a/crates/core/tests/credit.rs
+++ b/crates/core/tests/credit.rs
@@ -1,5 +1,5 @@
-//! Load: 75 hosts send small prompts to 45 engines, in a burst more than these can prefill, and learn
-//! of each other's requests every 500 ms. Replayed with credits and without them.
+//! Load: 75 hosts send small prompts to 45 engines, in a burst more than these can prefill, and
+//! learn of each other's requests every 500 ms. Replayed with credits and without them.
 //!
 //! Without credits, a host sends each request at once to the less loaded of two random engines.
 
--- a/crates/core/tests/credit/engine.rs
+++ b/crates/core/tests/credit/engine.rs
@@ -34,7 +34,8 @@
         is_accepted
     }
 
-    /// Works until `now` and returns the prompts that have been answered. To be called every millisecond.
+    /// Works until `now` and returns the prompts that have been answered. To be called every
+    /// millisecond.
     pub fn advance(&mut self, now: u64) -> Vec<Prompt> {
         if let Some((until, prompt)) = self.prefill.take_if(|(until, _)| *until <= now) {
             self.running.push_back((until + STEPS_MS, prompt));
--- a/crates/core/tests/credit/replay.rs
+++ b/crates/core/tests/credit/replay.rs
@@ -27,7 +27,8 @@
 /// When the last request arrives.
 const END: u64 = 13_000;
 
-/// Interval at which a host sends its loads to the next of the others, and adds up those it has heard.
+/// Interval at which a host sends its loads to the next of the others, and adds up those it has
+/// heard.
 const PERIOD: u64 = 100;
 /// Time in which a host hears once of each other host.
 const ROUND: u64 = 5 * PERIOD;
@@ -250,8 +251,8 @@
         self.outcome.prefilling.push(prefilling);
     }
 
-    /// Each host sends its loads to some of the others at a time, in turn and not at the same time as
-    /// the other hosts.
+    /// Each host sends its loads to some of the others at a time, in turn and not at the same time
+    /// as the other hosts.
     fn report(&mut self) {
         for from in 0..HOSTS {
             let shifted = self.now + from as u64 * 37;
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -89,8 +89,9 @@
     // time, so at most 2 n requests (of cost 300 or more) of each other workspace go before it.
     let turn = Duration::from_secs_f64(10.0 / RATE);
     let sources = [((8, 9), turn), ((8, 16), turn * (1 + 7 * 2))];
-    // The least urgent kind asks for less than its reserved share, for all of it, or for three times
-    // as much. With a deadline of 3 s the queue never fills up; with 4 s it does, and evicts.
+    // The least urgent kind asks for less than its reserved share, for all of it, or for three
+    // times as much. With a deadline of 3 s the queue never fills up; with 4 s it does, and
+    // evicts.
     for (deadline, rate, min_sent) in [
         (3_000, 0.06, 0.9),
         (3_000, 0.1, 0.1),
@@ -174,8 +175,8 @@
         }
     }
     let retry = |route| queue.retry_after(Urgency::new(Some(1), route), ms(30_000), ms(1_200));
-    // 205 urgent requests and a less urgent one wait after 50 departures in 1.2 s. A second less urgent
-    // one would leave on the second reserved turn, after 19 others at most.
+    // 205 urgent requests and a less urgent one wait after 50 departures in 1.2 s. A second less
+    // urgent one would leave on the second reserved turn, after 19 others at most.
     assert_eq!(retry(0), ms(1_200).mul_f64(205.0 / 50.0));
     assert_eq!(retry(2), ms(1_200).mul_f64(19.0 / 50.0));
 }
@@ -188,8 +189,8 @@
     assert_eq!(pushed.evicted, Some(flood[2].ticket));
 }
 
-/// Sends a herd of 500 callers at once to a queue of 64 from which 100 requests leave a second. Returns
-/// the number of repeats and the most callers that return within 40 ms.
+/// Sends a herd of 500 callers at once to a queue of 64 from which 100 requests leave a second.
+/// Returns the number of repeats and the most callers that return within 40 ms.
 fn herd(constant: Option<Duration>, seed: u64) -> (usize, usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let urgency = Urgency::new(Some(1), 0);
--- a/crates/core/tests/waiting/reference.rs
+++ b/crates/core/tests/waiting/reference.rs
@@ -64,8 +64,8 @@
         order.into_iter().map(|(key, ticket)| (key.0, ticket)).collect()
     }
 
-    /// The level with the next reserved turn: the levels below the first, rotated to start after the
-    /// one that had the last turn.
+    /// The level with the next reserved turn: the levels below the first, rotated to start after
+    /// the one that had the last turn.
     fn turn(&self) -> Option<Level> {
         let mut levels: Vec<_> = self.order().into_iter().map(|(level, _)| level).collect();
         levels.dedup();
--- a/crates/core/tests/waiting/replay.rs
+++ b/crates/core/tests/waiting/replay.rs
@@ -62,8 +62,8 @@
     pub max_wait: Duration,
     /// Requests of all kinds that were sent while one of this kind waited.
     pub sent_beside: u32,
-    /// Longest time in the queue, of those sent or expired, divided by the number of requests of the
-    /// kind that waited when the request was added, itself included.
+    /// Longest time in the queue, of those sent or expired, divided by the number of requests of
+    /// the kind that waited when the request was added, itself included.
     pub max_wait_per_place: Duration,
 }
 
--- a/crates/router/src/proxy/backlog.rs
+++ b/crates/router/src/proxy/backlog.rs
@@ -1,8 +1,9 @@
 //! Queries and keeps the accounts of outstanding large prompts of coordinated services.
 //!
-//! Two hosts of each such service keep its accounts; every host reports its large prompts to both and
-//! queries one of them before it chooses an engine. The rules are in [`marjoram_core::backlog`]. Nothing
-//! depends on an answer: without one, the host chooses by its own requests and the others' heartbeats.
+//! Two hosts of each such service keep its accounts; every host reports its large prompts to both
+//! and queries one of them before it chooses an engine. The rules are in
+//! [`marjoram_core::backlog`]. Nothing depends on an answer: without one, the host chooses by its
+//! own requests and the others' heartbeats.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,7 +24,8 @@
 /// Time between checks for claims that have ended without a report.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Seed of the hash that selects a service's coordinators, so that they differ from those of quotas.
+/// Seed of the hash that selects a service's coordinators, so that they differ from those of
+/// quotas.
 const GROUP_SEED: u64 = 2;
 
 /// The coordinators of the accounts of `service`; `None` stands for this host.
@@ -113,8 +115,8 @@
 }
 
 impl Claim {
-    /// Reports a prompt that is about to be sent: the engine has to prefill `tokens`, and it occupies
-    /// `memory` tokens there.
+    /// Reports a prompt that is about to be sent: the engine has to prefill `tokens`, and it
+    /// occupies `memory` tokens there.
     pub fn new(
         site: &Rc<Site>,
         service: &str,
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -364,9 +364,9 @@
         }
     }
 
-    /// When the caller should retry: when those that wait before it are expected to
-    /// have left, where requests wait in order, and varied by up to half of that. Else varied by up to 200 ms by the id of the
-    /// attempt, so that requests refused together are not retried together.
+    /// When the caller should retry: when those that wait before it are expected to have left,
+    /// where requests wait in order, and varied by up to half of that. Else varied by up to 200 ms
+    /// by the id of the attempt, so that requests refused together are not retried together.
     fn retry_after(&self) -> Duration {
         let hash = xxh3_64(self.id().as_bytes());
         match self.retry_in_turn() {
--- a/crates/router/src/proxy/request/accounts.rs
+++ b/crates/router/src/proxy/request/accounts.rs
@@ -27,8 +27,8 @@
 const MIN_PREFILL_FACTOR: f64 = 0.25;
 
 impl Exchange {
-    /// Whether other hosts are told of this request's sends, and it is placed by their accounts: a large
-    /// prompt for a coordinated service.
+    /// Whether other hosts are told of this request's sends, and it is placed by their accounts: a
+    /// large prompt for a coordinated service.
     pub(super) fn is_reported(&self) -> bool {
         let prompt = self.request.asked.prompt.as_ref();
         prompt.is_some_and(|p| p.input >= place::LARGE_PROMPT)
@@ -36,13 +36,14 @@
             && self.site.coordination(&self.service).is_some()
     }
 
-    /// How much the costs count that the choice of an engine has for other requests. They are those of a
-    /// busy service whose callers cannot wait, unless this one is coordinated.
+    /// How much the costs count that the choice of an engine has for other requests. They are
+    /// those of a busy service whose callers cannot wait, unless this one is coordinated.
     pub(super) fn cost_factors(&self, prompt: &Prompt) -> CostFactors {
         let Some(coordination) = self.site.coordination(&self.service) else {
             return CostFactors::default();
         };
-        // A large prompt outside its partition delays the others' requests, a small one only itself.
+        // A large prompt outside its partition delays the others' requests, a small one only
+        // itself.
         let delayed = match prompt.input >= place::LARGE_PROMPT {
             true => coordination.shortest_target_beside(&self.route.name),
             false => Some(self.route.target),
@@ -54,7 +55,8 @@
         }
     }
 
-    /// Share of the engines whose accounts were queried that have prompts to prefill; 1 if none was.
+    /// Share of the engines whose accounts were queried that have prompts to prefill; 1 if none
+    /// was.
     fn busy_share(&self) -> f64 {
         let accounts = self.accounts.borrow();
         let busy = accounts.values().filter(|a| a.unread >= BUSY_TOKENS).count();
@@ -73,7 +75,8 @@
         shared.map(|part| part_key(cache, part.id)).collect()
     }
 
-    /// Queries the accounts of the engines that are compared for this request, if it is placed by them.
+    /// Queries the accounts of the engines that are compared for this request, if it is placed by
+    /// them.
     pub(super) async fn query_backlog(&self) {
         if !self.is_reported() {
             return;
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -36,8 +36,8 @@
 /// when that scores better.
 const SMALL_PROMPT_SHARE: f64 = 0.3;
 
-/// Engines sampled inside and outside the partition for a prompt whose accounts are queried: these are
-/// recent, so more engines can be compared without all hosts choosing the same one.
+/// Engines sampled inside and outside the partition for a prompt whose accounts are queried: these
+/// are recent, so more engines can be compared without all hosts choosing the same one.
 const REPORTED_SAMPLE: usize = 4;
 
 /// The upstream chosen for one send, and the parameters of that send.
@@ -65,8 +65,8 @@
 
 /// The engines among which a prompt is placed.
 struct Pool<'a, 'b> {
-    /// The engines whose weights may be used. The pool is partitioned over all of them, so that hosts
-    /// agree on the partitions whichever engines they compare.
+    /// The engines whose weights may be used. The pool is partitioned over all of them, so that
+    /// hosts agree on the partitions whichever engines they compare.
     usable: &'a [&'b Rc<Upstream>],
     /// Whether more engines are sampled, since their loads are known from accounts.
     wide: bool,
@@ -264,8 +264,8 @@
         all.iter().filter(|u| limit.allows(weights(u))).collect()
     }
 
-    /// Those of `usable` to compare: if accounts were queried, those whose account is known, so that
-    /// figures are equally recent; and those with room, if there are any.
+    /// Those of `usable` to compare: if accounts were queried, those whose account is known, so
+    /// that figures are equally recent; and those with room, if there are any.
     fn compared_engines<'a>(&self, usable: &[&'a Rc<Upstream>]) -> Vec<&'a Rc<Upstream>> {
         let accounts = self.accounts.borrow();
         let mut known = usable.to_vec();
@@ -281,7 +281,8 @@
         nonempty.unwrap_or(known)
     }
 
-    /// Whether the engine's memory holds the request as well, where exceeding it would crash the engine.
+    /// Whether the engine's memory holds the request as well, where exceeding it would crash the
+    /// engine.
     pub(super) fn has_memory(&self, engine: &Upstream) -> bool {
         let prompt = self.request.asked.prompt.as_ref();
         match (prompt, self.catalog.engine(&self.service)) {
@@ -292,8 +293,8 @@
         }
     }
 
-    /// Tokens of the engine's memory that requests occupy, by its account or by heartbeats, whichever
-    /// knows of more.
+    /// Tokens of the engine's memory that requests occupy, by its account or by heartbeats,
+    /// whichever knows of more.
     fn memory_used(&self, engine: &Upstream) -> u64 {
         let account = self.accounts.borrow().get(&engine.key).map_or(0, |a| a.memory);
         account.max(engine.load().memory)
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -62,8 +62,8 @@
         }
     }
 
-    /// Priority at the engine. In a coordinated service the route's priority counts among requests of
-    /// equal workspace priority; elsewhere only where the workspace has none.
+    /// Priority at the engine. In a coordinated service the route's priority counts among requests
+    /// of equal workspace priority; elsewhere only where the workspace has none.
     fn rank(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|w| w.priority);
         match (self.site.coordination(&self.service), workspace) {
@@ -102,11 +102,13 @@
         self.claim = self.new_claim(chosen, memory);
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
             fingerprint = %self.fingerprint,
-            chain = prompt.map(|p| p.prefix_hash()), shared = prompt.map(|p| p.shared()), weights = chosen.weights,
+            chain = prompt.map(|p| p.prefix_hash()), shared = prompt.map(|p| p.shared()),
+            weights = chosen.weights,
             salt = envelope.salt, fetch = envelope.fetch, save = envelope.save,
             input = prompt.map(|p| p.input), unread = chosen.prefill, ahead,
             running = upstream.load().running, accounts = self.accounts.borrow().len(),
-            backlog = self.accounts.borrow().get(&upstream.key).map(|a| a.unread), wait_ms = chosen.expected_wait.as_millis() as u64,
+            backlog = self.accounts.borrow().get(&upstream.key).map(|a| a.unread),
+            wait_ms = chosen.expected_wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
         self.denials.take();
@@ -178,8 +180,8 @@
         }
     }
 
-    /// The report of the prompt that is about to be sent to the engine chosen; `None` if other hosts need
-    /// not know of it.
+    /// The report of the prompt that is about to be sent to the engine chosen; `None` if other
+    /// hosts need not know of it.
     fn new_claim(&self, chosen: &Chosen, memory: u64) -> Option<Claim> {
         self.is_reported().then(|| {
             Claim::new(&self.site, &self.service, &chosen.upstream, chosen.prefill, memory)
--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -15,12 +15,12 @@
 use crate::proxy::site::{QueueKey, WaitQueue};
 use crate::proxy::waiting::Place;
 
-/// Divisor of the caller's time limit: a large prompt waits for its turn and for room for at most that
-/// fraction of it, since its target has passed then.
+/// Divisor of the caller's time limit: a large prompt waits for its turn and for room for at most
+/// that fraction of it, since its target has passed then.
 const MAX_WAIT_DIVISOR: u32 = 4;
 
-/// Longest time between two looks at whether it is a request's turn: the order also changes when others
-/// join.
+/// Longest time between two looks at whether it is a request's turn: the order also changes when
+/// others join.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Exchange {
@@ -205,8 +205,8 @@
         }
     }
 
-    /// When a caller that is refused should retry, if it is to wait for its turn again: after those that
-    /// wait before it.
+    /// When a caller that is refused should retry, if it is to wait for its turn again: after
+    /// those that wait before it.
     pub(super) fn retry_in_turn(&self) -> Option<Duration> {
         let queue = self.is_queued().then(|| self.queue())?;
         let order = queue.order.borrow();
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -237,8 +237,8 @@
         self.catalog.store(Some(Arc::new(catalog)));
     }
 
-    /// How `service` is coordinated; `None` if it is not. With few hosts, heartbeats reach all of them in
-    /// one round, and coordination gains nothing.
+    /// How `service` is coordinated; `None` if it is not. With few hosts, heartbeats reach all of
+    /// them in one round, and coordination gains nothing.
     pub fn coordination(&self, service: &str) -> Option<Rc<Coordination>> {
         let many = self.peers.count() > place::SINGLE_ROUND_HOSTS;
         self.coordinated.borrow().get(service).filter(|_| many).cloned()
--- a/crates/router/src/proxy/site/waiting.rs
+++ b/crates/router/src/proxy/site/waiting.rs
@@ -10,8 +10,8 @@
 /// Requests that one queue holds at most: more than arrive at a host within the longest deadline.
 const CAPACITY: usize = 256;
 
-/// What a queue's requests wait for: large prompts for engines with little to prefill, small ones for
-/// engines with free slots, so neither holds up the other.
+/// What a queue's requests wait for: large prompts for engines with little to prefill, small ones
+/// for engines with free slots, so neither holds up the other.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct QueueKey {
     /// The service.
--- a/crates/router/src/proxy/waiting.rs
+++ b/crates/router/src/proxy/waiting.rs
@@ -17,8 +17,8 @@
 }
 
 impl Place {
-    /// Adds `request` to `queue`. The request that is evicted if the queue is full learns of it from
-    /// [`Place::is_evicted`].
+    /// Adds `request` to `queue`. The request that is evicted if the queue is full learns of it
+    /// from [`Place::is_evicted`].
     pub fn join(site: &Rc<Site>, queue: &Rc<WaitQueue>, request: Request) -> Self {
         let joined = site.now();
         let pushed = queue.order.borrow_mut().push(request, joined);
