Choice of an engine: look at room once, and at memory without the costs

has_room was asked of all usable engines also where the known ones had room: the second list is now made only if the first is empty. The memory check built the whole need, with the cost factors over all accounts, for each engine, and used two figures of it; it takes the tokens now. present_names repeated the filter of present_hosts and calls it. No behaviour changes.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -170,19 +170,17 @@
 /// most that fraction of it.
 const MAX_WAIT_DIVISOR: u32 = 4;
 
-/// Whether an engine with memory for `capacity` tokens, of which `used` are taken, holds a prompt with
-/// the need `need` as well. A part of its memory is left free, since hosts know of each other's requests
-/// late.
+/// Whether an engine with memory for `capacity` tokens, of which `used` are taken, holds a request
+/// of `tokens` tokens as well. A part of its memory is left free, since hosts know of each other's
+/// requests late.
 ///
 /// ```
-/// use marjoram_core::place::{CostFactors, Need, fits};
-/// let factors = CostFactors::default();
-/// let need = Need { input: 17_000, shared: 13_000, output: 30, target: 800.0, factors };
-/// assert!(fits(need, 100_000, 160_000));
-/// assert!(!fits(need, 130_000, 160_000));
+/// use marjoram_core::place::fits;
+/// assert!(fits(17_030, 100_000, 160_000));
+/// assert!(!fits(17_030, 130_000, 160_000));
 /// ```
-pub fn fits(need: Need, used: u64, capacity: u64) -> bool {
-    (used + need.input + need.output) as f64 <= capacity as f64 * MAX_MEMORY_SHARE
+pub fn fits(tokens: u64, used: u64, capacity: u64) -> bool {
+    (used + tokens) as f64 <= capacity as f64 * MAX_MEMORY_SHARE
 }
 
 /// Whether a prompt of `input` tokens has to wait at the router because `unread`
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -243,11 +243,7 @@
 
     /// Hashes of the names of the other hosts that have not been gone for long.
     pub fn present_names(&self) -> HashSet<u64> {
-        let (now, gone) = (self.now.get(), self.peer_timeout() * GONE_FACTOR);
-        let known = self.known.borrow();
-        let present =
-            known.iter().filter(|(_, p)| now < p.last_heartbeat.unwrap_or(p.added) + gone);
-        present.map(|(name, _)| xxh3_64(name.as_bytes())).collect()
+        self.present_hosts().into_iter().map(|(host, _)| host.name).collect()
     }
 
     /// Addresses at which the other hosts take callers, of those that do.
--- a/crates/router/src/proxy/hosts/delivery.rs
+++ b/crates/router/src/proxy/hosts/delivery.rs
@@ -105,7 +105,7 @@
     }
 
     /// The other hosts that have not been gone for long.
-    fn present_hosts(&self) -> Vec<(Host, SocketAddr)> {
+    pub(super) fn present_hosts(&self) -> Vec<(Host, SocketAddr)> {
         let (now, gone) = (self.now.get(), self.peer_timeout() * GONE_FACTOR);
         let recent_timeout =
             MIN_PEER_TIMEOUT.min(self.peer_timeout()).max(self.heartbeat_round() * 3 / 2);
--- a/crates/router/src/proxy/request/choose.rs
+++ b/crates/router/src/proxy/request/choose.rs
@@ -277,7 +277,8 @@
         let with_room = |engines: &[&'a Rc<Upstream>]| -> Vec<&'a Rc<Upstream>> {
             engines.iter().copied().filter(|u| self.has_room(u)).collect()
         };
-        let nonempty = [with_room(&known), with_room(usable)].into_iter().find(|e| !e.is_empty());
+        let candidates = [&known[..], usable].into_iter();
+        let nonempty = candidates.map(with_room).find(|engines| !engines.is_empty());
         nonempty.unwrap_or(known)
     }
 
@@ -287,7 +288,8 @@
         let prompt = self.request.asked.prompt.as_ref();
         match (prompt, self.catalog.engine(&self.service)) {
             (Some(prompt), Some(spec)) if self.site.settings.load().overcommit_crashes => {
-                place::fits(self.need(prompt), self.memory_used(engine), spec.capacity)
+                let tokens = prompt.input + prompt.output;
+                place::fits(tokens, self.memory_used(engine), spec.capacity)
             }
             _ => true,
         }
