Rate limits: log which answer or host changed a limit, and when counting ends

The line 'rate limit of upstream changed' names the attempt, whether its request was not run, and the host that reported the change. New lines and figures tell when sends cease to be counted while the upstream is listed or not, how many hosts report to an account, and how many reports were on an upstream that the coordinator does not know. No change of logic.

--- a/crates/core/src/quota/gate.rs
+++ b/crates/core/src/quota/gate.rs
@@ -224,17 +224,22 @@
 
     /// Decisions on the requests of `workspace`.
     pub fn totals(&self, workspace: u64) -> Option<Totals> {
-        let meter = self.meters.get(&workspace)?;
-        Some(Totals { admitted: meter.admitted, refused: meter.refused })
+        self.meters.get(&workspace).map(Meter::totals)
     }
 
-    /// Removes workspaces for which `keeps` is false.
-    pub fn retain(&mut self, keeps: impl Fn(u64) -> bool) {
-        self.meters.retain(|workspace, _| keeps(*workspace));
+    /// Removes workspaces for which `keeps` is false, and returns the decisions on
+    /// their requests.
+    pub fn retain(&mut self, keeps: impl Fn(u64) -> bool) -> Vec<(u64, Totals)> {
+        let removed = self.meters.extract_if(|workspace, _| !keeps(*workspace));
+        removed.map(|(workspace, meter)| (workspace, meter.totals())).collect()
     }
 }
 
 impl Meter {
+    fn totals(&self) -> Totals {
+        Totals { admitted: self.admitted, refused: self.refused }
+    }
+
     /// The answer with the lowest admission ratio among those still valid.
     fn allocation(&self, now: Duration) -> Option<&Allocation> {
         let valid = self.allocations.iter().filter(|(_, _, at)| now < *at + ANSWER_SPAN);
--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -114,6 +114,8 @@
     pub demand: f64,
     /// The fraction of the quota reserved for unreachable hosts.
     pub reserved: f64,
+    /// Number of reachable hosts that have reported.
+    pub reporting: usize,
 }
 
 /// The accounts of the workspaces that one host coordinates.
--- a/crates/core/src/quota/ledger/account.rs
+++ b/crates/core/src/quota/ledger/account.rs
@@ -198,6 +198,7 @@
             level: self.level,
             demand: self.demand(now),
             reserved: self.reserved,
+            reporting: self.entries.values().filter(|entry| !entry.unreachable).count(),
         }
     }
 
--- a/crates/router/src/proxy/conditions.rs
+++ b/crates/router/src/proxy/conditions.rs
@@ -31,7 +31,7 @@
     let age = now.saturating_sub(sent);
     let changes = upstream.conditions.borrow_mut().record(stated, sent, now);
     if let Some(change) = changes.limit {
-        apply_limit(site, upstream, change, age, "answer");
+        apply_limit(site, upstream, change, age, Source::Answer(answer));
     }
     if changes.leaving {
         site.counters.count("upstream.said_leaving");
@@ -47,12 +47,18 @@
     }
 }
 
-/// Records what another host reports of the rate limit of `upstream`.
-pub fn record_reported(site: &Site, upstream: &Rc<Upstream>, reported: ReportedLimit) {
+/// Records what the host `reporter`, a hash of its name, reports of the rate limit of
+/// `upstream`.
+pub fn record_reported(
+    site: &Site,
+    upstream: &Rc<Upstream>,
+    reported: ReportedLimit,
+    reporter: u64,
+) {
     let change = upstream.conditions.borrow_mut().apply_reported(reported, site.now());
     if let Some(change) = change {
         let age = Duration::from_millis(u64::from(reported.age_ms));
-        apply_limit(site, upstream, change, age, "host");
+        apply_limit(site, upstream, change, age, Source::Host(reporter));
     }
 }
 
@@ -65,22 +71,44 @@
     }
 }
 
-/// Puts a changed rate limit in force. `source` is where it was stated, `age` how
-/// long ago at most.
+/// Where a statement was received from.
+enum Source<'a> {
+    /// An answer of the upstream.
+    Answer(&'a ResponseMetadata),
+    /// Another host, by the hash of its name.
+    Host(u64),
+}
+
+impl Source<'_> {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => "answer",
+            Self::Host(_) => "host",
+        }
+    }
+}
+
+/// Puts a changed rate limit in force, stated by `source` at most `age` ago.
 fn apply_limit(
     site: &Site,
     upstream: &Upstream,
     change: LimitChange,
     age: Duration,
-    source: &'static str,
+    source: Source<'_>,
 ) {
     if change.limit.is_some() {
         site.rate_limits.gate.borrow_mut().check_first(upstream.key);
     }
     site.rate_limits.first.notify_one();
     site.counters.count("upstream.limit_changes");
+    let (answer, reporter) = match source {
+        Source::Answer(answer) => (Some(answer), None),
+        Source::Host(reporter) => (None, Some(reporter)),
+    };
     tracing::info!(target: "conditions", upstream = %upstream.life,
         limit = change.limit.map(|l| l.per_second()),
         former = change.former.map(|l| l.per_second()),
-        age_ms = age.as_millis() as u64, source, "rate limit of upstream changed");
+        age_ms = age.as_millis() as u64, source = source.name(), reporter,
+        id = answer.and_then(|a| a.attempt.as_deref()), not_run = answer.map(|a| a.not_run),
+        "rate limit of upstream changed");
 }
--- a/crates/router/src/proxy/quota.rs
+++ b/crates/router/src/proxy/quota.rs
@@ -150,7 +150,8 @@
 /// equal share of the quota.
 fn report(site: &Rc<Site>, limits: &HashMap<u64, Limit>) {
     let window = site.settings.load().bounds.quota.window;
-    let usages = site.quotas.usages(limits, window, site.now());
+    site.quotas.remove_unlimited(limits);
+    let usages = site.quotas.usages(window, site.now());
     if !site.has(Mechanism::QuotaCoordinators) {
         let hosts = site.peers.count();
         return site.quotas.gate.borrow_mut().set_fixed_share(1.0 / hosts as f64);
--- a/crates/router/src/proxy/rate_limits.rs
+++ b/crates/router/src/proxy/rate_limits.rs
@@ -93,8 +93,8 @@
         let rate = limits.get(&key).map(|limit| limit.quota.rate);
         tracing::info!(target: "conditions", upstream = %upstream.life, rate,
             limited = status.admission_ratio < 1.0, pass = status.admission_ratio,
-            level = status.level, demand = status.demand, reserved = status.reserved, heard,
-            silent, "rate limiting of upstream started or ended");
+            level = status.level, demand = status.demand, reserved = status.reserved,
+            reporting = status.reporting, heard, silent, "rate limiting of upstream started or ended");
     }
 }
 
@@ -102,7 +102,11 @@
 /// coordinators, or applies them here where this host is one.
 fn report(site: &Rc<Site>, limits: &HashMap<u64, Limit>) {
     let now = site.now();
-    let usages = site.rate_limits.usages(limits, WINDOW, now);
+    for (key, totals) in site.rate_limits.remove_unlimited(limits) {
+        tracing::info!(target: "conditions", key, sent = totals.admitted, denied = totals.refused,
+            listed = site.fleet.by_key(key).is_some(), "sends to upstream are no longer counted");
+    }
+    let usages = site.rate_limits.usages(WINDOW, now);
     let usages: HashMap<u64, Usage> = usages.into_iter().map(|u| (u.workspace, u)).collect();
     let mut groups: HashMap<u64, Vec<LimitReport>> = HashMap::new();
     for upstream in site.fleet.all() {
@@ -146,8 +150,11 @@
         .iter()
         .filter_map(|report| Some((site.fleet.by_key(report.upstream)?, report)))
         .collect();
+    if known.len() < reports.len() {
+        site.counters.count("upstream.limit_reports_unknown");
+    }
     for (upstream, report) in &known {
-        conditions::record_reported(site, upstream, report.stated);
+        conditions::record_reported(site, upstream, report.stated, sender.host);
     }
     let in_force = |u: &Rc<Upstream>| u.conditions.borrow().limit().is_some();
     let usages: Vec<Usage> =
@@ -165,7 +172,7 @@
 pub fn apply_answers(site: &Site, coordinator: u64, answers: &[LimitAnswer]) {
     for answer in answers {
         let Some(upstream) = site.fleet.by_key(answer.upstream) else { continue };
-        conditions::record_reported(site, &upstream, answer.stated);
+        conditions::record_reported(site, &upstream, answer.stated, coordinator);
     }
     let allocations: Vec<_> = answers.iter().filter_map(|answer| answer.allocation).collect();
     site.rate_limits.apply_allocations(coordinator, &allocations, site.now());
--- a/crates/router/src/proxy/site/quotas.rs
+++ b/crates/router/src/proxy/site/quotas.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use marjoram_core::quota::Limit;
-use marjoram_core::quota::gate::Gate;
+use marjoram_core::quota::gate::{Gate, Totals};
 use marjoram_core::quota::ledger::{AccountStatus, Allocation, Hosts, Ledger, Sender, Usage};
 use tokio::sync::Notify;
 
@@ -54,17 +54,16 @@
         changed
     }
 
-    /// What this host admitted under `limits`, to be reported to the coordinators.
-    /// `window` is the window of the quotas.
-    pub fn usages(
-        &self,
-        limits: &HashMap<u64, Limit>,
-        window: Duration,
-        now: Duration,
-    ) -> Vec<Usage> {
-        let mut gate = self.gate.borrow_mut();
-        gate.retain(|key| limits.contains_key(&key));
-        gate.usages(window, now)
+    /// Forgets what this host admitted under quotas that are not among `limits`, and
+    /// returns it.
+    pub fn remove_unlimited(&self, limits: &HashMap<u64, Limit>) -> Vec<(u64, Totals)> {
+        self.gate.borrow_mut().retain(|key| limits.contains_key(&key))
+    }
+
+    /// What this host admitted, to be reported to the coordinators. `window` is the
+    /// window of the quotas.
+    pub fn usages(&self, window: Duration, now: Duration) -> Vec<Usage> {
+        self.gate.borrow().usages(window, now)
     }
 
     /// Applies usages reported by `sender` to the accounts kept here; returns the
