Rate limits: an answer that states no limit withdraws it only after two seconds without one

Callers saw nothing; an upstream that states its limit in a part of its answers got as many requests as without a limit.

Cause: each answer without a statement, to a request sent after the last statement was received, withdrew the limit for the host, and through reports for all hosts. A late answer to an earlier request was dated by the send that it did not answer, and withdrew the limit too. Evidence: the log alternates between the limit and none, with the ids of answers that lack the header. Change: a limit is withdrawn or raised only by an answer to a request sent two seconds or more after the last statement of the limit, the host's own or one that others report; a late answer to another request loosens nothing. Ruled out as sole cause: entries that lapse and come back (44 in a window).

--- a/crates/core/src/conditions.rs
+++ b/crates/core/src/conditions.rs
@@ -11,7 +11,8 @@
 //! next send on, retries and queued requests included. Answers overtake each other,
 //! so a statement that loosens a limit is dated by when its request was sent, and
 //! one that tightens it by when its answer was received; of two, the later one
-//! holds. Hosts share the rate by [`crate::quota`]: an upstream's limit is a quota
+//! holds. Answers of one upstream may differ, so a limit is loosened only once no
+//! answer has stated it for some time. Hosts share the rate by [`crate::quota`]: an upstream's limit is a quota
 //! of requests with a burst of zero.
 
 use std::fmt;
@@ -30,6 +31,10 @@
 const OVERAGE: f64 = 0.5;
 const SLACK: f64 = 5.0;
 
+/// Time since the last statement of a limit before an answer that states none, or a
+/// higher one, loosens it: not all answers of an upstream need to state it.
+const LOOSENING_DELAY: Duration = Duration::from_secs(2);
+
 /// Longest time for which a host backs off from an upstream that asks for it.
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
@@ -246,7 +251,10 @@
 /// // The answer to an earlier request states none: it was overtaken.
 /// conditions.record(&none, ms(120), ms(160));
 /// assert_eq!(conditions.limit(), Some("15".parse().unwrap()));
+/// // Nor does an answer soon after the last one that states the limit withdraw it.
 /// conditions.record(&none, ms(170), ms(190));
+/// assert_eq!(conditions.limit(), Some("15".parse().unwrap()));
+/// conditions.record(&none, ms(2_150), ms(2_190));
 /// assert_eq!(conditions.limit(), None);
 /// ```
 #[derive(Debug, Clone, Default)]
@@ -286,15 +294,21 @@
     ) -> Option<LimitChange> {
         let statement = match (stated.limit, self.limit()) {
             (Stated::Invalid, _) | (Stated::Nothing, None) => return None,
-            (Stated::Nothing, Some(_)) => LimitStatement { limit: None, at: sent },
-            (Stated::Value(limit), Some(former)) if limit > former => {
-                LimitStatement { limit: Some(limit), at: sent }
+            (Stated::Value(limit), former) if former.is_none_or(|former| limit <= former) => {
+                LimitStatement { limit: Some(limit), at: received }
             }
-            (Stated::Value(limit), _) => LimitStatement { limit: Some(limit), at: received },
+            _ if !self.may_loosen(sent) => return None,
+            (Stated::Value(limit), _) => LimitStatement { limit: Some(limit), at: sent },
+            (Stated::Nothing, _) => LimitStatement { limit: None, at: sent },
         };
         self.apply(statement)
     }
 
+    /// Whether an answer to a request sent at `sent` may loosen the limit.
+    fn may_loosen(&self, sent: Duration) -> bool {
+        self.limit.is_none_or(|known| sent >= known.at + LOOSENING_DELAY)
+    }
+
     /// Applies a statement that another host reported, received at `now`. Returns
     /// the change of the rate limit, if there is one.
     pub fn apply_reported(
@@ -302,9 +316,9 @@
         reported: ReportedLimit,
         now: Duration,
     ) -> Option<LimitChange> {
-        // Each report is received a little later than its age says, so that of a
-        // known statement would make it newer than it is.
-        if self.limit.is_some_and(|known| known.limit == reported.limit) {
+        // Each report is received a little later than its age says, so that of a known
+        // withdrawal would make it newer than a limit that was stated since.
+        if reported.limit.is_none() && self.limit.is_some_and(|known| known.limit.is_none()) {
             return None;
         }
         let age = Duration::from_millis(u64::from(reported.age_ms));
@@ -335,6 +349,11 @@
         self.limit.and_then(|statement| statement.limit)
     }
 
+    /// Whether a statement of the rate limit at `since` or later is known.
+    pub fn stated_limit_since(&self, since: Duration) -> bool {
+        self.limit.is_some_and(|statement| statement.at >= since)
+    }
+
     /// The last statement of the rate limit, to be reported to other hosts at
     /// `now`; `None` if there is none, or it was withdrawn more than `span` ago.
     pub fn reported_limit(&self, span: Duration, now: Duration) -> Option<ReportedLimit> {
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -135,3 +135,35 @@
     assert_eq!(reported, Some(ReportedLimit { limit: None, age_ms: 2_000 }));
     assert_eq!(conditions.reported_limit(secs(5.0), secs(17.0)), None);
 }
+
+/// An answer that states `rate`, or no limit.
+fn answer(rate: Option<f64>) -> StatedConditions {
+    let limit = rate.map_or(Stated::Nothing, |rate| Stated::Value(limit(rate)));
+    StatedConditions { limit, ..Default::default() }
+}
+
+#[test_case(None; "that states none")]
+#[test_case(Some(9.0); "that states a higher one")]
+fn a_limit_is_loosened_by_an_answer_only_when_none_has_stated_it_for_two_seconds(
+    rate: Option<f64>,
+) {
+    let mut conditions = Conditions::default();
+    conditions.record(&answer(Some(5.0)), secs(0.9), secs(1.0));
+    conditions.record(&answer(rate), secs(2.9), secs(3.5));
+    assert_eq!(conditions.limit(), Some(limit(5.0)));
+    conditions.record(&answer(Some(5.0)), secs(3.4), secs(3.5));
+    conditions.record(&answer(rate), secs(5.4), secs(5.5));
+    assert_eq!(conditions.limit(), Some(limit(5.0)));
+    conditions.record(&answer(rate), secs(5.5), secs(5.6));
+    assert_eq!(conditions.limit(), rate.map(limit));
+}
+
+#[test]
+fn a_limit_that_another_host_reports_again_is_not_loosened() {
+    let mut conditions = Conditions::default();
+    conditions.record(&answer(Some(5.0)), secs(0.9), secs(1.0));
+    let again = ReportedLimit { limit: Some(limit(5.0)), age_ms: 100 };
+    assert_eq!(conditions.apply_reported(again, secs(3.1)), None);
+    conditions.record(&answer(None), secs(4.0), secs(4.1));
+    assert_eq!(conditions.limit(), Some(limit(5.0)));
+}
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -124,12 +124,14 @@
             .map_err(|e| Failure::InvalidAnswer("answer head", e.to_string()))?;
         let stated = headers::stated_conditions(head.status, head.headers.raw());
         let mark = headers::response_metadata(head.status, stated, |name| head.headers.get(name));
-        conditions::record_answer(site, upstream, &mark, sent_at);
         let mut body = Body::from(framing);
         let stray = match (&mark.attempt, attempt) {
             (Some(answered), Some(sent)) => answered != sent,
             _ => false,
         };
+        // It is not known when the request of a stray answer was sent.
+        let answered_send = if stray { Duration::ZERO } else { sent_at };
+        conditions::record_answer(site, upstream, &mark, answered_send);
         if !stray {
             return Ok(StartedAnswer { upstream: upstream.clone(), head, mark, pooled, body });
         }
