Rate limits: what was sent to an upstream stays counted while its entry lapses

Callers saw nothing; an upstream whose registry entry lapses and comes back got one unchecked request from each host and a new share of its limit each time.

Cause: meters, accounts and the check of the first request went with the entry. The same in coordinators that do not list an incarnation (registry turned away or late): they kept no account of it, and hosts went by their shares. Change: the limit of an upstream that is not listed counts for 10 s after its last statement, by the key of the incarnation, whether it was listed here before or is known from reports only; meters and accounts stay with it. Not reproduced: hosts that report to different coordinators.

--- a/crates/router/src/proxy/conditions.rs
+++ b/crates/router/src/proxy/conditions.rs
@@ -31,7 +31,7 @@
     let age = now.saturating_sub(sent);
     let changes = upstream.conditions.borrow_mut().record(stated, sent, now);
     if let Some(change) = changes.limit {
-        apply_limit(site, upstream, change, age, Source::Answer(answer));
+        apply_limit(site, upstream.key, change, age, Source::Answer(answer));
     }
     if changes.leaving {
         site.counters.count("upstream.said_leaving");
@@ -48,17 +48,13 @@
 }
 
 /// Records what the host `reporter`, a hash of its name, reports of the rate limit of
-/// `upstream`.
-pub fn record_reported(
-    site: &Site,
-    upstream: &Rc<Upstream>,
-    reported: ReportedLimit,
-    reporter: u64,
-) {
-    let change = upstream.conditions.borrow_mut().apply_reported(reported, site.now());
+/// the upstream with the key `key`.
+pub fn record_reported(site: &Site, key: u64, reported: ReportedLimit, reporter: u64) {
+    let conditions = site.fleet.conditions(key);
+    let change = conditions.borrow_mut().apply_reported(reported, site.now());
     if let Some(change) = change {
         let age = Duration::from_millis(u64::from(reported.age_ms));
-        apply_limit(site, upstream, change, age, Source::Host(reporter));
+        apply_limit(site, key, change, age, Source::Host(reporter));
     }
 }
 
@@ -88,16 +84,11 @@
     }
 }
 
-/// Puts a changed rate limit in force, stated by `source` at most `age` ago.
-fn apply_limit(
-    site: &Site,
-    upstream: &Upstream,
-    change: LimitChange,
-    age: Duration,
-    source: Source<'_>,
-) {
+/// Puts a changed rate limit of the upstream with the key `key` in force, stated by
+/// `source` at most `age` ago.
+fn apply_limit(site: &Site, key: u64, change: LimitChange, age: Duration, source: Source<'_>) {
     if change.limit.is_some() {
-        site.rate_limits.gate.borrow_mut().check_first(upstream.key);
+        site.rate_limits.gate.borrow_mut().check_first(key);
     }
     site.rate_limits.first.notify_one();
     site.counters.count("upstream.limit_changes");
@@ -105,7 +96,8 @@
         Source::Answer(answer) => (Some(answer), None),
         Source::Host(reporter) => (None, Some(reporter)),
     };
-    tracing::info!(target: "conditions", upstream = %upstream.life,
+    let upstream = site.fleet.by_key(key).map(|u| u.life.to_string());
+    tracing::info!(target: "conditions", upstream, key,
         limit = change.limit.map(|l| l.per_second()),
         former = change.former.map(|l| l.per_second()),
         age_ms = age.as_millis() as u64, source = source.name(), reporter,
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -12,7 +12,7 @@
 
 use lru::LruCache;
 use marjoram_core::brittle::Sends;
-use marjoram_core::conditions::Conditions;
+use marjoram_core::conditions::{Conditions, RateLimit};
 use marjoram_core::credit::Credit;
 use marjoram_core::exchange::{Part, PartId};
 use marjoram_core::health::Health;
@@ -94,7 +94,7 @@
     fn new(entry: Entry, conditions: Rc<RefCell<Conditions>>) -> Self {
         Self {
             life: entry.life.clone(),
-            key: xxh3_64(entry.life.to_string().as_bytes()),
+            key: key(&entry.life),
             address_hash: xxh3_64(entry.addr.to_string().as_bytes()),
             entry: RefCell::new(entry),
             closed: Cell::default(),
@@ -265,13 +265,13 @@
     all: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     by_key: RefCell<HashMap<u64, Rc<Upstream>>>,
     services: RefCell<HashMap<String, Vec<Rc<Upstream>>>>,
-    /// What upstreams stated that are not listed any more: they may be listed again
-    /// in the same incarnation.
+    /// What upstreams stated that are not listed any more, and may be listed again in
+    /// the same incarnation, or that only other hosts list so far.
     unlisted: RefCell<Unlisted>,
 }
 
-/// The conditions of upstreams that are not listed any more, by incarnation.
-struct Unlisted(LruCache<Instance, Rc<RefCell<Conditions>>>);
+/// The conditions of upstreams that are not listed, by the keys of their incarnations.
+struct Unlisted(LruCache<u64, Rc<RefCell<Conditions>>>);
 
 impl Default for Unlisted {
     fn default() -> Self {
@@ -302,7 +302,7 @@
                 if let Some(former) = former {
                     self.remove(&former.life);
                 }
-                let conditions = self.unlisted.borrow_mut().0.pop(&entry.life);
+                let conditions = self.unlisted.borrow_mut().0.pop(&key(&entry.life));
                 let upstream = Upstream::new(entry.clone(), conditions.unwrap_or_default());
                 let upstream = Rc::new(upstream);
                 self.all.borrow_mut().insert(entry.life.id.clone(), upstream.clone());
@@ -319,7 +319,7 @@
             self.all.borrow_mut().remove(&life.id);
             self.by_key.borrow_mut().remove(&upstream.key);
             upstream.pool.clear();
-            self.unlisted.borrow_mut().0.put(life.clone(), upstream.conditions.clone());
+            self.unlisted.borrow_mut().0.put(upstream.key, upstream.conditions.clone());
             for list in self.services.borrow_mut().values_mut() {
                 list.retain(|u| u.life != *life);
             }
@@ -379,6 +379,25 @@
         self.by_key.borrow().get(&key).cloned()
     }
 
+    /// The conditions of the upstream with this key, which need not be listed.
+    pub fn conditions(&self, key: u64) -> Rc<RefCell<Conditions>> {
+        match self.by_key(key) {
+            Some(upstream) => upstream.conditions.clone(),
+            None => self.unlisted.borrow_mut().0.get_or_insert(key, Rc::default).clone(),
+        }
+    }
+
+    /// The rate limits in force, by the keys of their upstreams. Those of upstreams that
+    /// are not listed count for `span` after the last statement.
+    pub fn rate_limits(&self, span: Duration, now: Duration) -> Vec<(u64, RateLimit)> {
+        let listed = self.all().into_iter().map(|u| (u.key, u.conditions.clone()));
+        let unlisted = self.unlisted.borrow();
+        let is_recent = |c: &Conditions| c.stated_limit_since(now.saturating_sub(span));
+        let unlisted = unlisted.0.iter().filter(|(_, c)| is_recent(&c.borrow()));
+        let all = listed.chain(unlisted.map(|(key, c)| (*key, c.clone())));
+        all.filter_map(|(key, conditions)| Some((key, conditions.borrow().limit()?))).collect()
+    }
+
     /// The upstream in this incarnation, unless that has ended.
     pub fn get(&self, life: &Instance) -> Option<Rc<Upstream>> {
         self.all.borrow().get(&life.id).filter(|u| u.life == *life).cloned()
@@ -388,3 +407,8 @@
         self.all.borrow().values().cloned().collect()
     }
 }
+
+/// Hash that identifies an incarnation in messages between hosts.
+fn key(life: &Instance) -> u64 {
+    xxh3_64(life.to_string().as_bytes())
+}
--- a/crates/router/src/proxy/rate_limits.rs
+++ b/crates/router/src/proxy/rate_limits.rs
@@ -29,6 +29,10 @@
 /// than the quotas of workspaces.
 const FIRST_GROUP: u64 = 1 << 32;
 
+/// How long the limit of an upstream that is not listed counts, and what was sent to it
+/// is kept: it may be listed again, or be listed by other hosts only.
+const UNLISTED_SPAN: Duration = Duration::from_secs(10);
+
 /// How long a host reports that a limit was withdrawn.
 const WITHDRAWN_SPAN: Duration = Duration::from_secs(5);
 
@@ -79,9 +83,8 @@
 
 /// The limits in force, by the keys of their upstreams.
 fn limits(site: &Site) -> HashMap<u64, Limit> {
-    let upstreams = site.fleet.all();
-    let limit = |u: &Rc<Upstream>| Some((u.key, u.conditions.borrow().limit()?.quota()));
-    upstreams.iter().filter_map(limit).collect()
+    let limits = site.fleet.rate_limits(UNLISTED_SPAN, site.now());
+    limits.into_iter().map(|(key, limit)| (key, limit.quota())).collect()
 }
 
 /// Brings the accounts that this host keeps as a coordinator up to date.
@@ -89,9 +92,9 @@
     let hosts = site.peers.quota_hosts(RESERVATION_TIME);
     let (heard, silent) = (hosts.reachable, hosts.unreachable.len());
     for (key, status) in site.rate_limits.advance(limits, hosts, site.now()) {
-        let Some(upstream) = site.fleet.by_key(key) else { continue };
+        let upstream = site.fleet.by_key(key).map(|u| u.life.to_string());
         let rate = limits.get(&key).map(|limit| limit.quota.rate);
-        tracing::info!(target: "conditions", upstream = %upstream.life, rate,
+        tracing::info!(target: "conditions", upstream, key, rate,
             limited = status.admission_ratio < 1.0, pass = status.admission_ratio,
             level = status.level, demand = status.demand, reserved = status.reserved,
             reporting = status.reporting, heard, silent, "rate limiting of upstream started or ended");
@@ -144,35 +147,29 @@
     }
 }
 
-/// Applies reports of `sender` to the accounts kept here; returns the answers.
+/// Applies reports of `sender` to the accounts kept here; returns the answers. An
+/// account is also kept of an upstream that this host does not list.
 fn answer(site: &Site, sender: Sender, reports: &[LimitReport]) -> Vec<LimitAnswer> {
-    let known: Vec<(Rc<Upstream>, &LimitReport)> = reports
-        .iter()
-        .filter_map(|report| Some((site.fleet.by_key(report.upstream)?, report)))
-        .collect();
-    if known.len() < reports.len() {
-        site.counters.count("upstream.limit_reports_unknown");
-    }
-    for (upstream, report) in &known {
-        conditions::record_reported(site, upstream, report.stated, sender.host);
+    for report in reports {
+        conditions::record_reported(site, report.upstream, report.stated, sender.host);
     }
-    let in_force = |u: &Rc<Upstream>| u.conditions.borrow().limit().is_some();
-    let usages: Vec<Usage> =
-        known.iter().filter(|(u, _)| in_force(u)).filter_map(|(_, r)| r.usage).collect();
+    let is_limited = |key: u64| site.fleet.conditions(key).borrow().limit().is_some();
+    let limited = reports.iter().filter(|report| is_limited(report.upstream));
+    let usages: Vec<Usage> = limited.filter_map(|report| report.usage).collect();
     let allocations = site.rate_limits.apply_usages(sender, &usages, || limits(site), site.now());
-    let answer = |(upstream, report): &(Rc<Upstream>, &LimitReport)| {
-        let stated = upstream.conditions.borrow().reported_limit(WITHDRAWN_SPAN, site.now())?;
+    let answer = |report: &LimitReport| {
+        let conditions = site.fleet.conditions(report.upstream);
+        let stated = conditions.borrow().reported_limit(WITHDRAWN_SPAN, site.now())?;
         let allocation = allocations.iter().find(|a| a.workspace == report.upstream).copied();
         Some(LimitAnswer { upstream: report.upstream, stated, allocation })
     };
-    known.iter().filter_map(answer).collect()
+    reports.iter().filter_map(answer).collect()
 }
 
 /// Applies the answers of `coordinator`, a hash of that host's name.
 pub fn apply_answers(site: &Site, coordinator: u64, answers: &[LimitAnswer]) {
     for answer in answers {
-        let Some(upstream) = site.fleet.by_key(answer.upstream) else { continue };
-        conditions::record_reported(site, &upstream, answer.stated, coordinator);
+        conditions::record_reported(site, answer.upstream, answer.stated, coordinator);
     }
     let allocations: Vec<_> = answers.iter().filter_map(|answer| answer.allocation).collect();
     site.rate_limits.apply_allocations(coordinator, &allocations, site.now());
