--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -73,6 +73,12 @@
         self.shared_parts().iter().map(|p| p.tokens).sum()
     }
 
+    /// Ids of the shared parts, separated by commas, for logs.
+    pub fn shared_ids(&self) -> String {
+        let ids: Vec<String> = self.shared_parts().iter().map(|p| p.id.to_string()).collect();
+        ids.join(",")
+    }
+
     /// Hash of the whole prefix path (all shared parts in order): prompts that
     /// differ in any shared part have different hashes, however long their common
     /// prefix is.
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -245,7 +245,14 @@
             attempt: id.unwrap_or_else(rand::random),
             ran,
         };
-        self.crashed |= poison::record_failed_send(&self.site, upstream, failure, request);
+        let may_have_crashed = poison::record_failed_send(&self.site, upstream, failure, request);
+        if may_have_crashed {
+            tracing::info!(target: "poison", id = self.id(), fingerprint = %self.fingerprint,
+                upstream = %upstream.life,
+                parts = self.request.asked.prompt.as_ref().map(|p| p.shared_ids()),
+                "upstream closed the connection of this request");
+        }
+        self.crashed |= may_have_crashed;
     }
 
     /// Sends the request until an upstream answers, to several upstreams if its
