Deadly prompt parts: detected from the crash reports of all hosts, and refused by all

Cause: blame went to whole requests, and no two of these were alike. Change: hosts also report the shared parts of the prompts that were in flight. core::poison::PartSuspects detects the part that is at the most crashes and in no completed answer, asked of all hosts; a part that is at exactly the crashes of another is refused together with it only. Requests wait while a part of theirs is about to be judged. A request in flight that completes releases its parts. The last part is left out, crashes of a single request count against that alone. Entries use the quarantine's messages, records and transfers, so hosts that join or restart know them. Ruled out: unnoticed crashes (each engine that ended has its line), requests that slip through a quarantine (there was none).

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::Error;
@@ -18,7 +19,7 @@
 /// let id: PartId = "5c1e07a2".parse().unwrap();
 /// assert_eq!(id.to_string(), "5c1e07a2");
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PartId(pub u64);
 
 impl fmt::Display for PartId {
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -7,13 +7,15 @@
 //! Each host that had requests in flight at a crash sends a [`CrashReport`] for
 //! each of them. [`Suspects`] combines the reports of all hosts and detects the
 //! request that was in flight at every crash; [`Quarantine`] keeps the detected
-//! ones.
+//! ones. [`PartSuspects`] does the same for parts that different prompts share.
 //!
 //! Limits: detection needs three crashes, since a request that is resumed or
 //! repeated after a crash is often in flight at a second one. Crashes that are
 //! explained by a request already detected count against no other request.
 
 mod broken;
+mod part_sets;
+mod parts;
 mod quarantine;
 mod recent;
 mod suspect;
@@ -27,7 +29,9 @@
 use crate::fingerprint::Fingerprint;
 use crate::place;
 
-pub use broken::{BrokenRequest, Notice, WATCH_TIME, crash_reports};
+pub use broken::{BrokenRequest, Notice, WATCH_TIME, crash_reports, part_crash_reports};
+pub use part_sets::{part_set, part_sets};
+pub use parts::{DetectedParts, PART_COMPLETION_WINDOW, PartCrashReport, PartSuspects};
 pub use quarantine::{Admission, Quarantine};
 pub use recent::RecentCompletions;
 pub use suspect::MIN_CRASHES;
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -10,6 +10,10 @@
 /// crash of its request suffices to refuse the request again.
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
 
+/// How long before a request is detected an answer to it may have begun to speak for it
+/// once it is complete: less than the time between crashes that callers cause.
+const RELEASE_WINDOW: Duration = Duration::from_secs(1);
+
 /// Maximum number of entries; the one whose term ends first is evicted.
 const MAX_ENTRIES: usize = 1_024;
 
@@ -114,6 +118,25 @@
         (!is_harmless).then_some(entry)
     }
 
+    /// The next entry of a request in quarantine that has completed, so that it is no
+    /// longer refused: its term is over at `now`. One more crash suffices to refuse it
+    /// again. `None` if it is not refused, or its answer had `begun` too long before it was
+    /// detected to say anything of the crashes.
+    pub fn release(
+        &self,
+        request: Fingerprint,
+        begun: Duration,
+        now: Duration,
+    ) -> Option<Quarantined> {
+        self.refuses(request, now)?;
+        let known = self.entries.get(&request)?;
+        let repeats = known.repeats + 1;
+        let released = Quarantined { request, upstreams: Vec::new(), at: now, repeats };
+        let term = released.until() - now;
+        (begun + RELEASE_WINDOW >= known.at)
+            .then(|| Quarantined { at: now.saturating_sub(term), ..released })
+    }
+
     /// Removes the entries that have expired at `now`, and returns their requests.
     pub fn expire(&mut self, now: Duration) -> Vec<Fingerprint> {
         let expired = self.entries.values().filter(|v| now >= v.until() + RETENTION);
--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -23,6 +23,36 @@
 const MAX_EXPLAINED: usize = 1_024;
 const MAX_REPORTED: usize = 1_024;
 
+/// When the first report of each crash was received, by the key of the upstream.
+#[derive(Debug)]
+pub(super) struct Reported {
+    first: LruCache<u64, Duration>,
+    /// Time after the first report of a crash within which all hosts report on it.
+    window: Duration,
+}
+
+impl Reported {
+    pub(super) fn new(window: Duration) -> Self {
+        Self { first: LruCache::unbounded(), window }
+    }
+
+    /// Records a report on the crash of `upstream`, received at `now`.
+    pub(super) fn add(&mut self, upstream: u64, now: Duration) {
+        if !self.first.contains(&upstream) {
+            self.first.put(upstream, now);
+        }
+        if self.first.len() > MAX_REPORTED {
+            self.first.pop_lru();
+        }
+    }
+
+    /// Whether hosts may still be reporting on the crash of `upstream` at `now`.
+    pub(super) fn is_open(&self, upstream: u64, now: Duration) -> bool {
+        let reported = self.first.peek(&upstream);
+        reported.is_some_and(|at| (*at..*at + self.window).contains(&now))
+    }
+}
+
 /// The requests that were in flight at crashes not yet explained.
 ///
 /// ```
@@ -47,10 +77,7 @@
     with_several_crashes: LruCache<Fingerprint, Suspect>,
     /// Incarnations of upstreams that a request already detected has crashed.
     explained: LruCache<u64, ()>,
-    /// When the first report of each crash was received.
-    first_reports: LruCache<u64, Duration>,
-    /// Time after the first report of a crash within which all hosts report on it.
-    report_window: Duration,
+    reported: Reported,
 }
 
 impl Default for Suspects {
@@ -59,8 +86,7 @@
             with_one_crash: LruCache::unbounded(),
             with_several_crashes: LruCache::unbounded(),
             explained: LruCache::unbounded(),
-            first_reports: LruCache::unbounded(),
-            report_window: CRASH_REPORT_WINDOW,
+            reported: Reported::new(CRASH_REPORT_WINDOW),
         }
     }
 }
@@ -74,7 +100,7 @@
     /// No suspects, where all hosts report on a crash within `report_window` of the first
     /// report.
     pub fn with_report_window(report_window: Duration) -> Self {
-        Self { report_window, ..Self::default() }
+        Self { reported: Reported::new(report_window), ..Self::default() }
     }
 
     /// Number of suspects.
@@ -97,12 +123,7 @@
         if self.explained.contains(&report.upstream) {
             return;
         }
-        if !self.first_reports.contains(&report.upstream) {
-            self.first_reports.put(report.upstream, now);
-        }
-        if self.first_reports.len() > MAX_REPORTED {
-            self.first_reports.pop_lru();
-        }
+        self.reported.add(report.upstream, now);
         let request = report.request;
         let known =
             self.with_several_crashes.pop(&request).or_else(|| self.with_one_crash.pop(&request));
@@ -218,8 +239,7 @@
 
     /// Whether hosts may still be reporting on a crash at `now`.
     fn is_open(&self, crash: &Crash, now: Duration) -> bool {
-        let reported = self.first_reports.peek(&crash.upstream);
-        reported.is_some_and(|at| (*at..*at + self.report_window).contains(&now))
+        self.reported.is_open(crash.upstream, now)
     }
 
     /// The suspects with enough crashes on which all hosts have had the time to
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -329,7 +329,8 @@
         return;
     }
     job.crashed = true;
-    let request = BrokenRequest { request: job.fingerprint, attempt: job.id.0, ran };
+    let request =
+        BrokenRequest { request: job.fingerprint, attempt: job.id.0, ran, parts: Vec::new() };
     poison::handle_broken(node, engine, generation, request);
 }
 
--- a/crates/router/src/proxy/hosts/message.rs
+++ b/crates/router/src/proxy/hosts/message.rs
@@ -8,8 +8,9 @@
 use marjoram_core::cache_updates::CacheUpdate;
 use marjoram_core::candidacy::ControlCapacity;
 use marjoram_core::conditions::ReportedLimit;
+use marjoram_core::exchange::PartId;
 use marjoram_core::leadership::CandidateStatus;
-use marjoram_core::poison::{CrashReport, Quarantined};
+use marjoram_core::poison::{CrashReport, PartCrashReport, Quarantined};
 use marjoram_core::quota::ledger::{Allocation, Sender, Usage};
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +62,12 @@
     BacklogAnswer { id: u64, answer: BacklogAnswer },
     /// A change of one of the sender's large prompts.
     Claim(Sender, ClaimReport),
+    /// The prompt parts that the sender had in flight at an upstream that crashed.
+    PartCrashes(Vec<PartCrashReport>),
+    /// Asks when answers to prompts with these parts were last completed.
+    PartQuery(Vec<PartId>),
+    /// The answer: the parts for which that is known, and how many milliseconds ago.
+    PartCompletions(Vec<(PartId, u32)>),
 }
 
 /// What a host asks before it chooses an engine for a large prompt.
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -106,6 +106,11 @@
             site.relays.receive(relay, site.now());
         }
         Message::Crashes(reports) => poison::handle_crash_reports(site, &reports),
+        Message::PartCrashes(reports) => poison::handle_part_crashes(site, &reports),
+        Message::PartQuery(parts) => poison::handle_part_query(site, &parts, from),
+        Message::PartCompletions(completions) => {
+            poison::handle_part_completions(site, &completions)
+        }
         Message::Quarantine(entries) => poison::handle_quarantine_entries(site, entries),
         Message::Usages(sender, usages) => quota::handle_usages(site, sender, &usages, from),
         Message::Allocations(coordinator, allocations) => {
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -18,6 +18,7 @@
 //! checked, since they may end requests for that reason.
 
 mod detection;
+mod parts;
 mod records;
 
 use std::rc::Rc;
@@ -43,6 +44,9 @@
 pub use detection::{
     add_quarantine_entries, apply_quarantine_record, handle_quarantine_entries, refused_for,
 };
+pub use parts::{
+    handle_part_completions, handle_part_crashes, handle_part_query, record_prompt_completion,
+};
 pub use records::{maintain_records, restore_records};
 
 /// Delay before an upstream is checked, in which this host notices all of its own
@@ -119,6 +123,7 @@
         site.peers.send_chunked(detectors.clone(), SENDS, move || Message::Crashes(chunk.clone()));
     }
     handle_crash_reports(&site, &reports);
+    parts::report(&site, upstream.key, &broken, noticed, detectors);
 }
 
 /// What a probe of an upstream shows.
@@ -232,9 +237,6 @@
         }
     }
     if poison.suspects.borrow().is_pending() {
-        poison.recheck_count.set(poison.recheck_count.get() + 1);
-        if !poison.detecting.replace(true) {
-            ntex::rt::spawn(detection::run(site.clone()));
-        }
+        detection::start(site);
     }
 }
--- a/crates/router/src/proxy/poison/detection.rs
+++ b/crates/router/src/proxy/poison/detection.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marjoram_core::exchange::PartId;
 use marjoram_core::fingerprint::Fingerprint;
-use marjoram_core::poison::{Admission, CRASH_REPORT_WINDOW, Quarantined};
+use marjoram_core::poison::{self, Admission, CRASH_REPORT_WINDOW, Quarantined};
 
-use super::records;
+use super::{parts, records};
 use crate::clock;
 use crate::proxy::hosts::Message;
 use crate::proxy::site::Site;
@@ -29,14 +30,25 @@
 const OWN: &str = "own";
 const PEER: &str = "peer";
 
+/// Has the detection consider the reports received so far, once all hosts have had the
+/// time to report.
+pub(super) fn start(site: &Rc<Site>) {
+    let poison = &site.poison;
+    poison.recheck_count.set(poison.recheck_count.get() + 1);
+    if !poison.detecting.replace(true) {
+        ntex::rt::spawn(run(site.clone()));
+    }
+}
+
 /// Runs the detection until no more reports arrive that call for it, and all
 /// requests that were in flight at enough crashes have been decided on.
-pub(super) async fn run(site: Rc<Site>) {
+async fn run(site: Rc<Site>) {
     loop {
         let count = site.poison.recheck_count.get();
         tokio::time::sleep(DETECTION_DELAY).await;
         detect(&site);
-        let undecided = site.poison.suspects.borrow().has_unevaluated();
+        let undecided = site.poison.suspects.borrow().has_unevaluated()
+            || site.poison.suspected_parts.borrow().has_unevaluated();
         if site.poison.recheck_count.get() == count && !undecided {
             site.poison.detecting.set(false);
             return;
@@ -62,6 +74,7 @@
     let at = clock::unix_time();
     let entry = |(request, upstreams)| Quarantined::new(request, upstreams, at);
     publish(site, identified.into_iter().map(entry).collect());
+    publish(site, parts::detect(site, now, at));
 }
 
 /// Adds entries detected by this host, and sends them to all hosts.
@@ -100,6 +113,7 @@
             let mut suspects = poison.suspects.borrow_mut();
             suspects.clear(request);
             suspects.explain(&entry.upstreams);
+            poison.suspected_parts.borrow_mut().explain(request, &entry.upstreams);
         }
         site.counters.count("request.quarantined");
         tracing::warn!(target: "poison", fingerprint = %request, upstreams = ?entry.upstreams,
@@ -134,12 +148,24 @@
     true
 }
 
-/// For how long `request`, whose attempt is `id`, is still refused; `None` if it
-/// is not in quarantine.
-pub fn refused_for(site: &Site, request: Fingerprint, id: &str) -> Option<Duration> {
-    let left = site.poison.quarantine.borrow().refuses(request, clock::unix_time())?;
+/// For how long `request`, whose attempt is `id` and whose prompt has the shared `parts`,
+/// is still refused; `None` if neither it nor a set of these parts is in quarantine.
+pub fn refused_for(
+    site: &Site,
+    request: Fingerprint,
+    parts: &[PartId],
+    id: &str,
+) -> Option<Duration> {
+    let quarantine = site.poison.quarantine.borrow();
+    if quarantine.is_empty() {
+        return None;
+    }
+    let now = clock::unix_time();
+    let sets = poison::part_sets(parts);
+    let refusal = |entry: &Fingerprint| Some((*entry, quarantine.refuses(*entry, now)?));
+    let (entry, left) = [request].iter().chain(&sets).find_map(refusal)?;
     site.counters.count("poison.refused");
-    tracing::info!(target: "poison", id, fingerprint = %request, left_s = left.as_secs(),
-        "request refused: in quarantine");
+    tracing::info!(target: "poison", id, fingerprint = %request, entry = %entry,
+        left_s = left.as_secs(), "request refused: in quarantine");
     Some(left)
 }
--- /dev/null
+++ b/crates/router/src/proxy/poison/parts.rs
@@ -0,0 +1,156 @@
+//! Detects prompt parts that crash engines (see [`marjoram_core::poison::PartSuspects`]):
+//! reports those in flight at a crash, and asks all hosts for completed answers that speak
+//! for a part before it is refused.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use marjoram_core::exchange::PartId;
+use marjoram_core::poison::{
+    self, BrokenRequest, CrashReport, DetectedParts, Notice, PART_COMPLETION_WINDOW,
+    PartCrashReport, Quarantined, part_set, part_sets,
+};
+
+use super::{SENDS, detection};
+use crate::clock;
+use crate::proxy::hosts::Message;
+use crate::proxy::site::Site;
+
+/// Parts in one query.
+const MAX_QUERIED: usize = 64;
+
+/// Reports the parts of the `broken` prompts, which were in flight when the upstream with
+/// the key `upstream` crashed, to the `detectors`.
+pub(super) fn report(
+    site: &Rc<Site>,
+    upstream: u64,
+    broken: &[BrokenRequest],
+    noticed: Notice,
+    detectors: Vec<SocketAddr>,
+) {
+    let reports = {
+        let completions = site.poison.completed_parts.borrow();
+        poison::part_crash_reports(broken, upstream, noticed, &completions, site.now())
+    };
+    if reports.is_empty() {
+        return;
+    }
+    let message = Message::PartCrashes(reports.clone());
+    site.peers.send_chunked(detectors, SENDS, move || message.clone());
+    handle_part_crashes(site, &reports);
+}
+
+/// Handles crash reports on parts, of this host or another, at a detecting host.
+pub fn handle_part_crashes(site: &Rc<Site>, reports: &[PartCrashReport]) {
+    let (now, wall) = (site.now(), clock::unix_time());
+    for report in reports {
+        // Times are wall-clock times, and the clock of another host may be ahead.
+        let report = PartCrashReport { at: report.at.min(wall), ..report.clone() };
+        let (refused, recurrence) = {
+            let quarantine = site.poison.quarantine.borrow();
+            let single = as_request(&report);
+            (quarantine.refuses(single.request, wall), quarantine.recurrence(&single, wall))
+        };
+        let mut suspected = site.poison.suspected_parts.borrow_mut();
+        match (refused, recurrence) {
+            (Some(_), _) => suspected.explain(part_set(&[report.part]), &[report.upstream]),
+            (None, Some(entry)) => {
+                drop(suspected);
+                detection::publish(site, vec![entry]);
+            }
+            (None, None) => {
+                suspected.add(&report, now);
+                let completed = site.poison.completed_parts.borrow();
+                if let Some(age) = completed.age(part_set(&[report.part]), now) {
+                    suspected.record_completion(report.part, wall.saturating_sub(age));
+                }
+            }
+        }
+    }
+    query_unanswered(site);
+    if site.poison.suspected_parts.borrow().has_unevaluated() {
+        detection::start(site);
+    }
+}
+
+/// The report on a part as one on a request, by which the quarantine keeps it.
+fn as_request(report: &PartCrashReport) -> CrashReport {
+    CrashReport {
+        request: part_set(&[report.part]),
+        upstream: report.upstream,
+        attempt: 0,
+        ran: None,
+        well: report.well,
+        at: report.at,
+    }
+}
+
+/// Asks all hosts for completed answers to prompts with the parts that may be detected.
+fn query_unanswered(site: &Site) {
+    let mut parts = site.poison.suspected_parts.borrow().unanswered();
+    if parts.is_empty() {
+        return;
+    }
+    parts.truncate(MAX_QUERIED);
+    site.peers.send_to_all(1, move || Message::PartQuery(parts.clone()));
+}
+
+/// Answers a query of the host at `from`.
+pub fn handle_part_query(site: &Site, parts: &[PartId], from: SocketAddr) {
+    let completed = site.poison.completed_parts.borrow();
+    let age = |part: &PartId| {
+        let age = completed.age(part_set(&[*part]), site.now())?;
+        (age < PART_COMPLETION_WINDOW).then_some((*part, age.as_millis() as u32))
+    };
+    let known: Vec<(PartId, u32)> = parts.iter().filter_map(age).collect();
+    if !known.is_empty() {
+        site.peers.send_to(from, &Message::PartCompletions(known));
+    }
+}
+
+/// Applies the answer of another host to a query.
+pub fn handle_part_completions(site: &Site, completions: &[(PartId, u32)]) {
+    let wall = clock::unix_time();
+    let mut suspected = site.poison.suspected_parts.borrow_mut();
+    for (part, age_ms) in completions {
+        let age = Duration::from_millis(u64::from(*age_ms));
+        suspected.record_completion(*part, wall.saturating_sub(age));
+    }
+}
+
+/// The quarantine entries of the parts that are detected now. `wall` is the time since the
+/// Unix epoch.
+pub(super) fn detect(site: &Site, now: Duration, wall: Duration) -> Vec<Quarantined> {
+    let any_completed = site.poison.prompt_completed.get();
+    let detected = site.poison.suspected_parts.borrow_mut().detect(now, any_completed);
+    detected.iter().inspect(|found| log(found)).map(|found| found.entry(wall)).collect()
+}
+
+fn log(found: &DetectedParts) {
+    let parts: Vec<String> = found.parts.iter().map(PartId::to_string).collect();
+    tracing::warn!(target: "poison", parts = parts.join(","), entry = %found.fingerprint(),
+        upstreams = ?found.upstreams, weak = found.weak, "prompt parts crash upstreams");
+}
+
+/// Records that an answer to a prompt with the shared `parts` was completed, which had
+/// `begun` this long ago. It speaks for the parts, also for those in quarantine.
+pub fn record_prompt_completion(site: &Site, parts: &[PartId], begun: Duration) {
+    let wall = clock::unix_time();
+    site.poison.record_parts_completion(parts, site.now(), wall);
+    let released: Vec<Quarantined> = {
+        let quarantine = site.poison.quarantine.borrow();
+        if quarantine.is_empty() {
+            return;
+        }
+        let begun = wall.saturating_sub(begun);
+        let sets = part_sets(parts);
+        sets.iter().filter_map(|set| quarantine.release(*set, begun, wall)).collect()
+    };
+    for entry in &released {
+        site.counters.count("poison.released");
+        tracing::warn!(target: "poison", entry = %entry.request,
+            "prompt parts released from quarantine: an answer to them was completed");
+    }
+    detection::publish(site, released);
+}
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -16,7 +16,7 @@
 
 use bytes::{Bytes, BytesMut};
 use marjoram_core::catalog::{Catalog, Kind, Route, Workspace};
-use marjoram_core::exchange::RequestMetadata;
+use marjoram_core::exchange::{PartId, RequestMetadata};
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::place;
 use marjoram_core::poison::BrokenRequest;
@@ -85,6 +85,8 @@
     charge: Option<Charge>,
     /// Hash of the request, equal for all attempts of the same request.
     fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    parts: Vec<PartId>,
     /// The deadline of its answer.
     pub expires: Duration,
     /// Upstreams it was sent to.
@@ -153,8 +155,10 @@
         let head = &request.head;
         let address = [caller, &head.method, host, &head.target];
         let fingerprint = Fingerprint::new(&address, &request.body);
+        let shared = request.asked.prompt.iter().flat_map(|p| p.shared_parts());
         Ok(Self {
             fingerprint,
+            parts: shared.map(|part| part.id).collect(),
             site: site.clone(),
             expires: request.started + limit,
             request,
@@ -207,10 +211,15 @@
         }
     }
 
-    /// Records that the answer was complete, so that the request is no longer
-    /// suspected of earlier crashes.
-    pub fn record_completion(&self) {
-        self.site.poison.record_completion(self.fingerprint, self.site.now());
+    /// Records that the answer with `status` was complete, so that the request, and after
+    /// a success the parts of its prompt, are no longer suspected of earlier crashes.
+    pub fn record_completion(&self, status: u16) {
+        let now = self.site.now();
+        self.site.poison.record_completion(self.fingerprint, now);
+        if (200..300).contains(&status) && !self.parts.is_empty() {
+            let begun = now.saturating_sub(self.begun);
+            poison::record_prompt_completion(&self.site, &self.parts, begun);
+        }
     }
 
     /// How long the last send waited for the head of its answer.
@@ -244,6 +253,7 @@
             request: self.fingerprint,
             attempt: id.unwrap_or_else(rand::random),
             ran,
+            parts: self.parts.clone(),
         };
         let may_have_crashed = poison::record_failed_send(&self.site, upstream, failure, request);
         if may_have_crashed {
@@ -306,7 +316,8 @@
     /// Whether the request waits until the crashes at which it was in flight are
     /// analysed.
     fn is_withheld(&self) -> bool {
-        self.site.poison.is_withheld(self.fingerprint)
+        let poison = &self.site.poison;
+        poison.is_withheld(self.fingerprint) || poison.are_withheld(&self.parts)
     }
 
     /// Logs and counts, once, that the request waits until the crashes at which it
@@ -323,7 +334,9 @@
     /// failed connects and, for repeated sends, the route's limits. The retry
     /// budget is checked elsewhere.
     fn may_send(&self) -> Result<(), Refusal> {
-        if let Some(left) = poison::refused_for(&self.site, self.fingerprint, self.id()) {
+        if let Some(left) =
+            poison::refused_for(&self.site, self.fingerprint, &self.parts, self.id())
+        {
             return Err(match self.may_have_run {
                 true => Refusal::with_status(502, QUARANTINED),
                 false => Refusal::quarantined(left),
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -127,7 +127,7 @@
                     health.record_response(true);
                     health.record_latency(site.now().saturating_sub(begun) + exchange.last_wait());
                 }
-                exchange.record_completion();
+                exchange.record_completion(status);
                 opened.finish(site.now());
                 drop(flight);
                 return match caller.write(&bytes).await {
@@ -206,7 +206,7 @@
                 Step::Expired => return Outcome::Refused(self.exchange.deadline_refusal()),
                 Step::Ended if self.splitter.is_empty() => {
                     opened.upstream.health.borrow_mut().record_response(true);
-                    self.exchange.record_completion();
+                    self.exchange.record_completion(opened.head.status);
                     opened.finish(self.site.now());
                     drop(flight);
                     return self.end(caller).await;
--- a/crates/router/src/proxy/site/poison.rs
+++ b/crates/router/src/proxy/site/poison.rs
@@ -4,8 +4,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use marjoram_core::exchange::PartId;
 use marjoram_core::fingerprint::Fingerprint;
-use marjoram_core::poison::{BrokenRequest, Quarantine, Quarantined, RecentCompletions, Suspects};
+use marjoram_core::poison::{
+    BrokenRequest, PartSuspects, Quarantine, Quarantined, RecentCompletions, Suspects, part_set,
+};
 use marjoram_core::upstream::Instance;
 use tokio::sync::Notify;
 
@@ -17,13 +20,19 @@
 pub struct Poison {
     /// Requests that were in flight at crashes.
     pub suspects: RefCell<Suspects>,
-    /// Requests that are not sent.
+    /// Parts of prompts that were in flight at crashes.
+    pub suspected_parts: RefCell<PartSuspects>,
+    /// Requests and sets of prompt parts that are not sent.
     pub quarantine: RefCell<Quarantine>,
     /// Requests whose connections broke, by upstreams not yet known to have
     /// crashed.
     pub broken: RefCell<HashMap<Instance, Vec<BrokenRequest>>>,
     /// Requests that completed recently.
     pub recently_completed: RefCell<RecentCompletions>,
+    /// When answers to prompts were last completed, by the parts of these.
+    pub completed_parts: RefCell<RecentCompletions>,
+    /// When any answer to a prompt was last completed, since the Unix epoch.
+    pub prompt_completed: Cell<Option<Duration>>,
     /// Quarantine entries learnt recently, for heartbeats.
     pub recent_entries: RefCell<Vec<(Quarantined, Duration)>>,
     /// Incremented when received reports may complete a suspect's crashes, so
@@ -44,6 +53,28 @@
         self.suspects.borrow_mut().clear(request);
     }
 
+    /// Records that an answer to a prompt with the shared `parts` was completed at `now`,
+    /// and `wall` since the Unix epoch.
+    pub fn record_parts_completion(&self, parts: &[PartId], now: Duration, wall: Duration) {
+        self.prompt_completed.set(Some(wall));
+        let mut completed = self.completed_parts.borrow_mut();
+        let mut suspected = self.suspected_parts.borrow_mut();
+        for part in parts {
+            completed.record(part_set(&[*part]), now);
+            suspected.record_completion(*part, wall);
+        }
+    }
+
+    /// Whether prompts with `parts` are not sent for now, for the reasons of
+    /// [`Self::is_withheld`].
+    pub fn are_withheld(&self, parts: &[PartId]) -> bool {
+        let suspected = self.suspected_parts.borrow();
+        let broke = |part| self.broken.borrow().values().flatten().any(|b| b.parts.contains(part));
+        parts
+            .iter()
+            .any(|part| suspected.withholds(*part) || suspected.is_close(*part) && broke(part))
+    }
+
     /// Whether `request` was in flight at a crash, as far as this host knows.
     pub fn suspects(&self, request: Fingerprint) -> bool {
         self.suspects.borrow().contains(request)
@@ -58,10 +89,11 @@
         suspects.withholds(request) || suspects.is_close(request) && broke()
     }
 
-    /// Number of suspected requests, and of those that are in quarantine or were
+    /// Number of suspected requests and prompt parts, and of those that are in quarantine or were
     /// recently.
     pub fn counts(&self) -> (usize, usize) {
-        (self.suspects.borrow().len(), self.quarantine.borrow().len())
+        let suspected = self.suspects.borrow().len() + self.suspected_parts.borrow().len();
+        (suspected, self.quarantine.borrow().len())
     }
 
     /// Number of times that requests were put in quarantine: equal on hosts that
