--- a/crates/core/src/poison/parts.rs
+++ b/crates/core/src/poison/parts.rs
@@ -23,6 +23,10 @@
 use crate::exchange::PartId;
 use crate::fingerprint::Fingerprint;
 
+/// Requests that must have been in flight at as many crashes, unless there is one more
+/// crash: a request that is sent again is often in flight at a second one.
+const MIN_REQUESTS: usize = 3;
+
 /// Crashes needed where the evidence is weaker: the part was in an answer shortly before,
 /// or no answer at all has been completed since.
 const MIN_CRASHES_IF_WEAK: usize = 5;
@@ -167,6 +171,15 @@
         self.completed_at.is_none_or(|completed| completed + PART_COMPLETION_WINDOW < first)
     }
 
+    /// Number of requests that were in flight at the crashes.
+    fn requests(&self) -> usize {
+        let mut all: Vec<Fingerprint> =
+            self.crashes.iter().flat_map(|c| c.requests.iter().copied()).collect();
+        all.sort_unstable();
+        all.dedup();
+        all.len()
+    }
+
     /// Whether one request was in flight at all crashes.
     fn is_one_request(&self) -> bool {
         let Some((first, others)) = self.crashes.split_first() else { return false };
@@ -180,7 +193,9 @@
         let (count, spread) = (self.crashes.len(), last - first);
         let others_answered = any_completed.is_some_and(|completed| completed > first);
         let enough = match (self.is_unanswered(), others_answered) {
-            (true, true) => count >= MIN_CRASHES,
+            (true, true) => {
+                count > MIN_CRASHES || count == MIN_CRASHES && self.requests() >= MIN_REQUESTS
+            }
             (true, false) => count >= MIN_CRASHES_IF_WEAK && spread >= MIN_SPREAD,
             (false, true) => count >= MIN_CRASHES_IF_WEAK && spread >= MIN_SPREAD_IF_COMPLETED,
             (false, false) => false,
