Deadly prompt parts: prompts wait while an engine that one of their parts was at is checked

Traced: twelve prompts end five engines within some milliseconds, and their retries reach the remaining ones before any host has checked a crash. Prompts with a part of which no completed answer is known now wait while an upstream where it was in flight is checked, and while hosts may still report on a second crash.

--- a/crates/core/src/poison/parts.rs
+++ b/crates/core/src/poison/parts.rs
@@ -335,17 +335,17 @@
         parts.map(|(part, _)| *part).collect()
     }
 
-    /// Whether prompts with `part` are to be held back: it is at enough crashes, and no run
-    /// of [`Self::detect`] has considered them all.
-    pub fn withholds(&self, part: PartId) -> bool {
-        let suspect = self.with_several_crashes.peek(&part);
-        suspect.is_some_and(|s| !s.evaluated && s.crashes.len() >= MIN_CRASHES && s.is_unanswered())
-    }
-
-    /// Whether one more crash may suffice to detect `part`.
-    pub fn is_close(&self, part: PartId) -> bool {
-        let suspect = self.with_several_crashes.peek(&part);
-        suspect.is_some_and(|s| s.crashes.len() + 1 >= MIN_CRASHES && s.is_unanswered())
+    /// Whether prompts with `part` are to be held back at `now`: it is at enough crashes,
+    /// and no run of [`Self::detect`] has considered them all, or it lacks one crash and
+    /// hosts may still be reporting.
+    pub fn withholds(&self, part: PartId, now: Duration) -> bool {
+        let Some(suspect) = self.with_several_crashes.peek(&part) else { return false };
+        let is_open = || suspect.crashes.iter().any(|c| self.reported.is_open(c.upstream, now));
+        let undecided = match suspect.crashes.len() {
+            count if count >= MIN_CRASHES => !suspect.evaluated || is_open(),
+            count => count + 1 >= MIN_CRASHES && is_open(),
+        };
+        undecided && suspect.is_unanswered()
     }
 
     /// Whether any part is at enough crashes and no run of [`Self::detect`] has considered
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -62,12 +62,14 @@
     crash(&mut suspects, 2, &[SHARED, DEADLY], 102.0);
     suspects.record_completion(SHARED, secs(102.5));
     assert_eq!(detect(&mut suspects, 102.0, 102.5), Vec::<Vec<PartId>>::new());
-    assert!(suspects.is_close(DEADLY) && !suspects.is_close(SHARED));
+    // While hosts may still report on the second crash, the next one may be the third.
+    assert!(suspects.withholds(DEADLY, secs(102.05)) && !suspects.withholds(SHARED, secs(102.05)));
+    assert!(!suspects.withholds(DEADLY, secs(102.0) + CRASH_REPORT_WINDOW));
     crash(&mut suspects, 3, &[SHARED, DEADLY], 103.0);
-    assert!(suspects.withholds(DEADLY) && !suspects.withholds(SHARED));
+    assert!(suspects.withholds(DEADLY, secs(104.0)) && !suspects.withholds(SHARED, secs(104.0)));
     assert_eq!(suspects.detect(secs(103.05), Some(secs(103.0))), []);
     assert_eq!(detect(&mut suspects, 103.0, 103.0), [[DEADLY]]);
-    assert!(!suspects.withholds(DEADLY));
+    assert!(!suspects.withholds(DEADLY, secs(104.0)));
 }
 
 #[test]
@@ -191,7 +193,7 @@
         crash(&mut suspects, 3 + n / 64, &[PartId(1_000 + n)], 3.0 + n as f64 / 1_000.0);
     }
     assert!(suspects.len() <= 5_200, "{}", suspects.len());
-    assert!(suspects.is_close(DEADLY));
+    assert!(suspects.unanswered().contains(&DEADLY));
 }
 
 #[test]
--- a/crates/core/tests/part_suspects/replay.rs
+++ b/crates/core/tests/part_suspects/replay.rs
@@ -57,8 +57,9 @@
     /// Whether it sends no prompts with `parts` at `now`. Those that only wait count as refused.
     fn refuses(&self, parts: &[PartId], now: Duration) -> bool {
         let is_checked = |part| self.checked.iter().any(|(until, p)| *p == part && now < *until);
+        let is_answered = |part: &PartId| self.completed.age(part_set(&[*part]), now).is_some();
         let waits = |part: &PartId| {
-            self.suspects.withholds(*part) || self.suspects.is_close(*part) && is_checked(*part)
+            !is_answered(part) && (self.suspects.withholds(*part, now) || is_checked(*part))
         };
         part_sets(parts).iter().any(|set| self.refused.contains(set)) || parts.iter().any(waits)
     }
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -37,6 +37,8 @@
     pub head: ResponseHead,
     /// What its headers say about the send.
     pub mark: ResponseMetadata,
+    /// The body ends with the connection.
+    pub until_close: bool,
     pooled: PooledConn,
     body: Body,
 }
@@ -133,7 +135,9 @@
         let answered_send = if stray { Duration::ZERO } else { sent_at };
         conditions::record_answer(site, upstream, &mark, answered_send);
         if !stray {
-            return Ok(StartedAnswer { upstream: upstream.clone(), head, mark, pooled, body });
+            let until_close = framing == http1::Framing::Close;
+            let upstream = upstream.clone();
+            return Ok(StartedAnswer { upstream, head, mark, until_close, pooled, body });
         }
         site.counters.count("upstream.stray_answers");
         tracing::warn!(target: "attempt", upstream = %upstream.life, ours = attempt,
--- a/crates/router/src/proxy/poison/parts.rs
+++ b/crates/router/src/proxy/poison/parts.rs
@@ -124,10 +124,11 @@
 pub(super) fn detect(site: &Site, now: Duration, wall: Duration) -> Vec<Quarantined> {
     let any_completed = site.poison.prompt_completed.get();
     let detected = site.poison.suspected_parts.borrow_mut().detect(now, any_completed);
-    detected.iter().inspect(|found| log(found)).map(|found| found.entry(wall)).collect()
+    detected.iter().inspect(|found| log(site, found)).map(|found| found.entry(wall)).collect()
 }
 
-fn log(found: &DetectedParts) {
+fn log(site: &Site, found: &DetectedParts) {
+    site.counters.count("poison.parts_detected");
     let parts: Vec<String> = found.parts.iter().map(PartId::to_string).collect();
     tracing::warn!(target: "poison", parts = parts.join(","), entry = %found.fingerprint(),
         upstreams = ?found.upstreams, weak = found.weak, "prompt parts crash upstreams");
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -317,7 +317,7 @@
     /// analysed.
     fn is_withheld(&self) -> bool {
         let poison = &self.site.poison;
-        poison.is_withheld(self.fingerprint) || poison.are_withheld(&self.parts)
+        poison.is_withheld(self.fingerprint) || poison.are_withheld(&self.parts, self.site.now())
     }
 
     /// Logs and counts, once, that the request waits until the crashes at which it
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -168,6 +168,16 @@
     begun: bool,
 }
 
+/// The failure of a stream that ended inside an event: broken off where that is how the
+/// connection ended, else the upstream has ended it itself.
+fn ended_inside_event(opened: &StartedAnswer) -> Failure {
+    let why = "ended inside an event".to_string();
+    match opened.until_close {
+        true => Failure::Closed("stream", why),
+        false => Failure::InvalidAnswer("stream", why),
+    }
+}
+
 /// Result of waiting for more of a stream.
 enum Step {
     Continue,
@@ -211,7 +221,7 @@
                     drop(flight);
                     return self.end(caller).await;
                 }
-                Step::Ended => Failure::InvalidAnswer("stream", "ended inside an event".into()),
+                Step::Ended => ended_inside_event(&opened),
                 Step::Broken(failure) => failure,
             };
             self.exchange.record_broken_answer(&opened, &failure);
--- a/crates/router/src/proxy/site/poison.rs
+++ b/crates/router/src/proxy/site/poison.rs
@@ -7,7 +7,8 @@
 use marjoram_core::exchange::PartId;
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::poison::{
-    BrokenRequest, PartSuspects, Quarantine, Quarantined, RecentCompletions, Suspects, part_set,
+    BrokenRequest, PART_COMPLETION_WINDOW, PartSuspects, Quarantine, Quarantined,
+    RecentCompletions, Suspects, part_set,
 };
 use marjoram_core::upstream::Instance;
 use tokio::sync::Notify;
@@ -65,14 +66,22 @@
         }
     }
 
-    /// Whether prompts with `parts` are not sent for now, for the reasons of
-    /// [`Self::is_withheld`].
-    pub fn are_withheld(&self, parts: &[PartId]) -> bool {
-        let suspected = self.suspected_parts.borrow();
-        let broke = |part| self.broken.borrow().values().flatten().any(|b| b.parts.contains(part));
-        parts
-            .iter()
-            .any(|part| suspected.withholds(*part) || suspected.is_close(*part) && broke(part))
+    /// Whether prompts with `parts` are not sent at `now`: one of them was in flight at
+    /// crashes that are not decided on, or at an upstream that is being checked, and no
+    /// completed answer speaks for it.
+    pub fn are_withheld(&self, parts: &[PartId], now: Duration) -> bool {
+        let (suspected, broken) = (self.suspected_parts.borrow(), self.broken.borrow());
+        if suspected.is_empty() && broken.is_empty() {
+            return false;
+        }
+        let completed = self.completed_parts.borrow();
+        let is_answered = |part: &PartId| {
+            let age = completed.age(part_set(&[*part]), now);
+            age.is_some_and(|age| age < PART_COMPLETION_WINDOW)
+        };
+        let broke = |part: &PartId| broken.values().flatten().any(|b| b.parts.contains(part));
+        let waits = |part: &&PartId| suspected.withholds(**part, now) || broke(part);
+        parts.iter().filter(waits).any(|part| !is_answered(part))
     }
 
     /// Whether `request` was in flight at a crash, as far as this host knows.
