Break the import circles of conditions and place, and of node and the modules that use it

Moves only, no change of behaviour. core: SINGLE_ROUND_HOSTS moves from place to heartbeat, so that conditions -> brittle -> place -> part_index -> exchange -> conditions ends. router: the state that Node holds (brittle engines, links to upstreams, connections to routers) has modules of its own, so node no longer imports brittle, upstream_client and peer, which import it.

--- a/crates/core/src/brittle.rs
+++ b/crates/core/src/brittle.rs
@@ -27,7 +27,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Error;
-use crate::place::SINGLE_ROUND_HOSTS;
+use crate::heartbeat::SINGLE_ROUND_HOSTS;
 
 /// Span in which upstreams count rejections.
 pub const WINDOW: Duration = Duration::from_secs(1);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -89,6 +89,7 @@
 pub mod feed;
 pub mod fingerprint;
 pub mod health;
+pub mod heartbeat;
 pub mod host;
 pub mod ids;
 pub mod leadership;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -35,7 +35,7 @@
 
 use crate::part_index;
 use crate::policy::PolicyName;
-pub use partition::{SINGLE_ROUND_HOSTS, pool_partition, sample, sample_each};
+pub use partition::{pool_partition, sample, sample_each};
 use score::score;
 
 /// Time after their replacement during which weights count as current.
--- a/crates/core/src/place/partition.rs
+++ b/crates/core/src/place/partition.rs
@@ -2,10 +2,7 @@
 //! are compared for a request.
 
 use super::rank;
-
-/// Number of hosts up to which each host reports its loads to all others in a
-/// single round. Loads are then recent enough to compare all engines.
-pub const SINGLE_ROUND_HOSTS: usize = 17;
+use crate::heartbeat::SINGLE_ROUND_HOSTS;
 
 /// Engines sampled inside the partition, and as many outside it, where there are
 /// more hosts: many hosts that compare the same engines would all send to the
--- a/crates/router/src/brittle.rs
+++ b/crates/router/src/brittle.rs
@@ -2,85 +2,39 @@
 //! on its own interface (see `marjoram_core::brittle`). Each router learns of it, and of
 //! the rejections of all routers, from the engines' load reports.
 
-use std::collections::HashMap;
-use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use marjoram_core::brittle::{self, DEFAULT_WORK, Load, Sends, Statement};
+use marjoram_core::brittle::{self, Load};
 use marjoram_core::cache::Slot;
 use marjoram_core::place;
 use marjoram_core::wire::BrittleReport;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::brittle_engines::BrittleEngine;
 use crate::node::{Engine, Node};
 
-/// Weight of one sample in the moving average of the time that requests run.
-const SAMPLE_WEIGHT: f64 = 0.1;
-
-/// What this router knows of a brittle engine.
-struct BrittleEngine {
-    report: BrittleReport,
-    statement: Statement,
-    sends: Sends,
-    /// How long a request runs there.
-    work: Duration,
-}
-
-/// The brittle engines, by slot.
-#[derive(Default)]
-pub struct BrittleEngines(Mutex<HashMap<Slot, BrittleEngine>>);
-
-impl BrittleEngines {
-    /// Records what the load report of the engine in `slot`, just received, states. True if
-    /// the engine was not known to be brittle.
-    fn record_report(&self, slot: Slot, report: Option<BrittleReport>, now: Duration) -> bool {
-        let mut engines = self.0.lock().unwrap();
-        let Some(report) = report else {
-            engines.remove(&slot);
-            return false;
-        };
-        let is_new = !engines.contains_key(&slot);
-        let engine = engines.entry(slot).or_insert_with(|| BrittleEngine {
-            report,
-            statement: Statement::default(),
-            sends: Sends::default(),
-            work: DEFAULT_WORK,
-        });
-        engine.report = report;
-        engine.statement.state(report.max_rejections, now);
-        is_new
-    }
-}
-
-impl BrittleEngine {
-    /// Rejections that other routers recently got there.
-    fn others(&self, now: Duration) -> u32 {
-        self.report.rejections.saturating_sub(self.sends.rejections(now))
-    }
-
-    /// Its load as far as this router knows. How many routers have requests there is not
-    /// known, so all of them count as users.
-    fn load(&self, node: &Node, engine: &Engine) -> Load {
-        let routers = node.entries.load();
-        let hosts = routers.len().max(1);
-        let rank = match brittle::divides_slots(hosts) {
-            true => {
-                let key = |addr: &str| place::rank(engine.key, xxh3_64(addr.as_bytes()));
-                let own = key(&node.settings.advertise);
-                routers.iter().filter(|router| key(&router.addr) > own).count()
-            }
-            false => hosts,
-        };
-        Load {
-            slots: self.report.slots,
-            running: node.load(engine.slot),
-            own: node.inflight[usize::from(engine.slot.0)].load(Ordering::Relaxed),
-            hosts,
-            users: hosts,
-            rank,
-            work: self.work,
+/// The load of an engine as far as this router knows. How many routers have requests there is not
+/// known, so all of them count as users.
+fn load(state: &BrittleEngine, node: &Node, engine: &Engine) -> Load {
+    let routers = node.entries.load();
+    let hosts = routers.len().max(1);
+    let rank = match brittle::divides_slots(hosts) {
+        true => {
+            let key = |addr: &str| place::rank(engine.key, xxh3_64(addr.as_bytes()));
+            let own = key(&node.settings.advertise);
+            routers.iter().filter(|router| key(&router.addr) > own).count()
         }
+        false => hosts,
+    };
+    Load {
+        slots: state.report.slots,
+        running: node.load(engine.slot),
+        own: node.inflight[usize::from(engine.slot.0)].load(Ordering::Relaxed),
+        hosts,
+        users: hosts,
+        rank,
+        work: state.work,
     }
 }
 
@@ -93,7 +47,7 @@
 
 /// Slots of the engines that may not get a request of this router now.
 pub fn withheld(node: &Node) -> Vec<Slot> {
-    let mut brittle = node.brittle.0.lock().unwrap();
+    let mut brittle = node.brittle.lock();
     if brittle.is_empty() {
         return Vec::new();
     }
@@ -101,7 +55,7 @@
     let mut is_withheld = |engine: &&Engine| {
         let Some(state) = brittle.get_mut(&engine.slot) else { return false };
         let Some(max) = state.statement.in_force(now) else { return false };
-        let (load, others) = (state.load(node, engine), state.others(now));
+        let (load, others) = (load(state, node, engine), state.others(now));
         !state.sends.is_allowed(max, load, others, rand::random(), now)
     };
     pool.engines.iter().filter(&mut is_withheld).map(|engine| engine.slot).collect()
@@ -109,7 +63,7 @@
 
 /// Records a send to `engine`.
 pub fn record_send(node: &Node, engine: &Engine) {
-    if let Some(state) = node.brittle.0.lock().unwrap().get_mut(&engine.slot) {
+    if let Some(state) = node.brittle.lock().get_mut(&engine.slot) {
         state.sends.record_send(node.uptime());
     }
 }
@@ -117,18 +71,18 @@
 /// Records that `engine` rejected a request for want of a slot.
 pub fn record_rejection(node: &Node, engine: &Engine) {
     let now = node.uptime();
-    let mut brittle = node.brittle.0.lock().unwrap();
+    let mut brittle = node.brittle.lock();
     let Some(state) = brittle.get_mut(&engine.slot) else { return };
     let Some(max) = state.statement.in_force(now) else { return };
-    let load = state.load(node, engine);
+    let load = load(state, node, engine);
     state.sends.record_rejection(max, load, rand::random(), now);
     node.counters.brittle_rejections.fetch_add(1, Ordering::Relaxed);
 }
 
 /// Records that a request ran at `engine` for `took`.
 pub fn record_completion(node: &Node, engine: &Engine, took: Duration) {
-    if let Some(state) = node.brittle.0.lock().unwrap().get_mut(&engine.slot) {
-        state.work = state.work.mul_f64(1.0 - SAMPLE_WEIGHT) + took.mul_f64(SAMPLE_WEIGHT);
+    if let Some(state) = node.brittle.lock().get_mut(&engine.slot) {
+        state.record_completion(took);
     }
 }
 
@@ -136,7 +90,7 @@
 /// under one that it ran.
 pub fn may_have_failed(node: &Node, engine: &Engine) -> bool {
     let now = node.uptime();
-    let brittle = node.brittle.0.lock().unwrap();
+    let brittle = node.brittle.lock();
     brittle.get(&engine.slot).is_some_and(|state| {
         state.statement.in_force(now).is_some()
             && state.others(now) + state.sends.rejections(now) > 0
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -11,6 +11,7 @@
 mod at_most_once;
 mod backoffs;
 mod brittle;
+mod brittle_engines;
 mod clock;
 mod conn;
 mod error;
@@ -25,6 +26,7 @@
 mod options;
 mod paths;
 mod peer;
+mod peer_links;
 mod poison;
 mod proxy;
 mod quarantine;
@@ -32,6 +34,7 @@
 mod startup;
 mod tunnel;
 mod upstream_client;
+mod upstream_links;
 
 use std::process::ExitCode;
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -25,12 +25,12 @@
 use serde::Serialize;
 
 use crate::backoffs::Backoffs;
-use crate::brittle::BrittleEngines;
+use crate::brittle_engines::BrittleEngines;
 use crate::clock;
 use crate::options::Settings;
-use crate::peer::links::Links;
+use crate::peer_links::PeerLinks;
 use crate::quarantine::Poison;
-use crate::upstream_client::UpstreamLinks;
+use crate::upstream_links::UpstreamLinks;
 
 /// Retries allowed, in thousandths of the requests.
 const RETRY_BUDGET_PER_MILLE: u32 = 200;
@@ -160,7 +160,7 @@
     pub down: [AtomicBool; MAX_SLOTS],
     /// Number of times that this node could not reach an engine any more, by slot.
     pub outages: [AtomicU32; MAX_SLOTS],
-    /// Links to engines and plain services.
+    /// PeerLinks to engines and plain services.
     pub upstream_links: UpstreamLinks,
     /// Engines that have asked this node to back off.
     pub backoffs: Backoffs,
@@ -191,7 +191,7 @@
     /// State of this router as a candidate for, or the holder of, the fleet's lease.
     pub contender: Mutex<Contender>,
     /// Connections to other routers.
-    pub links: Links,
+    pub links: PeerLinks,
     started: Instant,
     next_id: AtomicU64,
 }
@@ -233,7 +233,7 @@
             members: Mutex::new(members),
             entries: ArcSwap::default(),
             contender: Mutex::new(contender),
-            links: Links::default(),
+            links: PeerLinks::default(),
             started: Instant::now(),
             next_id: AtomicU64::new(nonce << ID_BITS),
         }
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -7,7 +7,6 @@
 //! Correctness does not depend on this link: it carries membership updates and state
 //! that a starting router can use to avoid a cold start.
 
-pub mod links;
 pub mod wire;
 
 use std::net::SocketAddr;
--- a/crates/router/src/peer/links.rs
+++ b/crates/router/src/peer_links.rs
@@ -9,9 +9,9 @@
 
 /// Open connections to other routers, by link address.
 #[derive(Debug, Default)]
-pub struct Links(Mutex<HashMap<SocketAddr, SendRequest<Bytes>>>);
+pub struct PeerLinks(Mutex<HashMap<SocketAddr, SendRequest<Bytes>>>);
 
-impl Links {
+impl PeerLinks {
     /// The connection to `link`, if one is open.
     pub fn get(&self, link: SocketAddr) -> Option<SendRequest<Bytes>> {
         self.0.lock().unwrap().get(&link).cloned()
--- a/crates/router/src/proxy/follow/hosts.rs
+++ b/crates/router/src/proxy/follow/hosts.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::place::SINGLE_ROUND_HOSTS;
+use marjoram_core::heartbeat::SINGLE_ROUND_HOSTS;
 use marjoram_platform::store::{self, Record};
 
 use super::Sink;
--- a/crates/router/src/proxy/follow/relay.rs
+++ b/crates/router/src/proxy/follow/relay.rs
@@ -13,7 +13,7 @@
 
 use std::rc::Rc;
 
-use marjoram_core::place::SINGLE_ROUND_HOSTS;
+use marjoram_core::heartbeat::SINGLE_ROUND_HOSTS;
 
 use super::Read;
 use crate::clock;
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use marjoram_core::candidacy::{ControlCapacity, OtherHost};
+use marjoram_core::heartbeat;
 use marjoram_core::host::HostSettings;
 use marjoram_core::leadership::CandidateStatus;
 use marjoram_core::pace::LinkSpeed;
@@ -36,7 +37,7 @@
 
 /// Number of peers that get a heartbeat at once. If there are more, they take
 /// turns.
-pub const FANOUT: usize = place::SINGLE_ROUND_HOSTS - 1;
+pub const FANOUT: usize = heartbeat::SINGLE_ROUND_HOSTS - 1;
 
 /// How long a peer may be silent before it counts as gone, and, where there are
 /// many hosts, how many of its heartbeats may be missed: more than one in forty
--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 use marjoram_core::catalog::Role;
-use marjoram_core::place::SINGLE_ROUND_HOSTS;
+use marjoram_core::heartbeat::SINGLE_ROUND_HOSTS;
 use marjoram_core::poison::{self, BrokenRequest, CrashReport, Notice, WATCH_TIME};
 use marjoram_platform::engine;
 use marjoram_platform::store::Call;
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -21,9 +21,9 @@
 use marjoram_core::catalog::Catalog;
 use marjoram_core::coordination::Coordination;
 use marjoram_core::era::Era;
+use marjoram_core::heartbeat;
 use marjoram_core::host::HostSettings;
 use marjoram_core::leadership::CandidateStatus;
-use marjoram_core::place;
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::AnnouncedVersions;
 use marjoram_core::stop::Stop;
@@ -267,7 +267,7 @@
     /// How `service` is coordinated; `None` if it is not. With few hosts, heartbeats reach all of
     /// them in one round, and coordination gains nothing.
     pub fn coordination(&self, service: &str) -> Option<Rc<Coordination>> {
-        let many = self.peers.count() > place::SINGLE_ROUND_HOSTS;
+        let many = self.peers.count() > heartbeat::SINGLE_ROUND_HOSTS;
         self.coordinated.borrow().get(service).filter(|_| many).cloned()
     }
 
--- a/crates/router/src/upstream_client.rs
+++ b/crates/router/src/upstream_client.rs
@@ -7,14 +7,12 @@
 //! closes the idle connections of all threads.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
-use marjoram_core::reach::{Conclusion, Link, MAX_RELAYS, Path};
+use marjoram_core::reach::MAX_RELAYS;
 use ntex::connect::{self, Connect, Resolver};
 use ntex::http::Uri;
 use ntex::http::client::{Client, Connector};
@@ -33,61 +31,9 @@
     static CLIENT: RefCell<Option<(u64, Client)>> = const { RefCell::new(None) };
 }
 
-/// This node's links to engines and plain services.
-#[derive(Debug, Default)]
-pub struct UpstreamLinks {
-    /// Lost links, by the upstream's address.
-    lost: Mutex<HashMap<SocketAddr, Link>>,
-    /// The router that relayed the last connection; it is asked first.
-    last_relay: Mutex<Option<SocketAddr>>,
-    /// Number of times that idle connections were given up.
-    generation: AtomicU64,
-}
-
-impl UpstreamLinks {
-    /// Closes the idle connections to all upstreams.
-    pub fn drop_idle_connections(&self) {
-        self.generation.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Addresses of the upstreams to which the link is lost.
-    pub fn lost(&self) -> Vec<SocketAddr> {
-        self.lost.lock().unwrap().keys().copied().collect()
-    }
-
-    fn is_lost(&self, addr: SocketAddr) -> bool {
-        self.lost.lock().unwrap().contains_key(&addr)
-    }
-
-    /// The path for a connection to `addr` that is opened at `now`.
-    fn begin_connect(&self, addr: SocketAddr, now: Duration) -> Path {
-        let mut lost = self.lost.lock().unwrap();
-        lost.get_mut(&addr).map_or(Path::Direct, |link| link.begin_connect(now))
-    }
-
-    /// Applies what connects to `addr` have shown.
-    fn apply(&self, addr: SocketAddr, conclusion: Conclusion, now: Duration) {
-        let mut lost = self.lost.lock().unwrap();
-        match conclusion {
-            Conclusion::LinkWorks => {
-                if lost.remove(&addr).is_some() {
-                    tracing::info!(target: "reach", "reach: link to {addr} works again.");
-                }
-            }
-            Conclusion::LinkLost => {
-                if lost.entry(addr).or_default().lost(now) {
-                    tracing::warn!(target: "reach", "reach: link to {addr} lost; other routers reach it.");
-                    self.drop_idle_connections();
-                }
-            }
-            Conclusion::Undecided | Conclusion::UpstreamDown | Conclusion::Unknown => {}
-        }
-    }
-}
-
 /// The client of the current thread.
 pub fn client(node: &Arc<Node>) -> Client {
-    let generation = node.upstream_links.generation.load(Ordering::Relaxed);
+    let generation = node.upstream_links.generation();
     CLIENT.with_borrow_mut(|current| match current {
         Some((known, client)) if *known == generation => client.clone(),
         _ => {
@@ -111,7 +57,7 @@
     let (conclusion, result) = paths::connect(paths, || others(node, addr)).await;
     links.apply(addr, conclusion, node.uptime());
     if let Some(relay) = result.as_ref().ok().filter(|conn| conn.relayed).and_then(Conn::peer) {
-        *links.last_relay.lock().unwrap() = Some(relay);
+        links.record_relay(relay);
     }
     result
 }
@@ -123,7 +69,7 @@
     let mut relays: Vec<SocketAddr> =
         others.filter_map(|router| peer::link_addr(node, &router.addr).ok()).collect();
     relays.shuffle(&mut rand::rng());
-    let last = *node.upstream_links.last_relay.lock().unwrap();
+    let last = node.upstream_links.last_relay();
     relays.sort_by_key(|relay| Some(*relay) != last);
     relays.truncate(MAX_RELAYS);
     relays
