--- a/crates/core/benches/poison.rs
+++ b/crates/core/benches/poison.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use marjoram_core::exchange::PartId;
 use marjoram_core::fingerprint::Fingerprint;
-use marjoram_core::poison::{CRASH_REPORT_WINDOW, CrashReport, Quarantine, Quarantined, Suspects};
+use marjoram_core::poison::{
+    CRASH_REPORT_WINDOW, CrashReport, PartCrashReport, PartSuspects, Quarantine, Quarantined,
+    Suspects, part_sets,
+};
 
 /// Requests in flight on an engine at its crash.
 const IN_FLIGHT: u64 = 64;
@@ -65,5 +69,54 @@
     });
 }
 
-criterion_group!(benches, requests, crashes);
+/// Reports on the crash of `upstream` with the part `part`.
+fn part_report(part: u64, upstream: u64) -> PartCrashReport {
+    let requests = vec![Fingerprint(part)];
+    PartCrashReport { part: PartId(part), upstream, requests, well: None, at: NOW }
+}
+
+/// Tables of parts filled to capacity, with a fifth of them at two crashes.
+fn full_part_suspects() -> PartSuspects {
+    let mut suspects = PartSuspects::default();
+    for part in 0..1_024 {
+        suspects.add(&part_report(part, part / IN_FLIGHT), Duration::ZERO);
+        suspects.add(&part_report(part, 1_000 + part / IN_FLIGHT), Duration::ZERO);
+    }
+    for part in 10_000..14_096 {
+        suspects.add(&part_report(part, 2_000 + part / IN_FLIGHT), Duration::ZERO);
+    }
+    suspects
+}
+
+fn parts(c: &mut Criterion) {
+    let mut quarantine = Quarantine::new();
+    for request in 0..1_024 {
+        quarantine.admit(Quarantined::new(Fingerprint(request), vec![1, 2, 3], NOW), NOW);
+    }
+    let mut group = c.benchmark_group("refuses_parts");
+    for count in [3u64, 8] {
+        let prompt: Vec<PartId> = (0..count).map(PartId).collect();
+        group.bench_with_input(BenchmarkId::from_parameter(count), &prompt, |b, prompt| {
+            b.iter(|| {
+                let sets = part_sets(black_box(prompt));
+                sets.iter().find_map(|set| quarantine.refuses(*set, NOW))
+            });
+        });
+    }
+    group.finish();
+    c.bench_function("part_crash", |b| {
+        b.iter_batched(
+            full_part_suspects,
+            |mut suspects| {
+                for part in 0..IN_FLIGHT {
+                    suspects.add(&part_report(part, 9_000), CRASH_REPORT_WINDOW);
+                }
+                (suspects.detect(CRASH_REPORT_WINDOW * 2, Some(NOW)), suspects)
+            },
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+criterion_group!(benches, requests, crashes, parts);
 criterion_main!(benches);
