--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -20,6 +20,7 @@
 mod recent;
 mod suspect;
 mod suspects;
+mod table;
 
 use std::cmp::Reverse;
 use std::time::Duration;
--- a/crates/core/src/poison/parts.rs
+++ b/crates/core/src/poison/parts.rs
@@ -12,6 +12,8 @@
 //! tells which one it is. Crashes at which a single request was in flight each time
 //! count against that request alone.
 
+mod suspect;
+
 use std::time::Duration;
 
 use lru::LruCache;
@@ -19,39 +21,15 @@
 
 use super::suspect::MIN_CRASHES;
 use super::suspects::{CRASH_REPORT_WINDOW, Reported};
+use super::table::SuspectTable;
 use super::{QUARANTINE_TERM, Quarantined, part_set};
 use crate::exchange::PartId;
 use crate::fingerprint::Fingerprint;
-
-/// Requests that must have been in flight at as many crashes, unless there is one more
-/// crash: a request that is sent again is often in flight at a second one.
-const MIN_REQUESTS: usize = 3;
-
-/// Crashes needed where the evidence is weaker: the part was in an answer shortly before,
-/// or no answer at all has been completed since.
-const MIN_CRASHES_IF_WEAK: usize = 5;
-
-/// Times between the first and the last crash from which several engines that ended for
-/// one reason of their own are ruled out: without any completed answer, and for a part
-/// that was in one shortly before.
-const MIN_SPREAD: Duration = Duration::from_secs(1);
-const MIN_SPREAD_IF_COMPLETED: Duration = Duration::from_secs(2);
+use suspect::PartSuspect;
 
 /// How long before the first crash a completed answer still speaks for a part.
 pub const PART_COMPLETION_WINDOW: Duration = Duration::from_secs(60);
 
-/// How long a crash counts against a part: ten minutes.
-const CRASH_WINDOW: Duration = Duration::from_secs(600);
-
-/// Maximum number of crashes kept for one part, and of requests kept for one crash.
-const MAX_CRASHES: usize = 8;
-const MAX_REQUESTS: usize = 8;
-
-/// Maximum number of parts with one crash and with several, kept apart so that callers
-/// with ever new parts cannot evict one with two crashes.
-const MAX_WITH_ONE: usize = 4_096;
-const MAX_WITH_SEVERAL: usize = 1_024;
-
 /// Maximum number of crashes kept as explained.
 const MAX_EXPLAINED: usize = 1_024;
 
@@ -102,114 +80,6 @@
     }
 }
 
-/// One crash at which prompts with a part were in flight.
-#[derive(Debug, Clone)]
-struct PartCrash {
-    upstream: u64,
-    requests: Vec<Fingerprint>,
-    /// Since the Unix epoch.
-    noticed_at: Duration,
-}
-
-/// The crashes at which prompts with one part were in flight.
-#[derive(Debug, Clone, Default)]
-struct PartSuspect {
-    crashes: Vec<PartCrash>,
-    /// When an answer to a prompt with the part was last completed, since the Unix epoch.
-    completed_at: Option<Duration>,
-    /// Whether a run of [`PartSuspects::detect`] has considered all crashes.
-    evaluated: bool,
-    /// Number of crashes for which it was detected together with others.
-    tied: usize,
-}
-
-impl PartSuspect {
-    fn add(&mut self, report: &PartCrashReport) {
-        self.completed_at =
-            self.completed_at.max(report.well.map(|age| report.at.saturating_sub(age)));
-        match self.crashes.iter().position(|c| c.upstream == report.upstream) {
-            Some(index) => self.crashes[index].requests.extend(&report.requests),
-            None if self.crashes.len() < MAX_CRASHES => {
-                self.crashes.push(PartCrash {
-                    upstream: report.upstream,
-                    requests: report.requests.clone(),
-                    noticed_at: report.at,
-                });
-                self.evaluated = false;
-            }
-            None => {}
-        }
-        for crash in &mut self.crashes {
-            crash.requests.sort_unstable();
-            crash.requests.dedup();
-            crash.requests.truncate(MAX_REQUESTS);
-        }
-        self.crashes.retain(|c| report.at < c.noticed_at + CRASH_WINDOW);
-        self.drop_answered();
-    }
-
-    /// Removes the crashes before the last completed answer: they had another cause.
-    fn drop_answered(&mut self) {
-        let completed = self.completed_at;
-        self.retain(|c| completed.is_none_or(|completed| completed <= c.noticed_at));
-    }
-
-    fn retain(&mut self, keep: impl Fn(&PartCrash) -> bool) {
-        self.crashes.retain(keep);
-        self.tied = self.tied.min(self.crashes.len());
-    }
-
-    /// When the first and the last crash were noticed.
-    fn span(&self) -> (Duration, Duration) {
-        let times = || self.crashes.iter().map(|c| c.noticed_at);
-        (times().min().unwrap_or_default(), times().max().unwrap_or_default())
-    }
-
-    /// Whether it was in no completed answer shortly before the first crash.
-    fn is_unanswered(&self) -> bool {
-        let (first, _) = self.span();
-        self.completed_at.is_none_or(|completed| completed + PART_COMPLETION_WINDOW < first)
-    }
-
-    /// Number of requests that were in flight at the crashes.
-    fn requests(&self) -> usize {
-        let mut all: Vec<Fingerprint> =
-            self.crashes.iter().flat_map(|c| c.requests.iter().copied()).collect();
-        all.sort_unstable();
-        all.dedup();
-        all.len()
-    }
-
-    /// Whether one request was in flight at all crashes.
-    fn is_one_request(&self) -> bool {
-        let Some((first, others)) = self.crashes.split_first() else { return false };
-        first.requests.iter().any(|r| others.iter().all(|crash| crash.requests.contains(r)))
-    }
-
-    /// Whether its crashes are enough to count it as their cause. `any_completed` is when an
-    /// answer to any prompt was last completed.
-    fn meets_threshold(&self, any_completed: Option<Duration>) -> bool {
-        let (first, last) = self.span();
-        let (count, spread) = (self.crashes.len(), last - first);
-        let others_answered = any_completed.is_some_and(|completed| completed > first);
-        let enough = match (self.is_unanswered(), others_answered) {
-            (true, true) => {
-                count > MIN_CRASHES || count == MIN_CRASHES && self.requests() >= MIN_REQUESTS
-            }
-            (true, false) => count >= MIN_CRASHES_IF_WEAK && spread >= MIN_SPREAD,
-            (false, true) => count >= MIN_CRASHES_IF_WEAK && spread >= MIN_SPREAD_IF_COMPLETED,
-            (false, false) => false,
-        };
-        enough && count > self.tied && !self.is_one_request()
-    }
-
-    fn upstreams(&self) -> Vec<u64> {
-        let mut upstreams: Vec<u64> = self.crashes.iter().map(|c| c.upstream).collect();
-        upstreams.sort_unstable();
-        upstreams
-    }
-}
-
 /// The prompt parts that were in flight at crashes not yet explained.
 ///
 /// ```
@@ -232,8 +102,7 @@
 /// ```
 #[derive(Debug)]
 pub struct PartSuspects {
-    with_one_crash: LruCache<PartId, PartSuspect>,
-    with_several_crashes: LruCache<PartId, PartSuspect>,
+    table: SuspectTable<PartId, PartSuspect>,
     /// Incarnations of upstreams that a detected part has crashed.
     explained: LruCache<u64, ()>,
     reported: Reported,
@@ -242,8 +111,7 @@
 impl Default for PartSuspects {
     fn default() -> Self {
         Self {
-            with_one_crash: LruCache::unbounded(),
-            with_several_crashes: LruCache::unbounded(),
+            table: SuspectTable::default(),
             explained: LruCache::unbounded(),
             reported: Reported::new(CRASH_REPORT_WINDOW),
         }
@@ -253,7 +121,7 @@
 impl PartSuspects {
     /// Number of suspects.
     pub fn len(&self) -> usize {
-        self.with_one_crash.len() + self.with_several_crashes.len()
+        self.table.len()
     }
 
     /// Whether there are no suspects.
@@ -267,43 +135,25 @@
             return;
         }
         self.reported.add(report.upstream, now);
-        let mut suspect = self.take(report.part).unwrap_or_default();
+        let mut suspect = self.table.take(&report.part).unwrap_or_default();
         suspect.add(report);
-        self.put(report.part, suspect);
-    }
-
-    fn take(&mut self, part: PartId) -> Option<PartSuspect> {
-        self.with_several_crashes.pop(&part).or_else(|| self.with_one_crash.pop(&part))
-    }
-
-    /// Stores a suspect in the list for its number of crashes.
-    fn put(&mut self, part: PartId, suspect: PartSuspect) {
-        let (list, limit) = match suspect.crashes.len() {
-            0 => return,
-            1 => (&mut self.with_one_crash, MAX_WITH_ONE),
-            _ => (&mut self.with_several_crashes, MAX_WITH_SEVERAL),
-        };
-        list.put(part, suspect);
-        if list.len() > limit {
-            list.pop_lru();
-        }
+        self.table.put(report.part, suspect);
     }
 
     /// Records that an answer to a prompt with `part` was completed at `at`, since the Unix
     /// epoch.
     pub fn record_completion(&mut self, part: PartId, at: Duration) {
-        let Some(mut suspect) = self.take(part) else { return };
+        let Some(mut suspect) = self.table.take(&part) else { return };
         suspect.completed_at = suspect.completed_at.max(Some(at));
         suspect.drop_answered();
-        self.put(part, suspect);
+        self.table.put(part, suspect);
     }
 
     /// Records that the crashes of `upstreams` are explained by an entry of the quarantine.
     /// If that is a part they count against no other one from now on; those of a request
     /// still count against the parts of its prompt.
     pub fn explain(&mut self, cause: Fingerprint, upstreams: &[u64]) {
-        let lists = [&self.with_one_crash, &self.with_several_crashes];
-        if lists.iter().any(|list| list.iter().any(|(part, _)| part_set(&[*part]) == cause)) {
+        if self.table.iter().any(|(part, _)| part_set(&[*part]) == cause) {
             self.attribute(cause, upstreams);
         }
     }
@@ -316,14 +166,13 @@
         while self.explained.len() > MAX_EXPLAINED {
             self.explained.pop_lru();
         }
-        let lists = [&self.with_one_crash, &self.with_several_crashes];
-        let parts = lists.iter().flat_map(|list| list.iter().map(|(part, _)| *part));
-        for part in parts.collect::<Vec<_>>() {
-            let Some(mut suspect) = self.take(part) else { continue };
+        let parts: Vec<PartId> = self.table.iter().map(|(part, _)| *part).collect();
+        for part in parts {
+            let Some(mut suspect) = self.table.take(&part) else { continue };
             if part_set(&[part]) != cause && suspect.tied == 0 {
                 suspect.retain(|c| !upstreams.contains(&c.upstream));
             }
-            self.put(part, suspect);
+            self.table.put(part, suspect);
         }
     }
 
@@ -331,7 +180,7 @@
     /// known: whether other hosts know of one decides.
     pub fn unanswered(&self) -> Vec<PartId> {
         let close = |s: &PartSuspect| s.crashes.len() + 1 >= MIN_CRASHES && s.is_unanswered();
-        let parts = self.with_several_crashes.iter().filter(|(_, suspect)| close(suspect));
+        let parts = self.table.several().filter(|(_, suspect)| close(suspect));
         parts.map(|(part, _)| *part).collect()
     }
 
@@ -339,7 +188,7 @@
     /// and no run of [`Self::detect`] has considered them all, or it lacks one crash and
     /// hosts may still be reporting.
     pub fn withholds(&self, part: PartId, now: Duration) -> bool {
-        let Some(suspect) = self.with_several_crashes.peek(&part) else { return false };
+        let Some(suspect) = self.table.peek_several(&part) else { return false };
         let is_open = || suspect.crashes.iter().any(|c| self.reported.is_open(c.upstream, now));
         let undecided = match suspect.crashes.len() {
             count if count >= MIN_CRASHES => !suspect.evaluated || is_open(),
@@ -351,9 +200,7 @@
     /// Whether any part is at enough crashes and no run of [`Self::detect`] has considered
     /// them all.
     pub fn has_unevaluated(&self) -> bool {
-        self.with_several_crashes
-            .iter()
-            .any(|(_, s)| !s.evaluated && s.crashes.len() >= MIN_CRASHES)
+        self.table.several().any(|(_, s)| !s.evaluated && s.crashes.len() >= MIN_CRASHES)
     }
 
     /// Detects the parts that explain the crashes best, once all hosts have had the time to
@@ -396,7 +243,7 @@
         now: Duration,
         any_completed: Option<Duration>,
     ) -> Vec<(PartId, PartSuspect)> {
-        let settled = self.with_several_crashes.iter().map(|(part, suspect)| {
+        let settled = self.table.several().map(|(part, suspect)| {
             let mut settled = suspect.clone();
             settled.crashes.retain(|c| !self.reported.is_open(c.upstream, now));
             (*part, settled)
@@ -406,7 +253,7 @@
 
     fn mark_evaluated(&mut self, now: Duration) {
         let reported = &self.reported;
-        for (_, suspect) in self.with_several_crashes.iter_mut() {
+        for (_, suspect) in self.table.several_mut() {
             suspect.evaluated |= !suspect.crashes.iter().any(|c| reported.is_open(c.upstream, now));
         }
     }
@@ -415,10 +262,10 @@
     /// a further crash may tell them apart.
     fn settle(&mut self, found: &DetectedParts) {
         for part in &found.parts {
-            let Some(mut suspect) = self.take(*part) else { continue };
+            let Some(mut suspect) = self.table.take(part) else { continue };
             if found.parts.len() > 1 {
                 suspect.tied = suspect.crashes.len();
-                self.put(*part, suspect);
+                self.table.put(*part, suspect);
             }
         }
         self.attribute(found.fingerprint(), &found.upstreams);
--- a/crates/core/src/poison/suspect.rs
+++ b/crates/core/src/poison/suspect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::CrashReport;
+use super::table::Suspected;
 
 /// Crashes at which a request must have been in flight to count as their cause.
 pub const MIN_CRASHES: usize = 3;
@@ -234,3 +235,9 @@
         self.crashes.iter().map(|c| c.upstream).collect()
     }
 }
+
+impl Suspected for Suspect {
+    fn crash_count(&self) -> usize {
+        self.crashes.len()
+    }
+}
--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -7,18 +7,13 @@
 
 use super::CrashReport;
 use super::suspect::{Crash, MIN_CRASHES, Suspect};
+use super::table::SuspectTable;
 use crate::fingerprint::Fingerprint;
 
 /// Time after the first report of a crash within which all hosts have reported on
 /// it, where they notify each other at once.
 pub const CRASH_REPORT_WINDOW: Duration = Duration::from_millis(100);
 
-/// Maximum number of suspects with one crash and with several. They are kept
-/// apart so that callers with ever new bodies cannot evict a request with two
-/// crashes.
-const MAX_WITH_ONE: usize = 4_096;
-const MAX_WITH_SEVERAL: usize = 1_024;
-
 /// Maximum number of crashes kept as explained and as reported.
 const MAX_EXPLAINED: usize = 1_024;
 const MAX_REPORTED: usize = 1_024;
@@ -73,8 +68,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Suspects {
-    with_one_crash: LruCache<Fingerprint, Suspect>,
-    with_several_crashes: LruCache<Fingerprint, Suspect>,
+    table: SuspectTable<Fingerprint, Suspect>,
     /// Incarnations of upstreams that a request already detected has crashed.
     explained: LruCache<u64, ()>,
     reported: Reported,
@@ -83,8 +77,7 @@
 impl Default for Suspects {
     fn default() -> Self {
         Self {
-            with_one_crash: LruCache::unbounded(),
-            with_several_crashes: LruCache::unbounded(),
+            table: SuspectTable::default(),
             explained: LruCache::unbounded(),
             reported: Reported::new(CRASH_REPORT_WINDOW),
         }
@@ -105,7 +98,7 @@
 
     /// Number of suspects.
     pub fn len(&self) -> usize {
-        self.with_one_crash.len() + self.with_several_crashes.len()
+        self.table.len()
     }
 
     /// Whether there are no suspects.
@@ -115,7 +108,7 @@
 
     /// Whether `request` was in flight at a crash that is not explained.
     pub fn contains(&self, request: Fingerprint) -> bool {
-        self.with_several_crashes.contains(&request) || self.with_one_crash.contains(&request)
+        self.table.contains(&request)
     }
 
     /// Adds a host's report, received at `now`.
@@ -125,33 +118,16 @@
         }
         self.reported.add(report.upstream, now);
         let request = report.request;
-        let known =
-            self.with_several_crashes.pop(&request).or_else(|| self.with_one_crash.pop(&request));
+        let known = self.table.take(&request);
         let mut suspect = known.unwrap_or_default();
         suspect.add(report, now);
-        self.put(request, suspect);
-    }
-
-    /// Stores a suspect in the list for its number of crashes.
-    fn put(&mut self, request: Fingerprint, suspect: Suspect) {
-        let (list, limit) = match suspect.crashes.len() {
-            0 => return,
-            1 => (&mut self.with_one_crash, MAX_WITH_ONE),
-            _ => (&mut self.with_several_crashes, MAX_WITH_SEVERAL),
-        };
-        list.put(request, suspect);
-        if list.len() > limit {
-            list.pop_lru();
-        }
+        self.table.put(request, suspect);
     }
 
     /// Removes `request` from the suspects: it has completed, so it did not cause the
     /// crashes before. False if it was no suspect.
     pub fn clear(&mut self, request: Fingerprint) -> bool {
-        self.with_several_crashes
-            .pop(&request)
-            .or_else(|| self.with_one_crash.pop(&request))
-            .is_some()
+        self.table.take(&request).is_some()
     }
 
     /// Records that the crashes of `upstreams` are explained by a detected request:
@@ -188,44 +164,37 @@
 
     /// Applies `change` to the suspects with a crash for which `matches` is true.
     fn change(&mut self, matches: impl Fn(&Crash) -> bool, change: impl Fn(&mut Suspect)) {
-        let matching = |list: &LruCache<Fingerprint, Suspect>| {
-            let matching = list.iter().filter(|(_, s)| s.crashes.iter().any(&matches));
-            matching.map(|(r, _)| *r).collect::<Vec<_>>()
-        };
-        for request in
-            [matching(&self.with_one_crash), matching(&self.with_several_crashes)].concat()
-        {
-            let known = self
-                .with_several_crashes
-                .pop(&request)
-                .or_else(|| self.with_one_crash.pop(&request));
-            let mut suspect = known.expect("taken from one of the two lists");
+        let matching = self.table.iter().filter(|(_, s)| s.crashes.iter().any(&matches));
+        let matching: Vec<Fingerprint> = matching.map(|(request, _)| *request).collect();
+        for request in matching {
+            let known = self.table.take(&request);
+            let mut suspect = known.expect("in the table");
             change(&mut suspect);
-            self.put(request, suspect);
+            self.table.put(request, suspect);
         }
     }
 
     /// Whether any suspect was in flight at enough crashes to be detected.
     pub fn is_pending(&self) -> bool {
-        self.with_several_crashes.iter().any(|(_, s)| s.has_enough)
+        self.table.several().any(|(_, s)| s.has_enough)
     }
 
     /// Whether any suspect was in flight at enough crashes and no run of
     /// [`Self::detect`] has considered them all.
     pub fn has_unevaluated(&self) -> bool {
-        self.with_several_crashes.iter().any(|(_, s)| s.is_unevaluated())
+        self.table.several().any(|(_, s)| s.is_unevaluated())
     }
 
     /// Whether `request` is to be held back: it was in flight at enough crashes,
     /// and no run of [`Self::detect`] has considered them all. If it were sent
     /// meanwhile, it might crash one more upstream.
     pub fn withholds(&self, request: Fingerprint) -> bool {
-        self.with_several_crashes.peek(&request).is_some_and(Suspect::is_unevaluated)
+        self.table.peek_several(&request).is_some_and(Suspect::is_unevaluated)
     }
 
     /// Whether one more crash may suffice to detect `request`.
     pub fn is_close(&self, request: Fingerprint) -> bool {
-        self.with_several_crashes.peek(&request).is_some_and(|s| s.crashes.len() + 1 >= MIN_CRASHES)
+        self.table.peek_several(&request).is_some_and(|s| s.crashes.len() + 1 >= MIN_CRASHES)
     }
 
     /// Whether another suspect explains crashes of `suspect` better, where `suspect`
@@ -234,7 +203,7 @@
     /// `suspect` was not, or had begun later than `suspect` each time.
     fn has_competitor(&self, suspect: &Suspect) -> bool {
         suspect.may_be_coincidental()
-            && self.with_several_crashes.iter().any(|(_, other)| other.competes_with(suspect))
+            && self.table.several().any(|(_, other)| other.competes_with(suspect))
     }
 
     /// Whether hosts may still be reporting on a crash at `now`.
@@ -246,7 +215,7 @@
     /// report, with these crashes only. A crash on which reports are still arriving
     /// may count against the requests reported first and not yet against its cause.
     fn candidates(&self, now: Duration) -> Vec<(Fingerprint, Suspect)> {
-        let complete = self.with_several_crashes.iter().filter(|(_, s)| s.has_enough);
+        let complete = self.table.several().filter(|(_, s)| s.has_enough);
         let settled = complete.map(|(request, suspect)| {
             let mut settled = suspect.clone();
             settled.crashes.retain(|c| !self.is_open(c, now));
@@ -281,17 +250,17 @@
         let is_settled =
             |s: &Suspect| s.has_enough && !s.crashes.iter().any(|c| self.is_open(c, now));
         let evaluated: Vec<Fingerprint> = self
-            .with_several_crashes
-            .iter()
+            .table
+            .several()
             .filter(|(_, s)| is_settled(s))
             .map(|(request, _)| *request)
             .collect();
-        for (request, suspect) in self.with_several_crashes.iter_mut() {
+        for (request, suspect) in self.table.several_mut() {
             suspect.evaluated |= evaluated.contains(request);
         }
         for (request, upstreams) in &mut detected {
             // Includes crashes on which some hosts have not reported yet.
-            if let Some(suspect) = self.with_several_crashes.peek(request) {
+            if let Some(suspect) = self.table.peek_several(request) {
                 *upstreams = suspect.upstreams();
             }
         }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod copies;
 mod limits;
+mod poison;
 mod send;
 mod turn;
 mod weights_limit;
@@ -19,19 +20,16 @@
 use marjoram_core::exchange::{PartId, RequestMetadata};
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::place;
-use marjoram_core::poison::BrokenRequest;
 use marjoram_core::switches::Mechanism;
 use marjoram_core::upstream::Instance;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::StartedAnswer;
 use super::backlog::Claim;
-use super::failure::Failure;
-use super::fleet::{Flight, Upstream};
+use super::fleet::Flight;
 use super::http1::RequestHead;
-use super::poison;
 use super::quota::{self, Charge};
-use super::refusal::{QUARANTINED, RETRY_MAX, RETRY_MIN, Refusal};
+use super::refusal::{RETRY_MAX, RETRY_MIN, Refusal};
 use super::site::{Accounts, Site};
 use choose::Chosen;
 use limits::Denials;
@@ -211,60 +209,11 @@
         }
     }
 
-    /// Records that the answer with `status` was complete, so that the request, and after
-    /// a success the parts of its prompt, are no longer suspected of earlier crashes.
-    pub fn record_completion(&self, status: u16) {
-        let now = self.site.now();
-        self.site.poison.record_completion(self.fingerprint, now);
-        if (200..300).contains(&status) && !self.parts.is_empty() {
-            let begun = now.saturating_sub(self.begun);
-            poison::record_prompt_completion(&self.site, &self.parts, begun);
-        }
-    }
-
     /// How long the last send waited for the head of its answer.
     pub fn last_wait(&self) -> Duration {
         self.waited
     }
 
-    /// Records that an answer which had begun was cut off.
-    pub fn record_broken_answer(&mut self, opened: &StartedAnswer, failure: &Failure) {
-        let upstream = &opened.upstream;
-        upstream.record_failure(failure, self.site.now());
-        self.site.counters.count("upstream.broken");
-        tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %failure,
-            fingerprint = %self.fingerprint, sends = self.sends, "answer cut off by upstream");
-        let ran = self.site.now().saturating_sub(self.begun);
-        self.claim = None;
-        self.check_for_crash(upstream, failure, Some(ran));
-    }
-
-    /// Records that a send to `upstream` failed, and has the upstream checked for a
-    /// crash. `ran` is how long the answer had been running, `None` if it had not
-    /// begun.
-    fn check_for_crash(
-        &mut self,
-        upstream: &Rc<Upstream>,
-        failure: &Failure,
-        ran: Option<Duration>,
-    ) {
-        let id = self.request.asked.attempt.as_ref().map(|id| xxh3_64(id.as_bytes()));
-        let request = BrokenRequest {
-            request: self.fingerprint,
-            attempt: id.unwrap_or_else(rand::random),
-            ran,
-            parts: self.parts.clone(),
-        };
-        let may_have_crashed = poison::record_failed_send(&self.site, upstream, failure, request);
-        if may_have_crashed {
-            tracing::info!(target: "poison", id = self.id(), fingerprint = %self.fingerprint,
-                upstream = %upstream.life,
-                parts = self.request.asked.prompt.as_ref().map(|p| p.shared_ids()),
-                "upstream closed the connection of this request");
-        }
-        self.crashed |= may_have_crashed;
-    }
-
     /// Sends the request until an upstream answers, to several upstreams if its
     /// route allows it. `resumed` is the last event of this answer that the caller
     /// already has.
@@ -313,35 +262,11 @@
         Ok(chosen)
     }
 
-    /// Whether the request waits until the crashes at which it was in flight are
-    /// analysed.
-    fn is_withheld(&self) -> bool {
-        let poison = &self.site.poison;
-        poison.is_withheld(self.fingerprint) || poison.are_withheld(&self.parts, self.site.now())
-    }
-
-    /// Logs and counts, once, that the request waits until the crashes at which it
-    /// was in flight are analysed.
-    fn note_withheld(&self) {
-        if !self.withheld.replace(true) {
-            self.site.counters.count("poison.withheld");
-            tracing::info!(target: "poison", id = self.id(), fingerprint = %self.fingerprint,
-                sends = self.sends, "waits until crashes at which it was in flight are analysed");
-        }
-    }
-
     /// Whether one more send is allowed: checks the quarantine, the deadline, the
     /// failed connects and, for repeated sends, the route's limits. The retry
     /// budget is checked elsewhere.
     fn may_send(&self) -> Result<(), Refusal> {
-        if let Some(left) =
-            poison::refused_for(&self.site, self.fingerprint, &self.parts, self.id())
-        {
-            return Err(match self.may_have_run {
-                true => Refusal::with_status(502, QUARANTINED),
-                false => Refusal::quarantined(left),
-            });
-        }
+        self.check_quarantine()?;
         let tried = self.tried.len() as u32;
         match (self.sends, self.may_have_run) {
             _ if self.left().is_zero() => Err(self.deadline_refusal()),
