--- a/crates/core/src/conditions.rs
+++ b/crates/core/src/conditions.rs
@@ -12,8 +12,8 @@
 //! so a statement that loosens a limit is dated by when its request was sent, and
 //! one that tightens it by when its answer was received; of two, the later one
 //! holds. Answers of one upstream may differ, so a limit is loosened only once no
-//! answer has stated it for some time. Hosts share the rate by [`crate::quota`]: an upstream's limit is a quota
-//! of requests with a burst of zero.
+//! answer has stated it for some time. Hosts share the rate by [`crate::quota`]: an
+//! upstream's limit is a quota of requests with a burst of zero.
 
 use std::fmt;
 use std::str::FromStr;
