Rate limits: a host that has started asks others for the limits in force

Cause: a host learns limits from its own answers and, once it reports, from coordinators. One that has restarted has neither, and sent without an account until its first answer.

Evidence: the restarted host placed 11, 11 and 9 requests before the line 'rate limit of upstream changed', 174 to 209 ms after its start, although it coordinates the limit and so heard of it from the others' reports. A host that does not waits for its first answer.

Change: once it knows other hosts, it asks eight of them, four times in 0.2 s, by a limit report without upstreams; they answer with the limits in force.

Ruled out: an overdraft by the restarted host's first report, since it had placed the excess before. Not helped: all hosts restarted together.

--- a/crates/router/src/proxy/hosts/message.rs
+++ b/crates/router/src/proxy/hosts/message.rs
@@ -51,7 +51,7 @@
     /// hosts.
     Forward(Slice, Box<Message>),
     /// What the sender sent to upstreams for whose rate limits the receiver is
-    /// quota coordinator.
+    /// quota coordinator. An empty list asks for all limits that the receiver knows.
     LimitReports(Sender, Vec<LimitReport>),
     /// What the receiver may send to these upstreams. The number is the hash of the
     /// name of the host that coordinates their rate limits.
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -73,6 +73,7 @@
     ntex::rt::spawn(poison::maintain_records(site.clone()));
     ntex::rt::spawn(quota::run(site.clone()));
     ntex::rt::spawn(rate_limits::run(site.clone()));
+    ntex::rt::spawn(rate_limits::learn(site.clone()));
     ntex::rt::spawn(backlog::run(site.clone()));
     let state_listener = listen(site.peers.record.peers)?;
     ntex::rt::spawn(state_transfer::serve(site.clone(), state_listener));
