Own interface: the order in which an engine reads prompts does not change its estimated pace

Callers saw: a request with a deadline of 700 ms was refused (503, first token expected in 735 ms) at an idle engine that needs 400 ms.

Cause: a sample of the pace was the time to the first token divided by the tokens queued when the prompt was sent. Engines read by priority or arrival, so a prompt sent first and read last was a sample of up to 5 times the pace, and two prompts chosen at once on two threads both counted as first.

Change: a sample is divided by the tokens that the engine has read between send and first token.

New property test over orders.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -18,17 +18,26 @@
 
 /// Moving average of the nanoseconds that an engine takes per prompt token.
 ///
+/// A sample is the time from sending a prompt to its first token, divided by the
+/// tokens that the engine has read in that time. Engines read prompts in an order
+/// of their own, by priority or arrival, so the tokens queued when a prompt is sent
+/// may be read after it, or others before it.
+///
 /// ```
 /// use std::time::Duration;
 /// use marjoram_core::admission::PrefillTime;
 /// use marjoram_core::ids::Tokens;
 /// let pace = PrefillTime::new();
 /// assert_eq!(pace.wait(Tokens(1000)), None);
-/// pace.observe(Tokens(1000), Duration::from_millis(40));
+/// let read_before = pace.read();
+/// pace.observe(read_before, Tokens(1000), Duration::from_millis(40));
 /// assert_eq!(pace.wait(Tokens(2000)), Some(Duration::from_millis(80)));
 /// ```
 #[derive(Debug, Default)]
-pub struct PrefillTime(AtomicU64);
+pub struct PrefillTime {
+    nanos_per_token: AtomicU64,
+    read: AtomicU64,
+}
 
 impl PrefillTime {
     /// Creates an estimate without samples.
@@ -36,29 +45,43 @@
         Self::default()
     }
 
-    /// Records that the first token arrived `took` after a request was sent, with
-    /// `ahead` prompt tokens to prefill before it, its own included.
-    pub fn observe(&self, ahead: Tokens, took: Duration) {
-        if ahead.0 < MIN_SAMPLE_TOKENS {
+    /// Prompt tokens that the engine has read so far.
+    pub fn read(&self) -> Tokens {
+        Tokens(self.read.load(Ordering::Relaxed))
+    }
+
+    /// Records that the first token arrived `took` after a prompt was sent, of which
+    /// the engine had to read `unread` tokens. `read_before` is what [`Self::read`]
+    /// returned when it was sent.
+    pub fn observe(&self, read_before: Tokens, unread: Tokens, took: Duration) {
+        let read = self.read.fetch_add(unread.0, Ordering::Relaxed) + unread.0 - read_before.0;
+        if read < MIN_SAMPLE_TOKENS {
             return;
         }
-        let sample = (took.as_nanos() as u64 / ahead.0).max(1);
+        let sample = (took.as_nanos() as u64 / read).max(1);
         let smooth = |average: u64| match average {
             0 => sample,
             _ => (average * (SMOOTHING - 1) + sample) / SMOOTHING,
         };
-        let _ = self
-            .0
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |average| Some(smooth(average)));
+        let _ =
+            self.nanos_per_token.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |average| {
+                Some(smooth(average))
+            });
     }
 
-    /// Expected wait behind `ahead` tokens; `None` before the first sample.
-    pub fn wait(&self, ahead: Tokens) -> Option<Duration> {
-        match self.0.load(Ordering::Relaxed) {
+    /// The average; `None` before the first sample.
+    pub fn nanos_per_token(&self) -> Option<u64> {
+        match self.nanos_per_token.load(Ordering::Relaxed) {
             0 => None,
-            nanos => Some(Duration::from_nanos(nanos.saturating_mul(ahead.0))),
+            nanos => Some(nanos),
         }
     }
+
+    /// Expected wait behind `ahead` tokens; `None` before the first sample.
+    pub fn wait(&self, ahead: Tokens) -> Option<Duration> {
+        let wait = |nanos: u64| Duration::from_nanos(nanos.saturating_mul(ahead.0));
+        self.nanos_per_token().map(wait)
+    }
 }
 
 /// Units per attempt: the budget is counted in thousandths of an attempt, so that
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -1,9 +1,13 @@
-//! Invariant: retries never exceed their permitted share of the requests.
+//! Invariants: retries never exceed their permitted share of the requests, and the
+//! order in which an engine reads prompts does not change its estimated pace.
 
 #[path = "support/fuzz.rs"]
 mod fuzz;
 
-use marjoram_core::admission::Budget;
+use std::time::Duration;
+
+use marjoram_core::admission::{Budget, PrefillTime};
+use marjoram_core::ids::Tokens;
 use proptest::prelude::*;
 
 proptest! {
@@ -32,4 +36,21 @@
             }
         }
     }
+
+    /// Prompts that are sent together and read one after the other, in any order,
+    /// at 1 ms a token leave the estimate at 1 ms a token.
+    #[test]
+    fn prompts_read_in_another_order_than_sent_keep_the_estimate(
+        order in Just((1..=20u64).collect::<Vec<_>>()).prop_shuffle(),
+    ) {
+        let prefill_time = PrefillTime::new();
+        let read_before = prefill_time.read();
+        let mut now = Duration::ZERO;
+        for prompt in order {
+            let unread = Tokens(256 + prompt);
+            now += Duration::from_millis(unread.0);
+            prefill_time.observe(read_before, unread, now);
+        }
+        prop_assert_eq!(prefill_time.wait(Tokens(1000)), Some(Duration::from_secs(1)));
+    }
 }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -76,10 +76,11 @@
         Self { node, slot, unread: unread.0 }
     }
 
-    /// Records that the engine has read the prompt.
-    fn read(&mut self) {
+    /// Records that the engine has read the prompt; returns the tokens that it had to read.
+    fn read(&mut self) -> Tokens {
         let unread = std::mem::take(&mut self.unread);
         self.node.pending[usize::from(self.slot.0)].fetch_sub(unread, Ordering::Relaxed);
+        Tokens(unread)
     }
 }
 
@@ -100,9 +101,8 @@
     inflight: Inflight,
     /// The engine's incarnation and weights when the request was sent.
     generation: Option<CacheGeneration>,
-    /// Prompt tokens the engine has to read before the first chunk, and when the
-    /// request was sent.
-    tokens_ahead: Tokens,
+    /// Prompt tokens that the engine had read when the request was sent, and when that was.
+    read_before: Tokens,
     sent: Instant,
     /// When the engine accepted the request.
     accepted_at: Instant,
@@ -122,8 +122,9 @@
 pub async fn open(node: &Arc<Node>, job: &mut Job) -> Result<AcceptedRequest, Error> {
     loop {
         wait_for_verdict(node, job).await;
-        let Choice { engine, unread, tokens_ahead } = job.choose(node)?;
+        let Choice { engine, unread } = job.choose(node)?;
         let inflight = Inflight::new(node.clone(), engine.slot, unread);
+        let read_before = node.prefill_time[usize::from(engine.slot.0)].read();
         let sent = Instant::now();
         let generation = node.cache_index.life(engine.slot);
         let reachability = Reachability::new(node, engine.slot);
@@ -142,7 +143,7 @@
                     response,
                     version,
                     inflight,
-                    tokens_ahead,
+                    read_before,
                     sent,
                     accepted_at,
                     reachability,
@@ -287,9 +288,9 @@
                 Ok(Some(Ok(event))) => event,
             };
         if std::mem::take(&mut first) {
-            inflight.read();
+            let unread = inflight.read();
             let prefill_time = &node.prefill_time[usize::from(accepted.engine.slot.0)];
-            prefill_time.observe(accepted.tokens_ahead, accepted.sent.elapsed());
+            prefill_time.observe(accepted.read_before, unread, accepted.sent.elapsed());
         }
         let chunk: Chunk =
             serde_json::from_str(&event.data).map_err(|e| broken(format!("bad chunk: {e}")))?;
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -57,8 +57,6 @@
     pub engine: Engine,
     /// Prompt tokens it has to read for this job (those not cached).
     pub unread: Tokens,
-    /// Those tokens plus the ones sent to it earlier and not yet read.
-    pub tokens_ahead: Tokens,
 }
 
 impl Job {
@@ -157,7 +155,7 @@
         let tokens_ahead = Tokens(candidates[index].pending.0 + unread);
         self.admit(node, engine.slot, tokens_ahead)?;
         brittle::record_send(node, engine);
-        Ok(Choice { engine: engine.clone(), unread: Tokens(unread), tokens_ahead })
+        Ok(Choice { engine: engine.clone(), unread: Tokens(unread) })
     }
 
     /// Checks that the next attempt may be made, with `tokens_ahead` prompt tokens to read
--- a/crates/router/src/serve/state.rs
+++ b/crates/router/src/serve/state.rs
@@ -18,6 +18,7 @@
                 "engine": e,
                 "inflight": node.inflight[index].load(Ordering::Relaxed),
                 "pending": node.pending(e.slot),
+                "prefill_ns_per_token": node.prefill_time[index].nanos_per_token(),
                 "others": node.remote_load[index].load(Ordering::Relaxed),
                 "down": node.down[index].load(Ordering::Relaxed),
                 "life": node.cache_index.life(e.slot),
