LIMIT: a host that has started sends nothing until it knows the limits in force

Callers saw: an upstream with a rate limit got more requests than it allows after a host had restarted, if the store answered that host slowly.

Change: requests wait until all hosts that were asked have answered, also those that know no limit, or 0.2 s have passed since the other hosts are known. The coordinators of limits are asked too. A host that is still asking does not answer. End of the start-up reads is now a notification, so nothing is polled.

--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -279,5 +279,5 @@
 /// records have not been read by then.
 async fn end_startup_wait(site: Rc<Site>) {
     tokio::time::sleep(STARTUP_READ_TIMEOUT).await;
-    site.startup_reads_done.set(true);
+    site.end_startup_reads();
 }
--- a/crates/router/src/proxy/follow/hosts.rs
+++ b/crates/router/src/proxy/follow/hosts.rs
@@ -98,7 +98,7 @@
     }
 
     fn complete(&mut self, site: &Rc<Site>, keys: &[String]) {
-        site.startup_reads_done.set(true);
+        site.end_startup_reads();
         // An earlier listing that was interrupted may have added keys that are
         // gone by now.
         let mut listed = std::mem::take(&mut self.listed);
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -120,7 +120,7 @@
             rate_limits::handle_reports(site, sender, &reports, from)
         }
         Message::LimitAnswers(coordinator, answers) => {
-            rate_limits::apply_answers(site, coordinator, &answers)
+            rate_limits::handle_answers(site, coordinator, &answers, from)
         }
         Message::BacklogQuery { id, query } => backlog::handle_query(site, id, &query, from),
         Message::BacklogAnswer { id, answer } => site.backlog.complete(id, answer),
--- a/crates/router/src/proxy/quota.rs
+++ b/crates/router/src/proxy/quota.rs
@@ -69,7 +69,7 @@
     metadata: &RequestMetadata,
 ) -> Result<Option<Charge>, Refusal> {
     let Some(quota) = workspace.quota else { return Ok(None) };
-    if !site.startup_reads_done.get() {
+    if !site.startup_reads.initialized() {
         return Err(Refusal::not_run("other hosts not known yet", Duration::ZERO));
     }
     let charge = Charge { workspace: key(workspace), cost: quota.cost(metadata.tokens) };
--- a/crates/router/src/proxy/rate_limits.rs
+++ b/crates/router/src/proxy/rate_limits.rs
@@ -5,6 +5,8 @@
 //! answers carry the last statement of the limit that each host knows, so a host
 //! that uses an upstream learns of a change also from others.
 
+mod startup;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +18,8 @@
 use marjoram_core::quota::{Limit, REPORT_INTERVAL, RESERVATION_TIME};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use startup::{StartupQuery, learn, wait_until_learned};
+
 use super::conditions;
 use super::fleet::Upstream;
 use super::hosts::{LimitAnswer, LimitReport, Message};
@@ -36,17 +40,6 @@
 /// How long a host reports that a limit was withdrawn.
 const WITHDRAWN_SPAN: Duration = Duration::from_secs(5);
 
-/// How often a host that has started asks others for the limits in force, and when:
-/// datagrams can be lost, and it may not know all hosts yet.
-const QUERIES: u32 = 4;
-const QUERY_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Interval at which it checks whether it knows other hosts.
-const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-
-/// Hosts that it asks each time.
-const QUERIED_HOSTS: usize = 8;
-
 /// Asks whether this host may send `upstream` the request with the attempt id `id`
 /// now, and counts it if so. Always the case where the upstream states no limit.
 pub fn admit(site: &Site, upstream: &Upstream, id: &str) -> Admission {
@@ -77,20 +70,6 @@
     site.rate_limits.gate.borrow_mut().refund(upstream.key, 1, site.now());
 }
 
-/// Asks other hosts for the limits in force once this host knows them. Without that, a host
-/// that has restarted would send without a limit until the upstream answers.
-pub async fn learn(site: Rc<Site>) {
-    while !site.startup_reads_done.get() {
-        tokio::time::sleep(STARTUP_CHECK_INTERVAL).await;
-    }
-    for _ in 0..QUERIES {
-        for addr in site.peers.first_ranked(rand::random(), QUERIED_HOSTS) {
-            site.peers.send_to(addr, &Message::LimitReports(sender(&site), Vec::new()));
-        }
-        tokio::time::sleep(QUERY_INTERVAL).await;
-    }
-}
-
 /// Reports what this host sent to upstreams with limits, and updates the accounts
 /// that it keeps, until the process ends. A new limit is reported at once.
 pub async fn run(site: Rc<Site>) {
@@ -166,10 +145,10 @@
 /// Applies the reports of the host at `from`, and answers with what it may send, or to an
 /// empty list with the limits in force.
 pub fn handle_reports(site: &Site, sender: Sender, reports: &[LimitReport], from: SocketAddr) {
-    let answers = match reports {
-        [] => limits_in_force(site),
-        _ => answer(site, sender, reports),
-    };
+    if reports.is_empty() {
+        return startup::answer_query(site, from);
+    }
+    let answers = answer(site, sender, reports);
     let own = super::quota::sender(site).host;
     for chunk in answers.chunks(MAX_BATCH) {
         site.peers.send_to(from, &Message::LimitAnswers(own, chunk.to_vec()));
@@ -205,8 +184,14 @@
     reports.iter().filter_map(answer).collect()
 }
 
+/// Applies the answers of the host at `from`.
+pub fn handle_answers(site: &Site, coordinator: u64, answers: &[LimitAnswer], from: SocketAddr) {
+    apply_answers(site, coordinator, answers);
+    startup::record_answer(site, from);
+}
+
 /// Applies the answers of `coordinator`, a hash of that host's name.
-pub fn apply_answers(site: &Site, coordinator: u64, answers: &[LimitAnswer]) {
+fn apply_answers(site: &Site, coordinator: u64, answers: &[LimitAnswer]) {
     for answer in answers {
         conditions::record_reported(site, answer.upstream, answer.stated, coordinator);
     }
--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -11,6 +11,7 @@
 use super::choose::{Chosen, DEFAULT_THROUGHPUT};
 use super::{Exchange, WAIT_INTERVAL, millis};
 use crate::proxy::fleet::Upstream;
+use crate::proxy::rate_limits;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::site::{QueueKey, WaitQueue};
 use crate::proxy::waiting::Place;
@@ -115,6 +116,7 @@
         let queued = self.is_queued() && !resumed;
         // A request that may not be sent again is answered without waiting for its turn.
         self.may_send()?;
+        rate_limits::wait_until_learned(&self.site, self.left()).await;
         let mut place: Option<Place> = None;
         let may_wait = queued && self.site.now() < self.wait_end();
         if may_wait && self.queue().order.borrow().must_join(self.urgency()) {
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -30,12 +30,13 @@
 use marjoram_core::store_availability::{self, StoreAvailability};
 use marjoram_core::switches::{Mechanism, Switches};
 use marjoram_core::upstream::Registry;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, SetOnce};
 use tokio::time::Instant;
 
 use super::counters::Counters;
 use super::fleet::Fleet;
 use super::hosts::Peers;
+use super::rate_limits::StartupQuery;
 use super::relays::Relays;
 use super::stores::Stores;
 use super::traffic::Traffic;
@@ -99,7 +100,9 @@
     pub listed: Cell<bool>,
     /// The hosts' records and the quarantine have been read once, from the store
     /// or from another host, or the wait for them has timed out.
-    pub startup_reads_done: Cell<bool>,
+    pub startup_reads: SetOnce<()>,
+    /// The query for the rate limits in force.
+    pub startup_query: StartupQuery,
     /// The newest era of the store that has been reported to this host.
     pub era: Cell<Option<Era>>,
     /// When this host's last store error was.
@@ -158,7 +161,8 @@
             traffic,
             stopping: Cell::default(),
             listed: Cell::default(),
-            startup_reads_done: Cell::default(),
+            startup_reads: SetOnce::new(),
+            startup_query: StartupQuery::default(),
             era: Cell::default(),
             store_error: Cell::default(),
             store_availability: RefCell::default(),
@@ -215,11 +219,17 @@
 
     /// Whether this host takes callers.
     pub fn is_ready(&self) -> bool {
-        let knows =
-            self.catalog.load().is_some() && self.listed.get() && self.startup_reads_done.get();
+        let is_read = self.listed.get() && self.startup_reads.initialized();
+        let knows = self.catalog.load().is_some() && is_read;
         self.stopping.get().is_none() && knows
     }
 
+    /// Records that the hosts' records and the quarantine have been read.
+    pub fn end_startup_reads(&self) {
+        // Err: they have been read before, from another source.
+        let _ = self.startup_reads.set(());
+    }
+
     /// Records the era of an answer of the store. Returns whether it is still the
     /// newest; offsets from earlier eras are invalid from then on.
     pub fn note_era(&self, era: Era) -> bool {
--- a/crates/router/src/proxy/state_transfer.rs
+++ b/crates/router/src/proxy/state_transfer.rs
@@ -159,7 +159,7 @@
         follow::apply_announced_weights(site, &model, version, false, &source);
     }
     poison::add_quarantine_entries(site, knowledge.quarantine, &source);
-    site.startup_reads_done.set(true);
+    site.end_startup_reads();
     // Once this host has listed the upstreams in the store, its own records are
     // newer.
     if !site.listed.get() {
