--- a/crates/router/src/conn.rs
+++ b/crates/router/src/conn.rs
@@ -156,7 +156,15 @@
     /// Closes the connection with a reset, so that the peer does not take what it
     /// has received for complete.
     pub fn reset(self) {
-        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        reset_on_close(&self.stream, true);
+    }
+}
+
+/// Sets whether `stream` is closed with a reset, also by the kernel when the process is killed.
+pub fn reset_on_close(stream: &TcpStream, reset: bool) {
+    let linger = reset.then_some(Duration::ZERO);
+    if let Err(error) = socket2::SockRef::from(stream).set_linger(linger) {
+        tracing::debug!(target: "conn", option = "linger", %error, "failed to set socket option");
     }
 }
 
--- a/crates/router/src/tunnel.rs
+++ b/crates/router/src/tunnel.rs
@@ -6,7 +6,7 @@
 //! whether it may have run. A tunnel is never relayed again.
 //!
 //! Closes and resets are passed on as they are, since an answer may end with its
-//! connection.
+//! connection. A tunnel whose process ends is reset.
 
 use std::cell::Cell;
 use std::io;
@@ -22,7 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
-use crate::conn::Conn;
+use crate::conn::{self, Conn};
 use crate::paths;
 
 /// First byte of a tunnel; the other protocol on the port, HTTP/2, begins with `P`.
@@ -196,6 +196,7 @@
 
 /// Passes bytes on in both directions until one side closes.
 async fn splice(mut host: TcpStream, mut upstream: TcpStream) {
+    conn::reset_on_close(&host, true);
     let intact = {
         let (mut from_host, mut to_host) = host.split();
         let (mut from_upstream, mut to_upstream) = upstream.split();
@@ -214,7 +215,10 @@
         }
     };
     match intact {
-        true => Conn::new(host).linger(LINGER).await,
+        true => {
+            conn::reset_on_close(&host, false);
+            Conn::new(host).linger(LINGER).await;
+        }
         false => Conn::new(host).reset(),
     }
 }
