Own interface, tests: one partition test at a time loads the machine

Cause: up to eight tests run at once, each with all its callers.

Change: there is one such site at a time. Bounds and loads are the same.

--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use link::{Condition, Link};
@@ -62,16 +63,20 @@
     outcomes
 }
 
-/// A site in which some routers have links of their own to engines and services.
+/// A site in which some routers have links of their own to engines and services. There is one at
+/// a time: the callers of several take so much of the machine that they make too few tries.
 struct Partition {
     site: Site,
     /// Links to engines and to the service.
     links: Vec<(Role, Link)>,
+    _alone: MutexGuard<'static, ()>,
 }
 
 impl Partition {
     /// Starts a site in which `cut` routers have such links.
     fn start(cut: &[usize]) -> Self {
+        static ALONE: Mutex<()> = Mutex::new(());
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let mut site = Site::start(3, ROUTERS, &[]);
         let mut links: Vec<(Role, Link)> = Vec::new();
         for &i in cut {
@@ -84,7 +89,7 @@
             site.restart_with_host_list(i, |addr| own[&addr].1.addr);
             links.extend(own.into_values());
         }
-        Self { site, links }
+        Self { site, links, _alone: alone }
     }
 
     async fn wait_ready(&self) {
