--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -34,9 +34,7 @@
 pub use broken::{BrokenRequest, Notice, WATCH_TIME, crash_reports, part_crash_reports};
 pub use held_parts::{HeldParts, QUERIED_PART_HOLD, REPORTED_PART_HOLD};
 pub use part_sets::{part_set, part_sets};
-pub use parts::{
-    DetectedParts, PART_COMPLETION_WINDOW, Pace, PartCrashReport, PartSuspects, PartsInFlight,
-};
+pub use parts::{DetectedParts, PART_COMPLETION_WINDOW, PartCrashReport, PartSuspects};
 pub use quarantine::{Admission, Quarantine};
 pub use recent::RecentCompletions;
 pub use suspect::MIN_CRASHES;
--- a/crates/core/src/poison/held_parts.rs
+++ b/crates/core/src/poison/held_parts.rs
@@ -4,7 +4,6 @@
 
 use lru::LruCache;
 
-use super::Pace;
 use crate::exchange::PartId;
 
 /// Maximum number of parts kept.
@@ -18,24 +17,19 @@
 /// decides within that time. It asks again after each further crash.
 pub const QUERIED_PART_HOLD: Duration = Duration::from_millis(250);
 
-/// How long afterwards prompts with the part are sent one at a time.
-const PACED_TIME: Duration = Duration::from_secs(2);
-
 /// Prompt parts that detecting hosts may be about to detect, and until when prompts
 /// with them are held back. Hosts that do not detect know no other suspects.
 ///
 /// ```
 /// use std::time::Duration;
 /// use marjoram_core::exchange::PartId;
-/// use marjoram_core::poison::{HeldParts, Pace};
+/// use marjoram_core::poison::HeldParts;
 /// let ms = Duration::from_millis;
 /// let mut held = HeldParts::default();
 /// held.hold(PartId(7), ms(250));
 /// held.hold(PartId(7), ms(50));
-/// assert_eq!(held.pace(PartId(7), ms(249)), Pace::Held);
-/// assert_eq!(held.pace(PartId(7), ms(250)), Pace::OneAtATime);
-/// assert_eq!(held.pace(PartId(7), ms(2_250)), Pace::Free);
-/// assert_eq!(held.pace(PartId(8), ms(0)), Pace::Free);
+/// assert!(held.holds(PartId(7), ms(249)) && !held.holds(PartId(7), ms(250)));
+/// assert!(!held.holds(PartId(8), ms(0)));
 /// ```
 #[derive(Debug)]
 pub struct HeldParts(LruCache<PartId, Duration>);
@@ -61,12 +55,8 @@
         }
     }
 
-    /// How prompts with `part` may be sent at `now`.
-    pub fn pace(&self, part: PartId, now: Duration) -> Pace {
-        match self.0.peek(&part) {
-            Some(until) if now < *until => Pace::Held,
-            Some(until) if now < *until + PACED_TIME => Pace::OneAtATime,
-            _ => Pace::Free,
-        }
+    /// Whether `part` is held back at `now`.
+    pub fn holds(&self, part: PartId, now: Duration) -> bool {
+        self.0.peek(&part).is_some_and(|until| now < *until)
     }
 }
--- a/crates/core/src/poison/parts.rs
+++ b/crates/core/src/poison/parts.rs
@@ -12,11 +12,8 @@
 //! tells which one it is. Crashes at which a single request was in flight each time
 //! count against that request alone.
 
-mod in_flight;
 mod suspect;
 
-pub use in_flight::PartsInFlight;
-
 use std::time::Duration;
 
 use lru::LruCache;
@@ -39,24 +36,6 @@
 /// How long parts are refused at first where the evidence is weak.
 const WEAK_TERM: Duration = Duration::from_secs(30);
 
-/// How many hosts send a suspected part at once, and when after them the next ones do.
-const HOSTS_AT_ONCE: usize = 2;
-const NEXT_HOSTS: Duration = Duration::from_millis(250);
-
-/// Longest time that a host waits for others which send a suspected part before it.
-const MAX_TURN: Duration = Duration::from_secs(1);
-
-/// How a host may send prompts with a part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Pace {
-    /// Like others.
-    Free,
-    /// One at a time: the next crash may detect the part.
-    OneAtATime,
-    /// Not now.
-    Held,
-}
-
 /// A report of one part that was in prompts in flight at an engine when that crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartCrashReport {
@@ -210,7 +189,7 @@
     /// hosts may still be reporting.
     pub fn withholds(&self, part: PartId, now: Duration) -> bool {
         let Some(suspect) = self.table.peek_several(&part) else { return false };
-        let is_open = || self.is_open(suspect, now, Duration::ZERO);
+        let is_open = || suspect.crashes.iter().any(|c| self.reported.is_open(c.upstream, now));
         let undecided = match suspect.crashes.len() {
             count if count >= MIN_CRASHES => !suspect.evaluated || is_open(),
             count => count + 1 >= MIN_CRASHES && is_open(),
@@ -218,27 +197,6 @@
         undecided && suspect.is_unanswered()
     }
 
-    /// How the host with the rank `rank` for `part` may send prompts with it at `now`. Where the
-    /// next crash may detect it, hosts send it one after the other by rank, each one prompt at a
-    /// time: all that have waited, sent together, would crash as many engines.
-    pub fn pace(&self, part: PartId, rank: impl FnOnce() -> usize, now: Duration) -> Pace {
-        let Some(suspect) = self.table.peek_several(&part) else { return Pace::Free };
-        if suspect.crashes.len() + 1 < MIN_CRASHES || !suspect.is_unanswered() {
-            return Pace::Free;
-        }
-        let turn = NEXT_HOSTS.saturating_mul((rank() / HOSTS_AT_ONCE) as u32).min(MAX_TURN);
-        match self.withholds(part, now) || self.is_open(suspect, now, turn) {
-            true => Pace::Held,
-            false => Pace::OneAtATime,
-        }
-    }
-
-    /// Whether hosts may still be reporting on a crash of `suspect` at `now`, or reported on it
-    /// for the last time less than `more` ago.
-    fn is_open(&self, suspect: &PartSuspect, now: Duration, more: Duration) -> bool {
-        suspect.crashes.iter().any(|c| self.reported.is_open_for(c.upstream, now, more))
-    }
-
     /// Whether any part is at enough crashes and no run of [`Self::detect`] has considered
     /// them all.
     pub fn has_unevaluated(&self) -> bool {
--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -43,13 +43,8 @@
 
     /// Whether hosts may still be reporting on the crash of `upstream` at `now`.
     pub(super) fn is_open(&self, upstream: u64, now: Duration) -> bool {
-        self.is_open_for(upstream, now, Duration::ZERO)
-    }
-
-    /// Like [`Self::is_open`], for `more` than the time in which hosts report.
-    pub(super) fn is_open_for(&self, upstream: u64, now: Duration, more: Duration) -> bool {
         let reported = self.first.peek(&upstream);
-        reported.is_some_and(|at| (*at..*at + self.window + more).contains(&now))
+        reported.is_some_and(|at| (*at..*at + self.window).contains(&now))
     }
 }
 
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -12,7 +12,7 @@
 use marjoram_core::exchange::PartId;
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::poison::{
-    Admission, BrokenRequest, CRASH_REPORT_WINDOW, CrashReport, DetectedParts, Notice, Pace,
+    Admission, BrokenRequest, CRASH_REPORT_WINDOW, CrashReport, DetectedParts, Notice,
     PartCrashReport, PartSuspects, QUARANTINE_TERM, Quarantine, Quarantined, RecentCompletions,
     part_crash_reports, part_set,
 };
@@ -72,25 +72,6 @@
     assert!(!suspects.withholds(DEADLY, secs(104.0)));
 }
 
-#[test]
-fn hosts_send_a_part_that_the_next_crash_may_detect_by_rank_and_one_at_a_time() {
-    let mut suspects = PartSuspects::default();
-    crash(&mut suspects, 1, &[SHARED, DEADLY], 101.0);
-    assert_eq!(suspects.pace(DEADLY, || 0, secs(101.0)), Pace::Free);
-    crash(&mut suspects, 2, &[SHARED, DEADLY], 102.0);
-    suspects.record_completion(SHARED, secs(102.01));
-    let settled = secs(102.0) + CRASH_REPORT_WINDOW;
-    assert_eq!(suspects.pace(SHARED, || 0, settled), Pace::Free);
-    for (rank, turn_ms) in [(0, 0), (1, 0), (2, 250), (5, 500), (16, 1_000)] {
-        let turn = settled + Duration::from_millis(turn_ms);
-        let before = turn - Duration::from_millis(1);
-        assert_eq!(suspects.pace(DEADLY, || rank, before), Pace::Held, "rank {rank}");
-        assert_eq!(suspects.pace(DEADLY, || rank, turn), Pace::OneAtATime, "rank {rank}");
-    }
-    suspects.record_completion(DEADLY, secs(102.1));
-    assert_eq!(suspects.pace(DEADLY, || 16, settled), Pace::Free);
-}
-
 #[test]
 fn crashes_of_one_request_count_against_none_of_its_parts() {
     let mut suspects = PartSuspects::default();
@@ -291,16 +272,37 @@
 
     #[test]
     fn hosts_together_contain_a_deadly_part_and_condemn_no_other(
-        hosts in 4..10usize, check_ms in 20..100u64, deadly_per_s in 0.5..25.0f64,
+        hosts in 4..10usize, deadly_per_s in 0.5..8.0f64, ends_per_s in 0.0..0.4f64, seed: u64,
+    ) {
+        assert_contained(hosts, 30, deadly_per_s, ends_per_s, seed)?;
+    }
+
+    /// Checks take longer and more prompts come, so that many wait.
+    #[test]
+    fn prompts_that_have_waited_together_are_not_sent_together(
+        hosts in 4..10usize, check_ms in 20..100u64, deadly_per_s in 8.0..25.0f64,
         ends_per_s in 0.0..0.4f64, seed: u64,
     ) {
-        let mut replay = Replay::new(hosts, Duration::from_millis(check_ms), seed);
-        replay.run(secs(5.0), 0.0, ends_per_s);
-        replay.run(secs(15.0), deadly_per_s, ends_per_s);
-        for found in replay.detected.values() {
-            prop_assert!(found.parts.contains(&DEADLY), "condemned {:?}", found);
-        }
-        let (crashes, late) = (replay.crashes, replay.late_sends);
-        prop_assert!(late <= MAX_LATE_SENDS, "{} sends after the fifth of {} crashes", late, crashes);
+        assert_contained(hosts, check_ms, deadly_per_s, ends_per_s, seed)?;
+    }
+}
+
+/// Checks that hosts detect the deadly part and no other one, and send few prompts with it after the
+/// fifth crash.
+fn assert_contained(
+    hosts: usize,
+    check_ms: u64,
+    deadly_per_s: f64,
+    ends_per_s: f64,
+    seed: u64,
+) -> Result<(), TestCaseError> {
+    let mut replay = Replay::new(hosts, Duration::from_millis(check_ms), seed);
+    replay.run(secs(5.0), 0.0, ends_per_s);
+    replay.run(secs(15.0), deadly_per_s, ends_per_s);
+    for found in replay.detected.values() {
+        prop_assert!(found.parts.contains(&DEADLY), "condemned {:?}", found);
     }
+    let (crashes, late) = (replay.crashes, replay.late_sends);
+    prop_assert!(late <= MAX_LATE_SENDS, "{} sends after the fifth of {} crashes", late, crashes);
+    Ok(())
 }
--- a/crates/core/tests/part_suspects/replay.rs
+++ b/crates/core/tests/part_suspects/replay.rs
@@ -7,8 +7,8 @@
 use marjoram_core::exchange::PartId;
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::poison::{
-    BrokenRequest, DetectedParts, Notice, Pace, PartCrashReport, PartSuspects, PartsInFlight,
-    RecentCompletions, part_crash_reports, part_set, part_sets,
+    BrokenRequest, DetectedParts, Notice, PartCrashReport, PartSuspects, RecentCompletions,
+    part_crash_reports, part_set, part_sets,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -51,7 +51,6 @@
     refused: Vec<Fingerprint>,
     /// Parts that were in flight at an engine that is being checked for a crash, until then.
     checked: Vec<(Duration, PartId)>,
-    in_flight: PartsInFlight,
 }
 
 impl Host {
@@ -59,16 +58,13 @@
         part_sets(parts).iter().any(|set| self.refused.contains(set))
     }
 
-    /// Whether prompts with `parts` wait at `now`, at the host with this `rank` for all parts.
-    fn holds(&self, parts: &[PartId], rank: usize, now: Duration) -> bool {
+    /// Whether prompts with `parts` wait at `now`.
+    fn holds(&self, parts: &[PartId], now: Duration) -> bool {
         let is_checked = |part| self.checked.iter().any(|(until, p)| *p == part && now < *until);
         let is_answered = |part: &PartId| self.completed.age(part_set(&[*part]), now).is_some();
-        let is_paced = |part: &PartId| match self.suspects.pace(*part, || rank, now) {
-            Pace::Free => false,
-            Pace::OneAtATime => self.in_flight.contains(*part),
-            Pace::Held => true,
+        let waits = |part: &PartId| {
+            !is_answered(part) && (self.suspects.withholds(*part, now) || is_checked(*part))
         };
-        let waits = |part: &PartId| !is_answered(part) && (is_paced(part) || is_checked(*part));
         parts.iter().any(waits)
     }
 }
@@ -180,7 +176,7 @@
         if up.is_empty() || self.hosts[host].refuses(&request.parts) {
             return;
         }
-        if self.hosts[host].holds(&request.parts, host, self.now) {
+        if self.hosts[host].holds(&request.parts, self.now) {
             return self.waiting.push(Waiting { host, request, retried, until });
         }
         let deadly = request.parts.contains(&DEADLY);
@@ -190,7 +186,6 @@
             false => Duration::from_millis(self.rng.random_range(RUN_MS.0..RUN_MS.1)),
         };
         let engine = up[self.rng.random_range(0..up.len())];
-        self.hosts[host].in_flight.add(&request.parts);
         self.runs.push(Run { host, engine, request, retried, ends: self.now + runs });
     }
 
@@ -205,7 +200,6 @@
                 continue;
             }
             let host = &mut self.hosts[run.host];
-            host.in_flight.remove(&run.request.parts);
             host.any_completed = Some(self.now);
             for part in &run.request.parts {
                 host.completed.record(part_set(&[*part]), self.now);
@@ -223,9 +217,6 @@
             .into_iter()
             .partition::<Vec<Run>, _>(|run| run.engine == engine);
         self.runs = running;
-        for run in &broken {
-            self.hosts[run.host].in_flight.remove(&run.request.parts);
-        }
         for host in 0..self.hosts.len() {
             let own = broken.iter().filter(|run| run.host == host);
             let own: Vec<BrokenRequest> = own.map(|run| run.request.clone()).collect();
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -30,7 +30,7 @@
 use super::http1::RequestHead;
 use super::quota::{self, Charge};
 use super::refusal::{RETRY_MAX, RETRY_MIN, Refusal};
-use super::site::{Accounts, InFlight, Site};
+use super::site::{Accounts, Site};
 use choose::Chosen;
 use limits::Denials;
 use send::Sent;
@@ -105,8 +105,6 @@
     crashed: bool,
     /// The last send, as reported to other hosts; `None` for requests that are not.
     claim: Option<Claim>,
-    /// The parts of its prompt, while it is in flight.
-    in_flight: Option<InFlight>,
     /// The engines' accounts of outstanding prompts, as last queried.
     accounts: RefCell<Accounts>,
     /// Upstreams to which the next send was denied because of their rate limits.
@@ -176,7 +174,6 @@
             begun: Duration::ZERO,
             crashed: false,
             claim: None,
-            in_flight: None,
             accounts: RefCell::default(),
             denials: RefCell::default(),
             withheld: Cell::new(false),
@@ -235,7 +232,6 @@
             let sent = self.send(&chosen, resumed).await;
             if !matches!(sent, Sent::Open(..)) {
                 self.claim = None;
-                self.in_flight = None;
             }
             match sent {
                 Sent::Open(opened, flight) => return Ok(Answer::Open(opened, flight)),
--- a/crates/router/src/proxy/request/poison.rs
+++ b/crates/router/src/proxy/request/poison.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::exchange::PartId;
 use marjoram_core::poison::BrokenRequest;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -36,7 +35,6 @@
             fingerprint = %self.fingerprint, sends = self.sends, "answer cut off by upstream");
         let ran = self.site.now().saturating_sub(self.begun);
         self.claim = None;
-        self.in_flight = None;
         self.check_for_crash(upstream, failure, Some(ran));
     }
 
@@ -69,9 +67,8 @@
     /// Whether the request waits until the crashes at which it was in flight are
     /// analysed.
     pub(super) fn is_withheld(&self) -> bool {
-        let (poison, now) = (&self.site.poison, self.site.now());
-        let rank = |part: PartId| self.site.peers.rank(part.0);
-        poison.is_withheld(self.fingerprint) || poison.are_withheld(&self.parts, rank, now)
+        let poison = &self.site.poison;
+        poison.is_withheld(self.fingerprint) || poison.are_withheld(&self.parts, self.site.now())
     }
 
     /// Logs and counts, once, that the request waits until the crashes at which it
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -100,7 +100,6 @@
         let encoded = self.encode(&envelope);
         let mut flight = Flight::new(upstream.clone(), chosen.prefill, memory, site.now());
         self.claim = self.new_claim(chosen, memory);
-        self.in_flight = Some(site.poison.enter(&self.parts));
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
             fingerprint = %self.fingerprint,
             chain = prompt.map(|p| p.prefix_hash()), shared = prompt.map(|p| p.shared()),
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -43,7 +43,7 @@
 use crate::tunnel::Tunnels;
 pub use backlog::{Accounts, Backlog};
 pub use notices::Notices;
-pub use poison::{InFlight, Poison};
+pub use poison::Poison;
 pub use quotas::Quotas;
 pub use waiting::{QueueKey, WaitQueue, Waiting};
 
--- a/crates/router/src/proxy/site/poison.rs
+++ b/crates/router/src/proxy/site/poison.rs
@@ -2,14 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 use marjoram_core::exchange::PartId;
 use marjoram_core::fingerprint::Fingerprint;
 use marjoram_core::poison::{
-    BrokenRequest, HeldParts, PART_COMPLETION_WINDOW, Pace, PartSuspects, PartsInFlight,
-    Quarantine, Quarantined, RecentCompletions, Suspects, part_set,
+    BrokenRequest, HeldParts, PART_COMPLETION_WINDOW, PartSuspects, Quarantine, Quarantined,
+    RecentCompletions, Suspects, part_set,
 };
 use marjoram_core::upstream::Instance;
 use tokio::sync::Notify;
@@ -26,8 +25,6 @@
     pub suspected_parts: RefCell<PartSuspects>,
     /// Parts of prompts that detecting hosts may suspect.
     pub held_parts: RefCell<HeldParts>,
-    /// Parts of prompts that this host has in flight.
-    pub parts_in_flight: Rc<RefCell<PartsInFlight>>,
     /// Requests and sets of prompt parts that are not sent.
     pub quarantine: RefCell<Quarantine>,
     /// Requests whose connections broke, by upstreams not yet known to have
@@ -52,18 +49,6 @@
     pub write_requested: Notify,
 }
 
-/// A prompt in flight.
-pub struct InFlight {
-    all: Rc<RefCell<PartsInFlight>>,
-    parts: Vec<PartId>,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.all.borrow_mut().remove(&self.parts);
-    }
-}
-
 impl Poison {
     /// Records that `request` completed at `now`.
     pub fn record_completion(&self, request: Fingerprint, now: Duration) {
@@ -92,40 +77,19 @@
 
     /// Whether prompts with `parts` are not sent at `now`: one of them was in flight at
     /// crashes that are not decided on, here or at the detecting hosts, or at an upstream
-    /// that is being checked, or others are to send it first, and no completed answer speaks
-    /// for it. `rank` is this host's rank for a part.
-    pub fn are_withheld(
-        &self,
-        parts: &[PartId],
-        rank: impl Fn(PartId) -> usize,
-        now: Duration,
-    ) -> bool {
+    /// that is being checked, and no completed answer speaks for it.
+    pub fn are_withheld(&self, parts: &[PartId], now: Duration) -> bool {
         let (suspected, broken) = (self.suspected_parts.borrow(), self.broken.borrow());
         let held = self.held_parts.borrow();
         if suspected.is_empty() && broken.is_empty() && held.is_empty() {
             return false;
         }
         let broke = |part: PartId| broken.values().flatten().any(|b| b.parts.contains(&part));
-        let in_flight = self.parts_in_flight.borrow();
-        let is_held = |part: PartId, pace| match pace {
-            Pace::Free => false,
-            Pace::OneAtATime => in_flight.contains(part),
-            Pace::Held => true,
-        };
-        let waits = |part: PartId| {
-            is_held(part, suspected.pace(part, || rank(part), now))
-                || is_held(part, held.pace(part, now))
-                || broke(part)
-        };
+        let waits =
+            |part: PartId| suspected.withholds(part, now) || held.holds(part, now) || broke(part);
         parts.iter().any(|part| waits(*part) && self.part_completion_age(*part, now).is_none())
     }
 
-    /// Counts a prompt with `parts` as in flight until the result is dropped.
-    pub fn enter(&self, parts: &[PartId]) -> InFlight {
-        self.parts_in_flight.borrow_mut().add(parts);
-        InFlight { all: self.parts_in_flight.clone(), parts: parts.to_vec() }
-    }
-
     /// Holds those of `parts` back for `span` for which no completed answer speaks here.
     pub fn hold_parts(&self, parts: impl Iterator<Item = PartId>, span: Duration, now: Duration) {
         let mut held = self.held_parts.borrow_mut();
