Reread: a spoiled comment, answers to reports as before, one reset of a tunnel

No change of behaviour.

- node.rs: a rename had turned "Links to engines" into "PeerLinks to engines".
- rate_limits: answers to reports went out in chunks for the sake of queries, which are answered in rate_limits/startup.rs since.
Reports come in batches of 200, so one answer is enough again; what only queries use is there now.
- tunnel: a tunnel is set to be reset from its start, so it need not be set again where it ends otherwise than in order.
- brittle_engines: one way to lock.

--- a/crates/router/src/brittle_engines.rs
+++ b/crates/router/src/brittle_engines.rs
@@ -36,7 +36,7 @@
     /// Records what the load report of the engine in `slot`, just received, states. True if
     /// the engine was not known to be brittle.
     pub fn record_report(&self, slot: Slot, report: Option<BrittleReport>, now: Duration) -> bool {
-        let mut engines = self.0.lock().unwrap();
+        let mut engines = self.lock();
         let Some(report) = report else {
             engines.remove(&slot);
             return false;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -160,7 +160,7 @@
     pub down: [AtomicBool; MAX_SLOTS],
     /// Number of times that this node could not reach an engine any more, by slot.
     pub outages: [AtomicU32; MAX_SLOTS],
-    /// PeerLinks to engines and plain services.
+    /// Links to engines and plain services.
     pub upstream_links: UpstreamLinks,
     /// Engines that have asked this node to back off.
     pub backoffs: Backoffs,
--- a/crates/router/src/proxy/rate_limits.rs
+++ b/crates/router/src/proxy/rate_limits.rs
@@ -149,22 +149,12 @@
         return startup::answer_query(site, from);
     }
     let answers = answer(site, sender, reports);
-    let own = super::quota::sender(site).host;
-    for chunk in answers.chunks(MAX_BATCH) {
-        site.peers.send_to(from, &Message::LimitAnswers(own, chunk.to_vec()));
+    if !answers.is_empty() {
+        let own = super::quota::sender(site).host;
+        site.peers.send_to(from, &Message::LimitAnswers(own, answers));
     }
 }
 
-/// The limits in force of all listed upstreams.
-fn limits_in_force(site: &Site) -> Vec<LimitAnswer> {
-    let upstreams = site.fleet.all();
-    let stated = |upstream: &Rc<Upstream>| {
-        let stated = upstream.conditions.borrow().reported_limit(Duration::ZERO, site.now())?;
-        Some(LimitAnswer { upstream: upstream.key, stated, allocation: None })
-    };
-    upstreams.iter().filter_map(stated).collect()
-}
-
 /// Applies reports of `sender` to the accounts kept here; returns the answers. An
 /// account is also kept of an upstream that this host does not list.
 fn answer(site: &Site, sender: Sender, reports: &[LimitReport]) -> Vec<LimitAnswer> {
--- a/crates/router/src/proxy/rate_limits/startup.rs
+++ b/crates/router/src/proxy/rate_limits/startup.rs
@@ -9,8 +9,9 @@
 
 use tokio::sync::SetOnce;
 
-use super::{FIRST_GROUP, GROUPS, limits_in_force};
-use crate::proxy::hosts::Message;
+use super::{FIRST_GROUP, GROUPS};
+use crate::proxy::fleet::Upstream;
+use crate::proxy::hosts::{LimitAnswer, Message};
 use crate::proxy::quota::{MAX_BATCH, coordinators, sender};
 use crate::proxy::site::Site;
 
@@ -72,14 +73,25 @@
         return;
     }
     let (own, limits) = (sender(site).host, limits_in_force(site));
-    let (first, rest) = limits.split_at(limits.len().min(MAX_BATCH));
-    // An empty answer states that no limit is in force.
-    for chunk in [first].into_iter().chain(rest.chunks(MAX_BATCH)) {
+    if limits.is_empty() {
+        site.peers.send_to(from, &Message::LimitAnswers(own, Vec::new()));
+    }
+    for chunk in limits.chunks(MAX_BATCH) {
         site.peers.send_to(from, &Message::LimitAnswers(own, chunk.to_vec()));
     }
 }
 
-/// Records that the host at `from` has answered, which it also does to reports.
+/// The limits in force of all listed upstreams.
+fn limits_in_force(site: &Site) -> Vec<LimitAnswer> {
+    let upstreams = site.fleet.all();
+    let stated = |upstream: &Rc<Upstream>| {
+        let stated = upstream.conditions.borrow().reported_limit(Duration::ZERO, site.now())?;
+        Some(LimitAnswer { upstream: upstream.key, stated, allocation: None })
+    };
+    upstreams.iter().filter_map(stated).collect()
+}
+
+/// Records that the host at `from` has answered; an answer to a report counts as well.
 pub fn record_answer(site: &Site, from: SocketAddr) {
     let query = &site.startup_query;
     let mut unanswered = query.unanswered.borrow_mut();
--- a/crates/router/src/tunnel.rs
+++ b/crates/router/src/tunnel.rs
@@ -194,7 +194,8 @@
     SinkFailed,
 }
 
-/// Passes bytes on in both directions until one side closes.
+/// Passes bytes on in both directions until one side closes. `host` is reset unless the bytes that
+/// it got are all of the upstream's.
 async fn splice(mut host: TcpStream, mut upstream: TcpStream) {
     conn::reset_on_close(&host, true);
     let intact = {
@@ -214,12 +215,9 @@
             end = pump(&mut from_upstream, &mut to_host) => matches!(end, End::Closed),
         }
     };
-    match intact {
-        true => {
-            conn::reset_on_close(&host, false);
-            Conn::new(host).linger(LINGER).await;
-        }
-        false => Conn::new(host).reset(),
+    if intact {
+        conn::reset_on_close(&host, false);
+        Conn::new(host).linger(LINGER).await;
     }
 }
 
