--- a/crates/core/benches/poison.rs
+++ b/crates/core/benches/poison.rs
@@ -36,6 +36,15 @@
     suspects
 }
 
+/// A quarantine filled to capacity.
+fn full_quarantine() -> Quarantine {
+    let mut quarantine = Quarantine::new();
+    for request in 0..1_024 {
+        quarantine.admit(Quarantined::new(Fingerprint(request), vec![1, 2, 3], NOW), NOW);
+    }
+    quarantine
+}
+
 fn requests(c: &mut Criterion) {
     let mut group = c.benchmark_group("fingerprint");
     for bytes in [1usize << 10, 64 << 10] {
@@ -45,10 +54,7 @@
         });
     }
     group.finish();
-    let mut quarantine = Quarantine::new();
-    for request in 0..1_024 {
-        quarantine.admit(Quarantined::new(Fingerprint(request), vec![1, 2, 3], NOW), NOW);
-    }
+    let quarantine = full_quarantine();
     c.bench_function("refuses", |b| {
         b.iter(|| quarantine.refuses(black_box(Fingerprint(5_000)), NOW));
     });
@@ -89,10 +95,7 @@
 }
 
 fn parts(c: &mut Criterion) {
-    let mut quarantine = Quarantine::new();
-    for request in 0..1_024 {
-        quarantine.admit(Quarantined::new(Fingerprint(request), vec![1, 2, 3], NOW), NOW);
-    }
+    let quarantine = full_quarantine();
     let mut group = c.benchmark_group("refuses_parts");
     for count in [3u64, 8] {
         let prompt: Vec<PartId> = (0..count).map(PartId).collect();
--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -1,6 +1,8 @@
 //! Guarantee: routers that lose their links to engines and services serve their callers through
 //! other routers.
 
+#[path = "../../../platform/tests/support/alone.rs"]
+mod alone;
 #[path = "../../../platform/tests/support/link.rs"]
 #[allow(dead_code, reason = "other tests use the other conditions")]
 mod link;
@@ -9,9 +11,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::MutexGuard;
 use std::time::{Duration, Instant};
 
+use alone::alone;
 use link::{Condition, Link};
 use marjoram_core::wire::Role;
 use site::{Site, completion, post, run, state};
@@ -64,7 +67,7 @@
 }
 
 /// A site in which some routers have links of their own to engines and services. There is one at
-/// a time: the callers of several take so much of the machine that they make too few tries.
+/// a time.
 struct Partition {
     site: Site,
     /// Links to engines and to the service.
@@ -75,8 +78,7 @@
 impl Partition {
     /// Starts a site in which `cut` routers have such links.
     fn start(cut: &[usize]) -> Self {
-        static ALONE: Mutex<()> = Mutex::new(());
-        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+        let _alone = alone();
         let mut site = Site::start(3, ROUTERS, &[]);
         let mut links: Vec<(Role, Link)> = Vec::new();
         for &i in cut {
@@ -89,7 +91,7 @@
             site.restart_with_host_list(i, |addr| own[&addr].1.addr);
             links.extend(own.into_values());
         }
-        Self { site, links, _alone: alone }
+        Self { site, links, _alone }
     }
 
     async fn wait_ready(&self) {
