LOST: the log says how a caller left, names discarded requests, and records panics

What callers saw: a request that was read whole got neither an answer nor a refusal (reported; no record at hand).

Cause: not known yet. The logs could not tell a caller that has left from one that has only closed its sending side or did not accept the answer, and a request that was read ahead and discarded, or whose task panicked, had no line.

Change: the line 'caller closed connection before the answer' has a cause; a discarded request has a line with its id and the counter request.discarded; a refusal that the caller did not accept has a line; panics are logged.

No change of behaviour is meant.

--- a/crates/router/src/conn.rs
+++ b/crates/router/src/conn.rs
@@ -1,5 +1,6 @@
 //! A TCP connection with its read buffer.
 
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,24 @@
 /// the time that all of them take.
 const USER_TIMEOUT: Duration = PROBE_INTERVAL.saturating_mul(MAX_PROBES + 1);
 
+/// How a peer ended its side of a connection.
+#[derive(Debug)]
+pub enum PeerEnd {
+    /// It has closed its sending side, and may still read.
+    Closed,
+    /// The connection has failed.
+    Failed(io::Error),
+}
+
+impl fmt::Display for PeerEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => f.write_str("closed its sending side"),
+            Self::Failed(error) => write!(f, "connection failed: {error}"),
+        }
+    }
+}
+
 /// A connection and the bytes read from it and not yet used.
 #[derive(Debug)]
 pub struct Conn {
@@ -107,16 +126,17 @@
         Ok(true)
     }
 
-    /// Waits until the peer has closed the connection. Bytes that it sends
-    /// meanwhile are buffered, up to `limit`; then reading stops, and a close is no
-    /// longer noticed.
-    pub async fn wait_until_closed(&mut self, limit: usize) {
+    /// Waits until the peer has closed the connection, and returns how. Bytes that it
+    /// sends meanwhile are buffered, up to `limit`; then reading stops, and a close is
+    /// no longer noticed.
+    pub async fn wait_until_closed(&mut self, limit: usize) -> PeerEnd {
         loop {
             if self.buf.len() >= limit {
                 return std::future::pending().await;
             }
             match self.fill().await {
-                Ok(0) | Err(_) => return,
+                Ok(0) => return PeerEnd::Closed,
+                Err(error) => return PeerEnd::Failed(error),
                 Ok(_) => {}
             }
         }
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -68,7 +68,10 @@
         match next {
             Next::Keep => {}
             Next::Close => return,
-            Next::Linger => return conn.linger(LINGER).await,
+            Next::Linger => {
+                report_discarded(&site, &conn, limits.head);
+                return conn.linger(LINGER).await;
+            }
             Next::Reset => return conn.reset(),
         }
     }
@@ -137,12 +140,15 @@
     match outcome {
         Outcome::Answered(_) if last => Next::Linger,
         Outcome::Answered(_) => Next::Keep,
-        Outcome::Left => Next::Close,
+        Outcome::Left(_) => Next::Close,
         Outcome::Cut(_) => Next::Reset,
         Outcome::Refused(refusal) => match (conn.write(&encode(&refusal, last)).await, last) {
             (Ok(()), true) => Next::Linger,
             (Ok(()), false) => Next::Keep,
-            (Err(_), _) => Next::Close,
+            (Err(error), _) => {
+                tracing::info!(target: "request", id, %error, "refusal not accepted by the caller");
+                Next::Close
+            }
         },
     }
 }
@@ -166,9 +172,9 @@
             tracing::info!(target: "request", id, route, upstream, sends, config, status, ms,
                 retry_ms, why, "refused");
         }
-        Outcome::Left => {
+        Outcome::Left(why) => {
             site.counters.count("request.left");
-            tracing::info!(target: "request", id, route, upstream, sends, config, ms, "caller closed connection before the answer");
+            tracing::info!(target: "request", id, route, upstream, sends, config, ms, why, "caller closed connection before the answer");
         }
         Outcome::Cut(why) => {
             site.counters.count("request.cut");
@@ -177,6 +183,15 @@
     }
 }
 
+/// Logs and counts a request that was read ahead and gets no answer because its
+/// connection closes.
+fn report_discarded(site: &Site, conn: &Conn, head_limit: usize) {
+    let Ok(Some(head)) = http1::request_head(&mut conn.buf.clone(), head_limit) else { return };
+    let id = headers::request_metadata(|name| head.headers.get(name)).attempt;
+    site.counters.count("request.discarded");
+    tracing::warn!(target: "request", id, "request read ahead discarded, its connection closes");
+}
+
 /// Encodes an answer of the router itself.
 pub fn encode(refusal: &Refusal, last: bool) -> BytesMut {
     let mut writer = ResponseWriter::new(refusal.status);
--- a/crates/router/src/proxy/logs.rs
+++ b/crates/router/src/proxy/logs.rs
@@ -16,7 +16,7 @@
 }
 
 /// Sets up logging as JSON, filtered by the environment variable `MARJORAM_LOG`
-/// (level `info` if it is unset or invalid).
+/// (level `info` if it is unset or invalid). Panics are logged as errors.
 pub fn init() -> Logs {
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(MAX_LINES);
     let (writer, guard) = builder.finish(std::io::stdout());
@@ -29,5 +29,10 @@
         .with_env_filter(filter)
         .with_writer(writer)
         .init();
+    std::panic::set_hook(Box::new(|panic| {
+        let location = panic.location().map(ToString::to_string);
+        let why = panic.payload_as_str();
+        tracing::error!(target: "panic", location, why, "task panicked");
+    }));
     Logs { dropped, _writer: guard }
 }
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -1,5 +1,6 @@
 //! Forwards an answer to the caller: a complete body, or a stream event by event.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -13,7 +14,7 @@
 use super::reports;
 use super::request::{Answer, Exchange};
 use super::site::Site;
-use crate::conn::Conn;
+use crate::conn::{Conn, PeerEnd};
 
 /// Silence within a stream after which its upstream is probed. The stream is
 /// resumed elsewhere only if the upstream does not answer the probe: an engine
@@ -25,24 +26,39 @@
 pub const READ_AHEAD: usize = 64 << 10;
 
 /// How an exchange with a caller ended.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Outcome {
     /// Answered with this status; the connection may be used again.
     Answered(u16),
     /// Refused by the router; the connection may be used again.
     Refused(Refusal),
-    /// The caller disconnected.
-    Left,
+    /// The caller disconnected, for the reason given.
+    Left(String),
     /// The answer broke off after it had begun; the connection must be reset.
     Cut(String),
 }
 
+impl Outcome {
+    /// The caller has ended its side.
+    fn left(end: &PeerEnd) -> Self {
+        Self::Left(end.to_string())
+    }
+
+    /// The answer with `status` was written to the caller, or not accepted by it.
+    fn written(status: u16, result: io::Result<()>) -> Self {
+        match result {
+            Ok(()) => Self::Answered(status),
+            Err(error) => Self::Left(format!("answer not accepted: {error}")),
+        }
+    }
+}
+
 /// Sends the request of `exchange` and forwards the answer to `caller`. `last` is
 /// set if the connection closes after this answer.
 pub async fn run(site: &Site, caller: &mut Conn, exchange: &mut Exchange, last: bool) -> Outcome {
     let answer = tokio::select! {
         answer = exchange.open(None) => answer,
-        () = caller.wait_until_closed(READ_AHEAD) => return Outcome::Left,
+        end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
     };
     match answer {
         Err(refusal) => Outcome::Refused(refusal),
@@ -92,10 +108,7 @@
     }
     let bytes = head(&opened, last).finish(body);
     opened.finish(site.now());
-    match caller.write(&bytes).await {
-        Ok(()) => Outcome::Answered(status),
-        Err(_) => Outcome::Left,
-    }
+    Outcome::written(status, caller.write(&bytes).await)
 }
 
 /// Forwards an answer after its body has been received completely, so that the
@@ -112,7 +125,7 @@
     loop {
         let collected = tokio::select! {
             body = tokio::time::timeout_at(site.at(exchange.expires), opened.collect()) => body,
-            () = caller.wait_until_closed(READ_AHEAD) => return Outcome::Left,
+            end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
         };
         match collected {
             Err(_) => return Outcome::Refused(exchange.deadline_refusal()),
@@ -130,17 +143,14 @@
                 exchange.record_completion(status);
                 opened.finish(site.now());
                 drop(flight);
-                return match caller.write(&bytes).await {
-                    Ok(()) => Outcome::Answered(status),
-                    Err(_) => Outcome::Left,
-                };
+                return Outcome::written(status, caller.write(&bytes).await);
             }
             Ok(Err(failure)) => {
                 exchange.record_broken_answer(&opened, &failure);
                 drop((opened, flight));
                 let again = tokio::select! {
                     again = exchange.open(None) => again,
-                    () = caller.wait_until_closed(READ_AHEAD) => return Outcome::Left,
+                    end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
                 };
                 match again {
                     Err(refusal) => return Outcome::Refused(refusal),
@@ -184,7 +194,8 @@
     Ended,
     Broken(Failure),
     Expired,
-    Left,
+    /// The caller disconnected, for the reason given.
+    Left(String),
 }
 
 impl<'a> Stream<'a> {
@@ -211,7 +222,7 @@
             let step = self.step(caller, &mut opened).await;
             let failure = match step {
                 Step::Continue => continue,
-                Step::Left => return Outcome::Left,
+                Step::Left(why) => return Outcome::Left(why),
                 Step::Expired if self.begun => return Outcome::Cut("route's time is up".into()),
                 Step::Expired => return Outcome::Refused(self.exchange.deadline_refusal()),
                 Step::Ended if self.splitter.is_empty() => {
@@ -232,7 +243,7 @@
             self.splitter.clear();
             let again = tokio::select! {
                 again = self.exchange.open(self.last_event_id) => again,
-                () = caller.wait_until_closed(READ_AHEAD) => return Outcome::Left,
+                end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
             };
             match again {
                 Ok(Answer::Open(next, next_flight)) if is_stream(&next) => {
@@ -268,7 +279,7 @@
         let until = (self.site.now() + idle_limit).min(self.exchange.expires);
         let data = tokio::select! {
             data = tokio::time::timeout_at(self.site.at(until), opened.next_data()) => data,
-            () = caller.wait_until_closed(READ_AHEAD) => return Step::Left,
+            end = caller.wait_until_closed(READ_AHEAD) => return Step::Left(end.to_string()),
         };
         match data {
             Err(_) if self.site.now() >= self.exchange.expires => return Step::Expired,
@@ -280,8 +291,8 @@
         }
         opened.upstream.health.borrow_mut().record_activity(self.site.now());
         match self.forward_events(caller).await {
-            true => Step::Continue,
-            false => Step::Left,
+            Ok(()) => Step::Continue,
+            Err(error) => Step::Left(format!("events not accepted: {error}")),
         }
     }
 
@@ -289,8 +300,8 @@
         reports::is_responsive(self.site, &opened.upstream, opened.is_relayed()).await
     }
 
-    /// Forwards complete events; returns false if the caller has disconnected.
-    async fn forward_events(&mut self, caller: &mut Conn) -> bool {
+    /// Forwards complete events; fails if the caller does not accept them.
+    async fn forward_events(&mut self, caller: &mut Conn) -> io::Result<()> {
         let mut data = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
             match (event.id, self.last_event_id) {
@@ -303,22 +314,19 @@
             data.extend_from_slice(&event.bytes);
         }
         if data.is_empty() {
-            return true;
+            return Ok(());
         }
         let mut out = self.head.take().unwrap_or_default();
         write_chunk(&mut out, &data);
         self.begun = true;
         let write =
             tokio::time::timeout_at(self.site.at(self.exchange.expires), caller.write(&out));
-        matches!(write.await, Ok(Ok(())))
+        write.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 
     async fn end(&mut self, caller: &mut Conn) -> Outcome {
         let mut out = self.head.take().unwrap_or_default();
         out.extend_from_slice(LAST_CHUNK);
-        match caller.write(&out).await {
-            Ok(()) => Outcome::Answered(200),
-            Err(_) => Outcome::Left,
-        }
+        Outcome::written(200, caller.write(&out).await)
     }
 }
