LOST: a request whose task panics is traced, and does not stay counted as in progress

What callers saw: a connection that ends without an answer.

Cause: the number of requests in progress was decremented by the task itself. After a panic the task is dropped, the request stays counted, and a stop waits for it until its grace period ends, when it cuts off what other callers still read. The request had no log line.

Change: requests in progress are kept in a table (core::in_progress) whose entries are removed when they are dropped; one that was read whole and has no outcome is logged with its id, and so are those that still run when the process stops.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -63,6 +63,8 @@
 //! - [`relay`]: how far a host has read a log that a few hosts read on behalf of
 //!   all.
 //! - [`store_availability`]: when the platform's store was available.
+//! - [`in_progress`]: the requests in progress, and those that end without an
+//!   outcome.
 //! - [`stop`]: which requests are still accepted during shutdown.
 //! - [`switches`]: turns individual mechanisms of the routing decisions off.
 //! - [`events`]: splits a stream of server-sent events into complete events.
@@ -92,6 +94,7 @@
 pub mod heartbeat;
 pub mod host;
 pub mod ids;
+pub mod in_progress;
 pub mod leadership;
 pub mod lease;
 pub mod measure;
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use marjoram_core::catalog::Limits;
+use marjoram_core::in_progress::InProgressRequest;
 use marjoram_platform::headers;
 use tokio::net::TcpListener;
 
@@ -62,9 +63,9 @@
         if !wait_for_bytes(&mut conn, limits.idle).await {
             return;
         }
-        site.handled.set(site.handled.get() + 1);
-        let next = serve_request(&site, &mut conn, limits).await;
-        site.handled.set(site.handled.get() - 1);
+        let progress = site.handled.begin();
+        let next = serve_request(&site, &mut conn, limits, &progress).await;
+        progress.end();
         match next {
             Next::Keep => {}
             Next::Close => return,
@@ -86,7 +87,12 @@
 }
 
 /// Reads one request and answers it.
-async fn serve_request(site: &Rc<Site>, conn: &mut Conn, limits: Limits) -> Next {
+async fn serve_request(
+    site: &Rc<Site>,
+    conn: &mut Conn,
+    limits: Limits,
+    progress: &InProgressRequest,
+) -> Next {
     let started = site.now();
     let read = tokio::time::timeout(limits.head_time, read_head(conn, limits.head));
     let head = match read.await {
@@ -119,6 +125,7 @@
         Err(_) => return refuse_malformed(site, conn, 408, "body not in time").await,
     };
     let asked = headers::request_metadata(|name| head.headers.get(name));
+    progress.identify(asked.attempt.as_deref().unwrap_or("-"));
     let last = head.headers.closes(head.minor) || site.stopping.get().is_some();
     let request = Request { head, body, started, asked };
     answer(site, conn, request, last).await
--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -96,7 +96,7 @@
     let traffic = site.traffic.totals();
     let gauges = [
         ("ready", u64::from(site.is_ready())),
-        ("handled", u64::from(site.handled.get())),
+        ("handled", site.handled.count() as u64),
         ("configuration", site.catalog.load().as_ref().map_or(0, |c| c.version)),
         ("hosts", site.peers.open().len() as u64 + 1),
         ("services_cut_off", site.cut_off.borrow().len() as u64),
@@ -195,7 +195,7 @@
         "cut_off": *site.cut_off.borrow(),
         "tunnels": site.tunnels.count(),
         "configuration": site.catalog.load().as_ref().map(|c| c.version),
-        "handled": site.handled.get(),
+        "handled": site.handled.count(),
         "quarantine": quarantine(site),
         "quotas": quota::state(site),
         "backlog": backlog::state(site),
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -110,7 +110,7 @@
     let begun = site.now();
     let end = begun + site.settings.load().bounds.grace.saturating_sub(STOP_MARGIN);
     site.stopping.set(Some(Stop { begun, end }));
-    tracing::info!(target: "run", handled = site.handled.get(), "stopping");
+    tracing::info!(target: "run", handled = site.handled.count(), "stopping");
     peers::send_heartbeats(site);
     let mut quiet_since = site.now();
     let mut answered = site.counters.requests();
@@ -121,7 +121,7 @@
             leadership::release(leadership).await;
         }
         let requests = site.counters.requests();
-        if site.handled.get() > 0 || site.tunnels.count() > 0 || requests != answered {
+        if site.handled.count() > 0 || site.tunnels.count() > 0 || requests != answered {
             answered = requests;
             quiet_since = now;
         }
@@ -132,7 +132,10 @@
         }
     }
     site.stop.notify_waiters();
-    tracing::info!(target: "run", handled = site.handled.get(),
+    for id in site.handled.ids() {
+        tracing::warn!(target: "request", id, "request interrupted, the process stops");
+    }
+    tracing::info!(target: "run", handled = site.handled.count(),
         lines_dropped = logs.dropped.dropped_lines(), "stopped");
 }
 
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -23,6 +23,7 @@
 use marjoram_core::era::Era;
 use marjoram_core::heartbeat;
 use marjoram_core::host::HostSettings;
+use marjoram_core::in_progress::InProgress;
 use marjoram_core::leadership::CandidateStatus;
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::AnnouncedVersions;
@@ -122,14 +123,19 @@
     pub store_recovered: Notify,
     /// Notified when a weights version is announced or upstreams change.
     pub rollout_check: Notify,
-    /// Number of requests in progress.
-    pub handled: Cell<u32>,
+    /// Requests in progress.
+    pub handled: InProgress,
     budgets: RefCell<HashMap<String, Budget>>,
     /// The coordinated services of the configuration in force.
     coordinated: RefCell<HashMap<String, Rc<Coordination>>>,
     start: Instant,
 }
 
+/// Logs a request whose task ended without an outcome.
+fn report_lost(id: &str) {
+    tracing::error!(target: "request", id, "request ended without an outcome, its task was dropped");
+}
+
 impl Site {
     /// Initial state for `settings`.
     pub fn new(settings: HostSettings, policy: PolicyName, switches: Switches) -> Rc<Self> {
@@ -172,7 +178,7 @@
             stop: Notify::new(),
             store_recovered: Notify::new(),
             rollout_check: Notify::new(),
-            handled: Cell::default(),
+            handled: InProgress::new(report_lost),
             budgets: RefCell::default(),
             coordinated: RefCell::default(),
             start: Instant::now(),
