LOST: an answer of a silent upstream is kept until another upstream has begun one

What callers saw: a stream that they read was reset, or a single request became a 502 or 504, though its upstream was sound: it had sent nothing for a second or so, not even answers to queries, and then went on.

Cause: a stream that was silent for 1.2 s and whose upstream did not answer a query was broken off first; only then was another upstream looked for. If it refused, failed or hung, or if the route's attempts or the retry budget were used up, nothing was left to pass on. The first byte of an answer was handled in the same way after three times the expected time.

Change: the silent answer is awaited while another upstream is asked (request/takeover). It is given up when the other one has begun to answer, and kept if it goes on first or if no other takes the request over. Data that arrives during the query is forwarded at once. A send past the limit on its weights is still given up.

Ruled out: waiting for silent upstreams in any case, since streams of upstreams that are lost would end with their callers' patience; sending without a time limit to both, which runs two prompts for longer than an answer takes to begin. The own interface has the same cause; it is not changed here.

--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod poison;
 mod send;
+mod takeover;
 mod turn;
 mod weights_limit;
 
@@ -34,6 +35,7 @@
 use choose::Chosen;
 use limits::Denials;
 use send::Sent;
+pub use takeover::Takeover;
 
 /// Unreachable upstreams that one request tries before it is refused.
 const MAX_CONNECT_TRIES: u32 = 4;
@@ -230,12 +232,13 @@
                 }
             };
             let sent = self.send(&chosen, resumed).await;
-            if !matches!(sent, Sent::Open(..)) {
+            if !matches!(sent, Sent::Open(..) | Sent::Replaced(_)) {
                 self.claim = None;
             }
             match sent {
                 Sent::Open(opened, flight) => return Ok(Answer::Open(opened, flight)),
                 Sent::Failed(opened, body) => failed = Some((opened, body)),
+                Sent::Replaced(answer) => return Ok(answer),
                 Sent::OtherWeights if weights_tries < MAX_WEIGHTS_TRIES => {
                     // The same upstream may be chosen again: this send does not count
                     // towards the upstreams tried.
--- a/crates/router/src/proxy/request/poison.rs
+++ b/crates/router/src/proxy/request/poison.rs
@@ -28,13 +28,18 @@
 
     /// Records that an answer which had begun was cut off.
     pub fn record_broken_answer(&mut self, opened: &StartedAnswer, failure: &Failure) {
+        self.claim = None;
+        self.record_replaced_answer(opened, failure);
+    }
+
+    /// The same, where another upstream has already taken the request over.
+    pub fn record_replaced_answer(&mut self, opened: &StartedAnswer, failure: &Failure) {
         let upstream = &opened.upstream;
         upstream.record_failure(failure, self.site.now());
         self.site.counters.count("upstream.broken");
         tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %failure,
             fingerprint = %self.fingerprint, sends = self.sends, "answer cut off by upstream");
         let ran = self.site.now().saturating_sub(self.begun);
-        self.claim = None;
         self.check_for_crash(upstream, failure, Some(ran));
     }
 
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -2,6 +2,7 @@
 //! of the request and to the upstream's health.
 
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -9,12 +10,13 @@
 use marjoram_core::part_index::CacheId;
 use marjoram_platform::headers;
 
-use super::Exchange;
 use super::choose::Chosen;
+use super::takeover::Head;
+use super::{Answer, Exchange};
 use crate::proxy::attempt::{self, StartedAnswer};
 use crate::proxy::backlog::Claim;
 use crate::proxy::failure::Failure;
-use crate::proxy::fleet::Flight;
+use crate::proxy::fleet::{Flight, Upstream};
 use crate::proxy::http1::RequestWriter;
 use crate::proxy::{brittle, rate_limits, reports};
 
@@ -98,7 +100,7 @@
         let ahead = upstream.load().unread + chosen.prefill;
         let envelope = self.envelope(chosen, resumed);
         let encoded = self.encode(&envelope);
-        let mut flight = Flight::new(upstream.clone(), chosen.prefill, memory, site.now());
+        let flight = Flight::new(upstream.clone(), chosen.prefill, memory, site.now());
         self.claim = self.new_claim(chosen, memory);
         tracing::info!(target: "place", id = self.id(), upstream = %upstream.life,
             fingerprint = %self.fingerprint,
@@ -116,22 +118,60 @@
         self.last = Some(upstream.life.clone());
         self.tried.push(upstream.life.clone());
         let begun = site.now();
-        let deadline =
-            site.at(begun + self.first_byte_timeout(chosen.expected_wait).min(chosen.begin_within));
         let id = self.request.asked.attempt.clone();
         let method = self.request.head.method.clone();
         // From here on the upstream may have received the request, also if this
         // future is dropped.
         let may_have_run_before = std::mem::replace(&mut self.may_have_run, true);
-        let sent = attempt::send(&site, upstream, &method, id.as_deref(), &encoded);
-        let mut sent = pin!(sent);
-        let mut result = tokio::time::timeout_at(deadline, &mut sent).await;
-        if result.is_err() && !self.should_abandon(chosen, site.now() - begun) {
-            // The request cannot go to another upstream: keep waiting for this one.
-            let end = site.at(begun + chosen.begin_within.min(self.expires.saturating_sub(begun)));
-            result = tokio::time::timeout_at(end, &mut sent).await;
+        let sent = pin!(attempt::send(&site, upstream, &method, id.as_deref(), &encoded));
+        let (result, failed) = match self.wait_for_head(chosen, begun, sent, resumed).await {
+            Head::Received(result, failed) => (result, failed),
+            Head::Replaced(answer, ended) => {
+                self.record_replaced_send(upstream, ended, begun);
+                return Sent::Replaced(answer);
+            }
+        };
+        let placed = Placed { chosen, flight, ahead, begun, may_have_run_before };
+        match (self.handle_head(placed, result).await, failed) {
+            (Sent::NoAnswer, Some((opened, body))) => Sent::Failed(opened, body),
+            (sent, _) => sent,
+        }
+    }
+
+    /// Records how the send to a silent `upstream` ended whose request another one has
+    /// taken over.
+    fn record_replaced_send(
+        &mut self,
+        upstream: &Rc<Upstream>,
+        ended: Option<Result<StartedAnswer, Failure>>,
+        begun: Duration,
+    ) {
+        let now = self.site.now();
+        match ended.unwrap_or(Err(Failure::TimedOut(now - begun))) {
+            Ok(refused) => refused.finish(now),
+            Err(failure) => self.record_failed_send(upstream, &failure),
         }
-        let result = result.unwrap_or_else(|_| Err(Failure::TimedOut(site.now() - begun)));
+    }
+
+    /// Records that a send to `upstream` got no answer.
+    fn record_failed_send(&mut self, upstream: &Rc<Upstream>, failure: &Failure) {
+        upstream.record_failure(failure, self.site.now());
+        self.site.counters.count("upstream.broken");
+        tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life,
+            %failure, fingerprint = %self.fingerprint, sends = self.sends,
+            "no answer from upstream");
+        self.check_for_crash(upstream, failure, None);
+    }
+
+    /// Handles the head of the answer to a send, or its failure.
+    async fn handle_head(
+        &mut self,
+        placed: Placed<'_>,
+        result: Result<StartedAnswer, Failure>,
+    ) -> Sent {
+        let Placed { chosen, mut flight, ahead, begun, may_have_run_before } = placed;
+        let site = self.site.clone();
+        let upstream = &chosen.upstream;
         let now = site.now();
         self.waited = now - begun;
         match result {
@@ -139,7 +179,7 @@
                 self.may_have_run = may_have_run_before;
                 self.sends -= 1;
                 self.failed_connects += 1;
-                self.tried.pop();
+                self.tried.retain(|life| *life != upstream.life);
                 self.unreachable.push(upstream.life.clone());
                 upstream.mark_down(&why, now);
                 rate_limits::refund(&site, upstream);
@@ -149,12 +189,7 @@
                 Sent::NoAnswer
             }
             Err(failure) => {
-                upstream.record_failure(&failure, now);
-                site.counters.count("upstream.broken");
-                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life,
-                    %failure, fingerprint = %self.fingerprint, sends = self.sends,
-                    "no answer from upstream");
-                self.check_for_crash(upstream, &failure, None);
+                self.record_failed_send(upstream, &failure);
                 Sent::NoAnswer
             }
             Ok(opened) if opened.mark.not_run => {
@@ -168,6 +203,7 @@
                     status = opened.head.status, weights = opened.mark.weights,
                     ms = self.waited.as_millis() as u64,
                     expected_ms = chosen.expected_wait.as_millis() as u64, "answer started");
+                let prompt = self.request.asked.prompt.as_ref();
                 if let (Some(version), Some(prompt)) = (opened.mark.weights, prompt) {
                     upstream.record_weights(&prompt.model, version);
                 }
@@ -189,9 +225,9 @@
         })
     }
 
-    /// How long to wait for the first byte of the answer: until the caller's
-    /// deadline if the request cannot go to another upstream.
-    fn first_byte_timeout(&self, expected: Duration) -> Duration {
+    /// How long to wait for the first byte of the answer before the request also goes to
+    /// another upstream: until the caller's deadline if it cannot.
+    pub(super) fn first_byte_timeout(&self, expected: Duration) -> Duration {
         let may_move =
             self.route.kind.repeatable() && (self.tried.len() as u32) < self.route.attempts;
         if !may_move {
@@ -201,12 +237,11 @@
         expected.min(self.left())
     }
 
-    /// Whether a send without an answer for `silent` is to be given up: its weights
-    /// are past the limit on their use, or there is another upstream and the
-    /// retry budget allows one more send.
-    fn should_abandon(&self, chosen: &Chosen, silent: Duration) -> bool {
+    /// Whether a request without an answer may also be sent to another upstream: there is
+    /// one, and the retry budget allows one more send.
+    pub(super) fn may_send_elsewhere(&self, chosen: &Chosen) -> bool {
         let others = self.candidates().iter().any(|u| u.life != chosen.upstream.life);
-        silent >= chosen.begin_within || (others && self.site.might_repeat(&self.service))
+        others && self.site.might_repeat(&self.service)
     }
 
     /// Handles an upstream's refusal to run the request, which was sent for the
@@ -321,12 +356,25 @@
     }
 }
 
+/// A request as it was sent.
+struct Placed<'a> {
+    chosen: &'a Chosen,
+    flight: Flight,
+    /// Prompt tokens that the engine had to prefill then, those of this request included.
+    ahead: u64,
+    begun: Duration,
+    /// Whether an upstream may have run it before.
+    may_have_run_before: bool,
+}
+
 /// The outcome of one send.
 pub(super) enum Sent {
     /// An answer that has begun; its body is still to be read.
     Open(StartedAnswer, Flight),
     /// A failure that the upstream answered, with its whole body.
     Failed(StartedAnswer, BytesMut),
+    /// An answer that has begun at another upstream, since this one was silent.
+    Replaced(Answer),
     /// Not run: the upstream serves another version of its weights than this host
     /// had recorded.
     OtherWeights,
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use marjoram_core::events::Splitter;
 
 use super::attempt::StartedAnswer;
@@ -12,7 +12,7 @@
 use super::http1::{LAST_CHUNK, ResponseWriter, write_chunk};
 use super::refusal::Refusal;
 use super::reports;
-use super::request::{Answer, Exchange};
+use super::request::{Answer, Exchange, Takeover};
 use super::site::Site;
 use crate::conn::{Conn, PeerEnd};
 
@@ -193,6 +193,8 @@
     Continue,
     Ended,
     Broken(Failure),
+    /// Another upstream has taken over the stream of a silent one, which failed so.
+    Replaced(Box<(StartedAnswer, Flight)>, Failure),
     Expired,
     /// The caller disconnected, for the reason given.
     Left(String),
@@ -232,6 +234,12 @@
                     drop(flight);
                     return self.end(caller).await;
                 }
+                Step::Replaced(next, failure) => {
+                    self.exchange.record_replaced_answer(&opened, &failure);
+                    (opened, flight) = *next;
+                    self.resume(&opened, &failure);
+                    continue;
+                }
                 Step::Ended => ended_inside_event(&opened),
                 Step::Broken(failure) => failure,
             };
@@ -240,20 +248,14 @@
                 return Outcome::Cut(failure.to_string());
             }
             drop((opened, flight));
-            self.splitter.clear();
             let again = tokio::select! {
                 again = self.exchange.open(self.last_event_id) => again,
                 end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
             };
             match again {
                 Ok(Answer::Open(next, next_flight)) if is_stream(&next) => {
-                    self.site.counters.count("stream.resumed");
-                    tracing::info!(target: "stream", id = self.exchange.id(), passed = self.last_event_id,
-                        upstream = %next.upstream.life, after = %failure, "stream resumed");
-                    if !self.begun {
-                        self.head = Some(head(&next, self.last).chunked());
-                    }
                     (opened, flight) = (next, next_flight);
+                    self.resume(&opened, &failure);
                 }
                 Err(refusal) if self.begun => {
                     return Outcome::Cut(format!("{failure}; not resumed: {}", refusal.why));
@@ -270,6 +272,17 @@
         }
     }
 
+    /// Goes on with the stream that another upstream has begun, `after` a failure.
+    fn resume(&mut self, opened: &StartedAnswer, after: &Failure) {
+        self.splitter.clear();
+        self.site.counters.count("stream.resumed");
+        tracing::info!(target: "stream", id = self.exchange.id(), passed = self.last_event_id,
+            upstream = %opened.upstream.life, %after, "stream resumed");
+        if !self.begun {
+            self.head = Some(head(opened, self.last).chunked());
+        }
+    }
+
     /// Waits for more of the stream and forwards the events that are complete.
     async fn step(&mut self, caller: &mut Conn, opened: &mut StartedAnswer) -> Step {
         let idle_limit = match self.exchange.may_resume() {
@@ -282,12 +295,66 @@
             end = caller.wait_until_closed(READ_AHEAD) => return Step::Left(end.to_string()),
         };
         match data {
-            Err(_) if self.site.now() >= self.exchange.expires => return Step::Expired,
-            Err(_) if self.is_responsive(opened).await => return Step::Continue,
-            Err(_) => return Step::Broken(Failure::TimedOut(idle_limit)),
-            Ok(Err(failure)) => return Step::Broken(failure),
-            Ok(Ok(None)) => return Step::Ended,
-            Ok(Ok(Some(data))) => self.splitter.push(&data),
+            Err(_) if self.site.now() >= self.exchange.expires => Step::Expired,
+            Err(_) => self.handle_silence(caller, opened, idle_limit).await,
+            Ok(data) => self.handle_data(caller, opened, data).await,
+        }
+    }
+
+    /// Handles the silence of a stream that may be resumed. While the upstream answers
+    /// queries it is waited for; else another one is asked to take the stream over.
+    async fn handle_silence(
+        &mut self,
+        caller: &mut Conn,
+        opened: &mut StartedAnswer,
+        silent_for: Duration,
+    ) -> Step {
+        let (upstream, relayed) = (opened.upstream.clone(), opened.is_relayed());
+        let responsive = tokio::select! {
+            biased;
+            data = opened.next_data() => return self.handle_data(caller, opened, data).await,
+            responsive = reports::is_responsive(self.site, &upstream, relayed) => responsive,
+            end = caller.wait_until_closed(READ_AHEAD) => return Step::Left(end.to_string()),
+        };
+        if responsive {
+            return Step::Continue;
+        }
+        let takes_over =
+            |answer: &Answer| matches!(answer, Answer::Open(next, _) if is_stream(next));
+        let other = self.exchange.open_other(
+            opened.next_data(),
+            Result::is_ok,
+            takes_over,
+            self.last_event_id,
+        );
+        let takeover = tokio::select! {
+            takeover = other => takeover,
+            end = caller.wait_until_closed(READ_AHEAD) => return Step::Left(end.to_string()),
+        };
+        match takeover {
+            Takeover::Replaced(Answer::Open(next, flight), ended) => {
+                let failure = ended.and_then(Result::err);
+                let failure = failure.unwrap_or(Failure::TimedOut(silent_for));
+                Step::Replaced(Box::new((next, flight)), failure)
+            }
+            Takeover::WentOn(data) | Takeover::Failed(Some(data), _) => {
+                self.handle_data(caller, opened, data).await
+            }
+            Takeover::Replaced(..) | Takeover::Failed(None, _) => Step::Continue,
+        }
+    }
+
+    /// Handles what the upstream has sent next, and forwards the events that are complete.
+    async fn handle_data(
+        &mut self,
+        caller: &mut Conn,
+        opened: &StartedAnswer,
+        data: Result<Option<Bytes>, Failure>,
+    ) -> Step {
+        match data {
+            Err(failure) => return Step::Broken(failure),
+            Ok(None) => return Step::Ended,
+            Ok(Some(data)) => self.splitter.push(&data),
         }
         opened.upstream.health.borrow_mut().record_activity(self.site.now());
         match self.forward_events(caller).await {
@@ -296,10 +363,6 @@
         }
     }
 
-    async fn is_responsive(&self, opened: &StartedAnswer) -> bool {
-        reports::is_responsive(self.site, &opened.upstream, opened.is_relayed()).await
-    }
-
     /// Forwards complete events; fails if the caller does not accept them.
     async fn forward_events(&mut self, caller: &mut Conn) -> io::Result<()> {
         let mut data = BytesMut::new();
