Code: the quarantine has a module of its own, without an import circle

detection and parts imported each other. The quarantine, which both use, moves to poison/quarantine; crash reports on parts tell whether the detection is due instead of starting it. No change of behaviour is meant.

--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -19,6 +19,7 @@
 
 mod detection;
 mod parts;
+mod quarantine;
 mod records;
 
 use std::rc::Rc;
@@ -41,12 +42,11 @@
 use crate::clock;
 use crate::paths::ConnectError;
 
-pub use detection::{
+pub use detection::handle_part_crashes;
+pub use parts::{handle_part_completions, handle_part_query, record_prompt_completion};
+pub use quarantine::{
     add_quarantine_entries, apply_quarantine_record, handle_quarantine_entries, refused_for,
 };
-pub use parts::{
-    handle_part_completions, handle_part_crashes, handle_part_query, record_prompt_completion,
-};
 pub use records::{maintain_records, restore_records};
 
 /// Delay before an upstream is checked, in which this host notices all of its own
@@ -123,7 +123,10 @@
         site.peers.send_chunked(detectors.clone(), SENDS, move || Message::Crashes(chunk.clone()));
     }
     handle_crash_reports(&site, &reports);
-    parts::report(&site, upstream.key, &broken, noticed, detectors);
+    let part_reports = parts::report(&site, upstream.key, &broken, noticed, detectors);
+    if !part_reports.is_empty() {
+        handle_part_crashes(&site, &part_reports);
+    }
 }
 
 /// What a probe of an upstream shows.
@@ -234,7 +237,7 @@
         };
         match (refused, recurrence) {
             (Some(_), _) => poison.suspects.borrow_mut().explain(&[report.upstream]),
-            (None, Some(entry)) => detection::publish(site, vec![entry]),
+            (None, Some(entry)) => quarantine::publish(site, vec![entry]),
             (None, None) => poison.suspects.borrow_mut().add(&report, now),
         }
     }
--- a/crates/router/src/proxy/poison/parts.rs
+++ b/crates/router/src/proxy/poison/parts.rs
@@ -12,7 +12,7 @@
     Quarantined, REPORTED_PART_HOLD, part_set, part_sets,
 };
 
-use super::{SENDS, all_detect, detection};
+use super::{SENDS, all_detect, quarantine};
 use crate::clock;
 use crate::proxy::hosts::Message;
 use crate::proxy::site::Site;
@@ -21,25 +21,25 @@
 const MAX_QUERIED: usize = 64;
 
 /// Reports the parts of the `broken` prompts, which were in flight when the upstream with
-/// the key `upstream` crashed, to the `detectors`.
+/// the key `upstream` crashed, to the `detectors`. Returns the reports.
 pub(super) fn report(
     site: &Rc<Site>,
     upstream: u64,
     broken: &[BrokenRequest],
     noticed: Notice,
     detectors: Vec<SocketAddr>,
-) {
+) -> Vec<PartCrashReport> {
     let reports = {
         let completions = site.poison.completed_parts.borrow();
         poison::part_crash_reports(broken, upstream, noticed, &completions, site.now())
     };
     if reports.is_empty() {
-        return;
+        return reports;
     }
     let message = Message::PartCrashes(reports.clone());
     site.peers.send_chunked(detectors, SENDS, move || message.clone());
     hold(site, reports.iter().map(|report| report.part), REPORTED_PART_HOLD);
-    handle_part_crashes(site, &reports);
+    reports
 }
 
 /// Holds `parts` back for `span` where not all hosts detect; where they do, each decides by
@@ -50,8 +50,9 @@
     }
 }
 
-/// Handles crash reports on parts, of this host or another, at a detecting host.
-pub fn handle_part_crashes(site: &Rc<Site>, reports: &[PartCrashReport]) {
+/// Adds crash reports on parts, of this host or another, at a detecting host. Returns
+/// whether the detection has to consider them.
+pub(super) fn add_reports(site: &Site, reports: &[PartCrashReport]) -> bool {
     let (now, wall) = (site.now(), clock::unix_time());
     for report in reports {
         // Times are wall-clock times, and the clock of another host may be ahead.
@@ -66,7 +67,7 @@
             (Some(_), _) => suspected.explain(part_set(&[report.part]), &[report.upstream]),
             (None, Some(entry)) => {
                 drop(suspected);
-                detection::publish(site, vec![entry]);
+                quarantine::publish(site, vec![entry]);
             }
             (None, None) => {
                 suspected.add(&report, now);
@@ -78,9 +79,7 @@
         }
     }
     query_unanswered(site);
-    if site.poison.suspected_parts.borrow().has_unevaluated() {
-        detection::start(site);
-    }
+    site.poison.suspected_parts.borrow().has_unevaluated()
 }
 
 /// The report on a part as one on a request, by which the quarantine keeps it.
@@ -162,5 +161,5 @@
         tracing::warn!(target: "poison", entry = %entry.request,
             "prompt parts released from quarantine: an answer to them was completed");
     }
-    detection::publish(site, released);
+    quarantine::publish(site, released);
 }
