Code: site holds the state of the query at the start, without an import circle

site imported rate_limits, and rate_limits, quota, conditions and brittle import site. The state of the query moves to site/startup_query. No change of behaviour is meant.

--- a/crates/router/src/proxy/rate_limits.rs
+++ b/crates/router/src/proxy/rate_limits.rs
@@ -18,7 +18,7 @@
 use marjoram_core::quota::{Limit, REPORT_INTERVAL, RESERVATION_TIME};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-pub use startup::{StartupQuery, learn, wait_until_learned};
+pub use startup::{learn, wait_until_learned};
 
 use super::conditions;
 use super::fleet::Upstream;
--- a/crates/router/src/proxy/rate_limits/startup.rs
+++ b/crates/router/src/proxy/rate_limits/startup.rs
@@ -1,14 +1,10 @@
 //! Asks other hosts for the limits in force when this host starts. Without that, a host that
 //! has restarted would send without a limit until the upstream answers.
 
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::SetOnce;
-
 use super::{FIRST_GROUP, GROUPS};
 use crate::proxy::fleet::Upstream;
 use crate::proxy::hosts::{LimitAnswer, Message};
@@ -22,34 +18,24 @@
 /// Hosts that are asked besides the coordinators of limits.
 const QUERIED_HOSTS: usize = 8;
 
-/// What this host has learned, since it started, of the limits in force.
-#[derive(Default)]
-pub struct StartupQuery {
-    /// The hosts asked that have not answered.
-    unanswered: RefCell<HashSet<SocketAddr>>,
-    /// Set once all have answered, or the wait for them has timed out.
-    ended: SetOnce<()>,
-}
-
 /// Asks other hosts for the limits in force once this host knows them.
 pub async fn learn(site: Rc<Site>) {
     site.startup_reads.wait().await;
     let query = &site.startup_query;
-    query.unanswered.borrow_mut().extend(queried_hosts(&site));
+    query.begin(queried_hosts(&site));
     for _ in 0..QUERIES {
-        let unanswered: Vec<SocketAddr> = query.unanswered.borrow().iter().copied().collect();
+        let unanswered = query.unanswered();
         if unanswered.is_empty() {
             break;
         }
         for addr in unanswered {
             site.peers.send_to(addr, &Message::LimitReports(sender(&site), Vec::new()));
         }
-        let _ = tokio::time::timeout(QUERY_INTERVAL, query.ended.wait()).await;
+        let _ = tokio::time::timeout(QUERY_INTERVAL, query.ended()).await;
     }
-    let unanswered = query.unanswered.borrow().len();
+    let unanswered = query.unanswered().len();
     tracing::info!(target: "conditions", unanswered, "asked other hosts for the limits in force");
-    // Err: the last host asked has just answered.
-    let _ = query.ended.set(());
+    query.end();
 }
 
 /// The coordinators of limits, and some other hosts in case this host does not know all yet.
@@ -61,15 +47,15 @@
 
 /// Waits, for at most `limit`, until this host knows the limits in force.
 pub async fn wait_until_learned(site: &Site, limit: Duration) {
-    let ended = &site.startup_query.ended;
-    if !ended.initialized() {
-        let _ = tokio::time::timeout(limit, ended.wait()).await;
+    let query = &site.startup_query;
+    if !query.has_ended() {
+        let _ = tokio::time::timeout(limit, query.ended()).await;
     }
 }
 
 /// Answers the query of the host at `from`. A host that has just started itself does not answer.
 pub fn answer_query(site: &Site, from: SocketAddr) {
-    if !site.startup_query.ended.initialized() {
+    if !site.startup_query.has_ended() {
         return;
     }
     let (own, limits) = (sender(site).host, limits_in_force(site));
@@ -93,10 +79,5 @@
 
 /// Records that the host at `from` has answered; an answer to a report counts as well.
 pub fn record_answer(site: &Site, from: SocketAddr) {
-    let query = &site.startup_query;
-    let mut unanswered = query.unanswered.borrow_mut();
-    if unanswered.remove(&from) && unanswered.is_empty() {
-        // Err: the wait has timed out.
-        let _ = query.ended.set(());
-    }
+    site.startup_query.record_answer(from);
 }
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -5,6 +5,7 @@
 mod notices;
 mod poison;
 mod quotas;
+mod startup_query;
 mod waiting;
 
 use std::cell::{Cell, RefCell};
@@ -37,7 +38,6 @@
 use super::counters::Counters;
 use super::fleet::Fleet;
 use super::hosts::Peers;
-use super::rate_limits::StartupQuery;
 use super::relays::Relays;
 use super::stores::Stores;
 use super::traffic::Traffic;
@@ -46,6 +46,7 @@
 pub use notices::Notices;
 pub use poison::Poison;
 pub use quotas::Quotas;
+pub use startup_query::StartupQuery;
 pub use waiting::{QueueKey, WaitQueue, Waiting};
 
 /// State shared by the parts of one process.
