Code: control connects have a module of their own, without an import circle

paths and tunnel imported each other: tunnel for the connects that tell a lost link from an upstream that is down. No change of behaviour is meant.

--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -14,6 +14,7 @@
 mod brittle_engines;
 mod clock;
 mod conn;
+mod control_connects;
 mod error;
 mod follow;
 mod forward;
--- a/crates/router/src/paths.rs
+++ b/crates/router/src/paths.rs
@@ -11,17 +11,13 @@
 use quick_error::quick_error;
 
 use crate::conn::Conn;
+use crate::control_connects::reaches_any;
 use crate::tunnel::{self, OpenError};
 
 /// Time-out of a connect. Within a region it takes a few milliseconds; beyond
 /// this, the upstream is down or its accept queue is full.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Upstreams that a host tries in order to find out whether its link is lost, and the
-/// time-out of these connects.
-pub const CONTROL_CONNECTS: usize = 3;
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(60);
-
 quick_error! {
     /// Why no connection to an upstream was opened.
     #[derive(Debug)]
@@ -166,20 +162,6 @@
     (conclusion, result)
 }
 
-/// Whether this host reaches one of the upstreams at `addrs`, so that a connect to
-/// another one that fails at the same time is not the fault of its own link. True if
-/// there are none.
-pub async fn reaches_any(addrs: Vec<SocketAddr>) -> bool {
-    let connects = addrs.iter().map(|addr| Conn::connect(*addr, CONTROL_TIMEOUT));
-    let mut connects: FuturesUnordered<_> = connects.collect();
-    while let Some(result) = connects.next().await {
-        if result.is_ok() {
-            return true;
-        }
-    }
-    addrs.is_empty()
-}
-
 async fn direct(addr: SocketAddr) -> Ended {
     let result = Conn::connect(addr, CONNECT_TIMEOUT).await;
     (None, result.map_err(OpenError::Upstream))
--- a/crates/router/src/proxy/reach.rs
+++ b/crates/router/src/proxy/reach.rs
@@ -9,7 +9,8 @@
 use super::fleet::Upstream;
 use super::site::Site;
 use crate::conn::Conn;
-use crate::paths::{self, CONNECT_TIMEOUT, CONTROL_CONNECTS, ConnectError, Paths};
+use crate::control_connects::CONTROL_CONNECTS;
+use crate::paths::{self, CONNECT_TIMEOUT, ConnectError, Paths};
 
 /// Time between two checks for upstreams and lost links that are to be tried by this
 /// host itself, without a request.
--- a/crates/router/src/proxy/state_transfer.rs
+++ b/crates/router/src/proxy/state_transfer.rs
@@ -21,8 +21,8 @@
 use super::hosts::{HostRecord, StateVersions};
 use super::poison;
 use super::site::Site;
+use crate::control_connects::CONTROL_CONNECTS;
 use crate::link;
-use crate::paths::CONTROL_CONNECTS;
 use crate::tunnel::{self, Answer, Connected};
 
 /// How long a difference must last before it is fetched: in steady state, all
--- a/crates/router/src/tunnel.rs
+++ b/crates/router/src/tunnel.rs
@@ -23,7 +23,7 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 
 use crate::conn::{self, Conn};
-use crate::paths;
+use crate::control_connects;
 
 /// First byte of a tunnel; the other protocol on the port, HTTP/2, begins with `P`.
 pub const MAGIC: u8 = b'T';
@@ -173,8 +173,8 @@
     let mut connecting = pin!(Conn::connect(addr, CONNECT_TIMEOUT));
     let (result, link_works) = match tokio::time::timeout(HEDGE_DELAY, &mut connecting).await {
         Ok(Ok(conn)) => (Ok(conn), true),
-        Ok(failed) => (failed, paths::reaches_any(others()).await),
-        Err(_) => futures::join!(connecting, paths::reaches_any(others())),
+        Ok(failed) => (failed, control_connects::reaches_any(others()).await),
+        Err(_) => futures::join!(connecting, control_connects::reaches_any(others())),
     };
     match result {
         Ok(conn) => (Answer::Connected, Some(conn.into_stream())),
--- a/crates/router/src/upstream_client.rs
+++ b/crates/router/src/upstream_client.rs
@@ -21,8 +21,9 @@
 use rand::seq::{IteratorRandom, SliceRandom};
 
 use crate::conn::Conn;
+use crate::control_connects::CONTROL_CONNECTS;
 use crate::node::{Node, Upstream};
-use crate::paths::{self, CONTROL_CONNECTS, ConnectError, Paths};
+use crate::paths::{self, ConnectError, Paths};
 use crate::peer;
 use crate::tunnel::{self, Answer, Connected, Tunnels};
 
