CONFIG: a configuration is in force in time although the store wakes up no waiting read

Cause: hosts learn of configurations and weights by long polls of 25 s. The store answered none of nine for this record; all were answered with the next one. So the bound hung on one wake-up. Why the store did not answer is not known.

Change: polls are renewed (core::poll_renewal): many hosts together eight times within the bound, at random times; a few hosts each within six tenths of it. Hosts that find a newer version tell the others in their heartbeats, from which they fetch it, as before.

Ruled out: telling all hosts by datagrams of each change, which costs as many as there are hosts at each of them, though nearly always the store has woken all.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -44,6 +44,8 @@
     /// Minimum time between the orders of two successive leaders of weights
     /// rollouts.
     pub min_handover_interval: Duration,
+    /// How long a new configuration may take to be in force.
+    pub config: Duration,
     /// How long a newly announced weights version may take to come into use.
     pub weights: Duration,
     /// How long a caller may keep an address response.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -62,6 +62,7 @@
 //!   returns from a backup), and fencing tokens across them.
 //! - [`relay`]: how far a host has read a log that a few hosts read on behalf of
 //!   all.
+//! - [`poll_renewal`]: when long polls of the store are renewed.
 //! - [`store_availability`]: when the platform's store was available.
 //! - [`in_progress`]: the requests in progress, and those that end without an
 //!   outcome.
@@ -107,6 +108,7 @@
 pub mod plain;
 pub mod poison;
 pub mod policy;
+pub mod poll_renewal;
 pub mod prefix;
 pub mod quota;
 pub mod reach;
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use marjoram_core::era::Era;
+use marjoram_core::poll_renewal::poll_time;
 use marjoram_core::relay::Span;
 use marjoram_platform::store::{self, Record};
 
@@ -33,9 +34,6 @@
 /// a store that is available answers within this time.
 const STARTUP_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Long-poll time: how long the store is asked to wait for a new record.
-const LONG_POLL: Duration = Duration::from_secs(25);
-
 /// The offset at which to continue reading, and the era of the store to which it
 /// belongs.
 #[derive(Debug, Clone, Copy)]
@@ -230,7 +228,10 @@
     sink: &mut S,
     from: Offset,
 ) -> Result<Option<Offset>, String> {
-    let wait = if S::pause(site).is_none() { LONG_POLL } else { Duration::ZERO };
+    let wait = match S::pause(site) {
+        Some(_) => Duration::ZERO,
+        None => poll_time(site.peers.count(), site.settings.load().bounds.config, rand::random()),
+    };
     let Offset { era, at } = from;
     let reply = call(site, client, &store::read(S::TOPIC, at, wait), wait + ANSWER_TIMEOUT).await?;
     match reply.status {
