LOST: a host that stops answers requests that were read ahead before it closes

What callers saw: of several requests sent at once on one connection to a host that stops, only the first was answered; the others were discarded though they had been read whole. An answer that was awaited when the stop began did not announce the close, so the caller sent its next request into it.

Cause: whether an answer is the last of its connection was decided when its request was read, without a look at what was read ahead.

Change: it is decided when the head of the answer is written (response/close.rs). While the process stops the connection closes only if no other whole request has arrived, which includes unread bytes of the socket, up to the limit on what is read ahead.

--- a/crates/router/src/conn.rs
+++ b/crates/router/src/conn.rs
@@ -87,6 +87,20 @@
         Ok(read)
     }
 
+    /// Reads the bytes that have arrived, without waiting, until `limit` are buffered.
+    pub fn read_available(&mut self, limit: usize) -> io::Result<()> {
+        while self.buf.len() < limit && !self.read_closed {
+            self.buf.reserve(READ_SIZE);
+            match self.stream.try_read_buf(&mut self.buf) {
+                Ok(0) => self.read_closed = true,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
     /// Writes all of `bytes`.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -13,7 +13,7 @@
 use super::http1::{self, BadMessage, Body, Framing, Piece, RequestHead, ResponseWriter};
 use super::refusal::Refusal;
 use super::request::{Exchange, Request};
-use super::response::{self, Outcome};
+use super::response::{self, Close, Outcome};
 use super::site::Site;
 use crate::conn::Conn;
 
@@ -126,37 +126,40 @@
     };
     let asked = headers::request_metadata(|name| head.headers.get(name));
     progress.identify(asked.attempt.as_deref().unwrap_or("-"));
-    let last = head.headers.closes(head.minor) || site.stopping.get().is_some();
+    let close = Close::new(head.headers.closes(head.minor), limits);
     let request = Request { head, body, started, asked };
-    answer(site, conn, request, last).await
+    answer(site, conn, request, close).await
 }
 
-/// Sends the request to an upstream and the answer to the caller; `last` when the
-/// connection closes after this answer.
-async fn answer(site: &Rc<Site>, conn: &mut Conn, request: Request, last: bool) -> Next {
+/// Sends the request to an upstream and the answer to the caller.
+async fn answer(site: &Rc<Site>, conn: &mut Conn, request: Request, mut close: Close) -> Next {
     let started = request.started;
     let id = request.asked.attempt.clone().unwrap_or_default();
     let (outcome, exchange) = match Exchange::new(site, request) {
         Ok(mut exchange) => {
-            let outcome = response::run(site, conn, &mut exchange, last).await;
+            let outcome = response::run(site, conn, &mut exchange, &mut close).await;
             (outcome, Some(exchange))
         }
         Err(refusal) => (Outcome::Refused(refusal), None),
     };
     report(site, &id, exchange.as_ref(), &outcome, site.now() - started);
     match outcome {
-        Outcome::Answered(_) if last => Next::Linger,
+        Outcome::Answered(_) if close.is_announced() => Next::Linger,
         Outcome::Answered(_) => Next::Keep,
         Outcome::Left(_) => Next::Close,
         Outcome::Cut(_) => Next::Reset,
-        Outcome::Refused(refusal) => match (conn.write(&encode(&refusal, last)).await, last) {
-            (Ok(()), true) => Next::Linger,
-            (Ok(()), false) => Next::Keep,
-            (Err(error), _) => {
-                tracing::info!(target: "request", id, %error, "refusal not accepted by the caller");
-                Next::Close
+        Outcome::Refused(refusal) => {
+            let last = close.decide(site, conn);
+            match (conn.write(&encode(&refusal, last)).await, last) {
+                (Ok(()), true) => Next::Linger,
+                (Ok(()), false) => Next::Keep,
+                (Err(error), _) => {
+                    tracing::info!(target: "request", id, %error,
+                        "refusal not accepted by the caller");
+                    Next::Close
+                }
             }
-        },
+        }
     }
 }
 
--- a/crates/router/src/proxy/http1.rs
+++ b/crates/router/src/proxy/http1.rs
@@ -143,6 +143,21 @@
     }
 }
 
+/// Whether `buf` begins with a request that is whole, with a head of up to `limit` bytes.
+pub fn has_whole_request(buf: &BytesMut, limit: usize) -> bool {
+    let mut buf = buf.clone();
+    let Ok(Some(head)) = request_head(&mut buf, limit) else { return false };
+    let Ok(framing) = request_framing(&head) else { return false };
+    let mut body = Body::from(framing);
+    loop {
+        match body.next(&mut buf, false) {
+            Ok(Piece::End) => return true,
+            Ok(Piece::Data(_)) => {}
+            Ok(Piece::More) | Err(_) => return false,
+        }
+    }
+}
+
 /// Takes the head of an answer from `buf`; `None` until it is complete.
 pub fn response_head(buf: &mut BytesMut, limit: usize) -> Result<Option<ResponseHead>, BadMessage> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -1,5 +1,9 @@
 //! Forwards an answer to the caller: a complete body, or a stream event by event.
 
+mod close;
+
+pub use close::Close;
+
 use std::io;
 use std::time::Duration;
 
@@ -53,21 +57,25 @@
     }
 }
 
-/// Sends the request of `exchange` and forwards the answer to `caller`. `last` is
-/// set if the connection closes after this answer.
-pub async fn run(site: &Site, caller: &mut Conn, exchange: &mut Exchange, last: bool) -> Outcome {
+/// Sends the request of `exchange` and forwards the answer to `caller`; decides `close`.
+pub async fn run(
+    site: &Site,
+    caller: &mut Conn,
+    exchange: &mut Exchange,
+    close: &mut Close,
+) -> Outcome {
     let answer = tokio::select! {
         answer = exchange.open(None) => answer,
         end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
     };
     match answer {
         Err(refusal) => Outcome::Refused(refusal),
-        Ok(Answer::Failed(opened, body)) => forward_error(site, caller, opened, &body, last).await,
+        Ok(Answer::Failed(opened, body)) => forward_error(site, caller, opened, &body, close).await,
         Ok(Answer::Open(opened, flight)) if exchange.route.kind.streams() && is_stream(&opened) => {
-            Stream::new(site, exchange, last).relay(caller, opened, flight).await
+            Stream::new(site, exchange, close).relay(caller, opened, flight).await
         }
         Ok(Answer::Open(opened, flight)) => {
-            forward_buffered(site, caller, exchange, opened, flight, last).await
+            forward_buffered(site, caller, exchange, opened, flight, close).await
         }
     }
 }
@@ -78,14 +86,11 @@
 }
 
 /// The head of the answer to the caller, made from the upstream's.
-fn head(opened: &StartedAnswer, last: bool) -> ResponseWriter {
+fn head(opened: &StartedAnswer) -> ResponseWriter {
     let mut writer = ResponseWriter::new(opened.head.status);
     for (name, value) in opened.head.headers.end_to_end() {
         writer.header(name, value);
     }
-    if last {
-        writer.header("connection", b"close");
-    }
     writer
 }
 
@@ -95,7 +100,7 @@
     caller: &mut Conn,
     opened: StartedAnswer,
     body: &[u8],
-    last: bool,
+    close: &mut Close,
 ) -> Outcome {
     let status = opened.head.status;
     // Callers take these statuses as a promise that the request was not executed.
@@ -106,7 +111,7 @@
             "upstream failed after it may have run",
         ));
     }
-    let bytes = head(&opened, last).finish(body);
+    let bytes = close.finish(head(&opened), site, caller).finish(body);
     opened.finish(site.now());
     Outcome::written(status, caller.write(&bytes).await)
 }
@@ -119,7 +124,7 @@
     exchange: &mut Exchange,
     mut opened: StartedAnswer,
     mut flight: Flight,
-    last: bool,
+    close: &mut Close,
 ) -> Outcome {
     let begun = site.now();
     loop {
@@ -131,9 +136,10 @@
             Err(_) => return Outcome::Refused(exchange.deadline_refusal()),
             Ok(Ok(body)) => {
                 let status = opened.head.status;
+                let head = close.finish(head(&opened), site, caller);
                 let bytes = match exchange.request().head.method.as_str() {
-                    "HEAD" => head(&opened, last).finish_without_body(),
-                    _ => head(&opened, last).finish(&body),
+                    "HEAD" => head.finish_without_body(),
+                    _ => head.finish(&body),
                 };
                 {
                     let mut health = opened.upstream.health.borrow_mut();
@@ -155,7 +161,7 @@
                 match again {
                     Err(refusal) => return Outcome::Refused(refusal),
                     Ok(Answer::Failed(opened, body)) => {
-                        return forward_error(site, caller, opened, &body, last).await;
+                        return forward_error(site, caller, opened, &body, close).await;
                     }
                     Ok(Answer::Open(next, next_flight)) => (opened, flight) = (next, next_flight),
                 }
@@ -168,10 +174,10 @@
 struct Stream<'a> {
     site: &'a Site,
     exchange: &'a mut Exchange,
-    last: bool,
+    close: &'a mut Close,
     splitter: Splitter,
     /// The response head, until it has been written.
-    head: Option<BytesMut>,
+    head: Option<ResponseWriter>,
     /// Id of the last event forwarded.
     last_event_id: Option<u64>,
     /// Some bytes have been forwarded.
@@ -201,11 +207,11 @@
 }
 
 impl<'a> Stream<'a> {
-    fn new(site: &'a Site, exchange: &'a mut Exchange, last: bool) -> Self {
+    fn new(site: &'a Site, exchange: &'a mut Exchange, close: &'a mut Close) -> Self {
         Self {
             site,
             exchange,
-            last,
+            close,
             splitter: Splitter::new(),
             head: None,
             last_event_id: None,
@@ -219,7 +225,7 @@
         mut opened: StartedAnswer,
         mut flight: Flight,
     ) -> Outcome {
-        self.head = Some(head(&opened, self.last).chunked());
+        self.head = Some(head(&opened));
         loop {
             let step = self.step(caller, &mut opened).await;
             let failure = match step {
@@ -263,7 +269,7 @@
                 _ if self.begun => return Outcome::Cut(format!("{failure}; not resumed")),
                 Err(refusal) => return Outcome::Refused(refusal),
                 Ok(Answer::Failed(opened, body)) => {
-                    return forward_error(self.site, caller, opened, &body, self.last).await;
+                    return forward_error(self.site, caller, opened, &body, self.close).await;
                 }
                 Ok(Answer::Open(..)) => {
                     return Outcome::Refused(Refusal::with_status(502, "no stream came"));
@@ -279,7 +285,7 @@
         tracing::info!(target: "stream", id = self.exchange.id(), passed = self.last_event_id,
             upstream = %opened.upstream.life, %after, "stream resumed");
         if !self.begun {
-            self.head = Some(head(opened, self.last).chunked());
+            self.head = Some(head(opened));
         }
     }
 
@@ -379,7 +385,7 @@
         if data.is_empty() {
             return Ok(());
         }
-        let mut out = self.head.take().unwrap_or_default();
+        let mut out = self.take_head(caller);
         write_chunk(&mut out, &data);
         self.begun = true;
         let write =
@@ -387,8 +393,14 @@
         write.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// The response head, if it has not been written.
+    fn take_head(&mut self, caller: &mut Conn) -> BytesMut {
+        let head = self.head.take();
+        head.map(|head| self.close.finish(head, self.site, caller).chunked()).unwrap_or_default()
+    }
+
     async fn end(&mut self, caller: &mut Conn) -> Outcome {
-        let mut out = self.head.take().unwrap_or_default();
+        let mut out = self.take_head(caller);
         out.extend_from_slice(LAST_CHUNK);
         Outcome::written(200, caller.write(&out).await)
     }
