CONFIG: an idle connection has the limits in force, not those of when its wait began

What callers saw: a connection kept idle was closed after a time that a newer configuration had raised, and the first request after the wait was refused with 413 (or 431, 408) by limits no longer in force, up to the idle time (15 s by default) after the change.

Cause: the limits were read before the wait for the next request.

Change: the idle time is checked again when it has passed, and the other limits are read when the first bytes of a request arrive. A lowered idle time holds from the next wait on, as before.

Ruled out: a request lost while the idle timer fires. The timer is polled after the read, so bytes that have arrived are served; later ones are unread, and the kernel resets the connection.

--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -59,10 +59,10 @@
 /// Serves the requests of one connection until it closes.
 async fn connection(site: Rc<Site>, mut conn: Conn) {
     loop {
-        let limits = site.catalog.load().as_ref().map_or_else(Limits::default, |c| c.limits);
-        if !wait_for_bytes(&mut conn, limits.idle).await {
+        if !wait_for_bytes(&site, &mut conn).await {
             return;
         }
+        let limits = limits(&site);
         let progress = site.handled.begin();
         let next = serve_request(&site, &mut conn, limits, &progress).await;
         progress.end();
@@ -78,12 +78,25 @@
     }
 }
 
-/// Waits up to `limit` for the first bytes of a request; false if there are none.
-async fn wait_for_bytes(conn: &mut Conn, limit: Duration) -> bool {
-    match conn.buf.is_empty() {
-        true => matches!(tokio::time::timeout(limit, conn.fill()).await, Ok(Ok(n)) if n > 0),
-        false => true,
+/// The limits on callers' requests in force.
+fn limits(site: &Site) -> Limits {
+    site.catalog.load().as_ref().map_or_else(Limits::default, |c| c.limits)
+}
+
+/// Waits for the first bytes of a request for as long as a connection may stay idle;
+/// false if there are none. A limit that is raised meanwhile holds.
+async fn wait_for_bytes(site: &Site, conn: &mut Conn) -> bool {
+    let idle_since = site.now();
+    while conn.buf.is_empty() {
+        let until = idle_since + limits(site).idle;
+        match tokio::time::timeout_at(site.at(until), conn.fill()).await {
+            Ok(Ok(n)) if n > 0 => {}
+            Ok(_) => return false,
+            Err(_) if site.now() >= idle_since + limits(site).idle => return false,
+            Err(_) => {}
+        }
     }
+    true
 }
 
 /// Reads one request and answers it.
