LOST: an event without an end breaks the stream off before it fills the memory

What callers saw: no answer or a cut stream only when their route's time was up, also where another upstream could have resumed the stream; hosts near their memory limit are killed with all requests in progress.

Cause: the splitter of event streams buffers an incomplete event without a limit.

Evidence: one such stream for the route's 4 s made a router (debug build) grow by 88 to 108 MB in 6 of 6 runs of the three tests of events in platform/tests/endless_answers.rs; the stream was not resumed.

Change: an event has at most 256 KiB (core::events::MAX_EVENT_SIZE). A longer one, complete or not, is an error of the splitter; the stream counts as broken off by an invalid answer: resumed elsewhere where its route allows that, else cut or answered with 502. Complete events before it are still forwarded. Each byte is scanned once, as before.

Ruled out, as tests that passed before: heads (32 KB), one body of 16 MB in chunks, without a length or of a failure, bytes after an answer, and a stream of sound events without an end, which is cut at its route's time (4.04 s).

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -5,6 +5,22 @@
 //! caller always has a whole number of events.
 
 use bytes::{Buf, Bytes, BytesMut};
+use quick_error::quick_error;
+
+/// Longest event, in bytes. Events carry a few tokens each, and one without an end would
+/// fill the host's memory.
+pub const MAX_EVENT_SIZE: usize = 256 << 10;
+
+quick_error! {
+    /// The stream has an event that is longer than [`MAX_EVENT_SIZE`].
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum EventTooLong {
+        /// It has at least this many bytes.
+        Size(bytes: usize) {
+            display("an event of {bytes} bytes or more, limit {MAX_EVENT_SIZE}")
+        }
+    }
+}
 
 /// One event, including the blank line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,9 +37,10 @@
 /// use marjoram_core::events::Splitter;
 /// let mut splitter = Splitter::new();
 /// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
-/// assert_eq!(splitter.next_event().unwrap().id, Some(1));
-/// assert!(splitter.next_event().is_none());
+/// assert_eq!(splitter.next_event()?.unwrap().id, Some(1));
+/// assert!(splitter.next_event()?.is_none());
 /// assert!(!splitter.is_empty());
+/// # Ok::<(), marjoram_core::events::EventTooLong>(())
 /// ```
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -55,13 +72,19 @@
         self.scanned = 0;
     }
 
-    /// Removes and returns the next complete event, if there is one.
-    pub fn next_event(&mut self) -> Option<Event> {
-        let end = self.end()?;
+    /// Removes and returns the next complete event, if there is one. Fails if it is too
+    /// long, complete or not; the stream cannot be read further then.
+    pub fn next_event(&mut self) -> Result<Option<Event>, EventTooLong> {
+        let end = self.end();
+        let size = end.unwrap_or(self.buf.len());
+        if size > MAX_EVENT_SIZE {
+            return Err(EventTooLong::Size(size));
+        }
+        let Some(end) = end else { return Ok(None) };
         self.scanned = 0;
         let bytes = self.buf.split_to(end).freeze();
         let id = event_id(&bytes);
-        Some(Event { id, bytes })
+        Ok(Some(Event { id, bytes }))
     }
 
     /// End of the first complete event in the buffer.
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use marjoram_core::events::Splitter;
+use marjoram_core::events::{EventTooLong, Splitter};
 
 use super::attempt::StartedAnswer;
 use super::failure::Failure;
@@ -363,16 +363,20 @@
             Ok(Some(data)) => self.splitter.push(&data),
         }
         opened.upstream.health.borrow_mut().record_activity(self.site.now());
-        match self.forward_events(caller).await {
-            Ok(()) => Step::Continue,
-            Err(error) => Step::Left(format!("events not accepted: {error}")),
+        let mut events = BytesMut::new();
+        let taken = self.take_events(&mut events);
+        match (self.forward(caller, &events).await, taken) {
+            (Err(error), _) => Step::Left(format!("events not accepted: {error}")),
+            (Ok(()), Err(error)) => {
+                Step::Broken(Failure::InvalidAnswer("stream", error.to_string()))
+            }
+            (Ok(()), Ok(())) => Step::Continue,
         }
     }
 
-    /// Forwards complete events; fails if the caller does not accept them.
-    async fn forward_events(&mut self, caller: &mut Conn) -> io::Result<()> {
-        let mut data = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
+    /// Moves the complete events to `events`.
+    fn take_events(&mut self, events: &mut BytesMut) -> Result<(), EventTooLong> {
+        while let Some(event) = self.splitter.next_event()? {
             match (event.id, self.last_event_id) {
                 // A resumed stream may begin with events that have already been
                 // forwarded.
@@ -380,13 +384,18 @@
                 (Some(id), _) => self.last_event_id = Some(id),
                 (None, _) => {}
             }
-            data.extend_from_slice(&event.bytes);
+            events.extend_from_slice(&event.bytes);
         }
-        if data.is_empty() {
+        Ok(())
+    }
+
+    /// Forwards complete events; fails if the caller does not accept them.
+    async fn forward(&mut self, caller: &mut Conn, events: &[u8]) -> io::Result<()> {
+        if events.is_empty() {
             return Ok(());
         }
         let mut out = self.take_head(caller);
-        write_chunk(&mut out, &data);
+        write_chunk(&mut out, events);
         self.begun = true;
         let write =
             tokio::time::timeout_at(self.site.at(self.exchange.expires), caller.write(&out));
