LOST: requests that still run at the end of a stop are answered

What callers saw: a connection closed without an answer when the grace period of a stopping host ended, for a request that was read whole, and for those read ahead behind it.

Cause: the process ended beside the requests still in progress; they had only a log line.

Change: at the end of the stop, 0.6 s before the grace period is over, requests in progress are interrupted: without an answer yet they are refused (503 with Retry-After if they cannot have run, else 502), and an answer that has begun is reset. The process waits up to 250 ms for that.

Ruled out: a request that is read whole just before the process ends. No task runs between the check that none is in progress and the end, and a connection with a whole request in its buffer counts as in progress. Bytes not read are reset by the kernel.

--- a/crates/router/src/conn.rs
+++ b/crates/router/src/conn.rs
@@ -49,6 +49,8 @@
     pub buf: BytesMut,
     /// The peer has closed its side without a reset.
     pub read_closed: bool,
+    /// A write has begun since this was last cleared.
+    pub written: bool,
     /// Another host passes the bytes on to the upstream.
     pub relayed: bool,
 }
@@ -57,7 +59,7 @@
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
         set_options(&stream);
-        Self { stream, buf: BytesMut::new(), read_closed: false, relayed: false }
+        Self { stream, buf: BytesMut::new(), read_closed: false, written: false, relayed: false }
     }
 
     /// Wraps a connection that another host relays.
@@ -103,6 +105,7 @@
 
     /// Writes all of `bytes`.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.written = true;
         self.stream.write_all(bytes).await
     }
 
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -26,6 +26,9 @@
 /// Pause after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Why a request ends with the process.
+const STOPPING: &str = "stopping";
+
 /// Accepts callers until the process stops.
 pub async fn serve(site: Rc<Site>, listener: TcpListener) {
     loop {
@@ -150,7 +153,7 @@
     let id = request.asked.attempt.clone().unwrap_or_default();
     let (outcome, exchange) = match Exchange::new(site, request) {
         Ok(mut exchange) => {
-            let outcome = response::run(site, conn, &mut exchange, &mut close).await;
+            let outcome = run_until_interrupted(site, conn, &mut exchange, &mut close).await;
             (outcome, Some(exchange))
         }
         Err(refusal) => (Outcome::Refused(refusal), None),
@@ -176,6 +179,30 @@
     }
 }
 
+/// Runs `exchange` to its end, or until the time for requests in progress is up: then it
+/// is refused, or cut off if its answer has begun.
+async fn run_until_interrupted(
+    site: &Site,
+    conn: &mut Conn,
+    exchange: &mut Exchange,
+    close: &mut Close,
+) -> Outcome {
+    if site.interrupt.initialized() {
+        return Outcome::Refused(exchange.give_up(STOPPING));
+    }
+    conn.written = false;
+    let outcome = tokio::select! {
+        biased;
+        outcome = response::run(site, conn, exchange, close) => Some(outcome),
+        _ = site.interrupt.wait() => None,
+    };
+    match outcome {
+        Some(outcome) => outcome,
+        None if conn.written => Outcome::Cut(STOPPING.into()),
+        None => Outcome::Refused(exchange.give_up(STOPPING)),
+    }
+}
+
 /// Logs and counts how a request ended.
 fn report(site: &Site, id: &str, exchange: Option<&Exchange>, outcome: &Outcome, took: Duration) {
     let route = exchange.map(|e| e.route.name.as_str());
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -297,7 +297,7 @@
     }
 
     /// The refusal when the request is not sent any more, for the reason `why`.
-    fn give_up(&self, why: &'static str) -> Refusal {
+    pub fn give_up(&self, why: &'static str) -> Refusal {
         match self.may_have_run {
             true => Refusal::with_status(502, why),
             false => Refusal::not_run(why, self.retry_after()),
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -36,6 +36,13 @@
 /// Safety margin subtracted from the time that a stop may take.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time, within that margin, for answering the requests that are still in progress.
+const INTERRUPT_TIME: Duration = Duration::from_millis(250);
+
+/// Time between checks of what is in progress, while the process waits for it to end.
+const STOP_INTERVAL: Duration = Duration::from_millis(50);
+const INTERRUPT_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Time reserved at the end of a stop for giving up leadership while a rollout is
 /// in progress.
 const STOP_LEADERSHIP_MARGIN: Duration = Duration::from_millis(1_400);
@@ -115,7 +122,7 @@
     let mut quiet_since = site.now();
     let mut answered = site.counters.requests();
     loop {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(STOP_INTERVAL).await;
         let now = site.now();
         if !leadership.is_busy() || now + STOP_LEADERSHIP_MARGIN >= end {
             leadership::release(leadership).await;
@@ -132,6 +139,7 @@
         }
     }
     site.stop.notify_waiters();
+    interrupt(site).await;
     for id in site.handled.ids() {
         tracing::warn!(target: "request", id, "request interrupted, the process stops");
     }
@@ -139,6 +147,19 @@
         lines_dropped = logs.dropped.dropped_lines(), "stopped");
 }
 
+/// Ends the requests that are still in progress, and waits until that is written.
+async fn interrupt(site: &Site) {
+    if site.handled.count() == 0 {
+        return;
+    }
+    tracing::warn!(target: "run", handled = site.handled.count(), "requests interrupted");
+    let _ = site.interrupt.set(());
+    let end = site.now() + INTERRUPT_TIME;
+    while site.handled.count() > 0 && site.now() < end {
+        tokio::time::sleep(INTERRUPT_INTERVAL).await;
+    }
+}
+
 /// Reloads the settings on SIGHUP, and when the file has changed.
 async fn watch_settings(site: Rc<Site>, path: String) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -119,6 +119,8 @@
     pub no_leadership_until: Cell<Duration>,
     /// Notified when the process stops accepting connections.
     pub stop: Notify,
+    /// Set when the time for requests in progress is up, at the end of a stop.
+    pub interrupt: SetOnce<()>,
     /// Notified when the store answers again, was restored from a copy, or has
     /// another address.
     pub store_recovered: Notify,
@@ -177,6 +179,7 @@
             candidate_status: Cell::default(),
             no_leadership_until: Cell::default(),
             stop: Notify::new(),
+            interrupt: SetOnce::new(),
             store_recovered: Notify::new(),
             rollout_check: Notify::new(),
             handled: InProgress::new(report_lost),
