LOST: a caller that closes only its sending side gets a refusal instead of nothing

What callers saw: a caller that shut down its sending side after a whole request and still read got no answer; the connection was closed. A request that it had sent behind the first one was discarded.

Cause: the end of what the caller sends counts as its having left.

Change: the request is still cancelled at once, since a caller that has left looks the same, but then answered: 503 with Retry-After if it cannot have run, else 502. Requests read ahead get an answer each, too, and the last one announces the close. The caller's end is looked for before the first send, so a request whose caller has already left is not sent at all.

Ruled out: telling the two apart by keep-alive probes. On Linux 6.18, with probes after 1 s and a user timeout of 3 s, neither a half-closed nor a closed peer caused an event within 5 s: the kernel acknowledges probes for a closed socket, too, and resets it only when data arrives (seen 50 ms after one byte). Data before the answer would be an interim answer (1xx), which callers may not expect. Serving half-closed callers would keep upstreams at work for callers that have left.

--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -29,6 +29,10 @@
 /// Why a request ends with the process.
 const STOPPING: &str = "stopping";
 
+/// Why a request ends whose caller has closed its sending side. It looks like a caller that
+/// has left: closed sockets answer keep-alive probes, too.
+const HALF_CLOSED: &str = "caller closed its sending side";
+
 /// Accepts callers until the process stops.
 pub async fn serve(site: Rc<Site>, listener: TcpListener) {
     loop {
@@ -162,19 +166,36 @@
     match outcome {
         Outcome::Answered(_) if close.is_announced() => Next::Linger,
         Outcome::Answered(_) => Next::Keep,
-        Outcome::Left(_) => Next::Close,
         Outcome::Cut(_) => Next::Reset,
-        Outcome::Refused(refusal) => {
-            let last = close.decide(site, conn);
-            match (conn.write(&encode(&refusal, last)).await, last) {
-                (Ok(()), true) => Next::Linger,
-                (Ok(()), false) => Next::Keep,
-                (Err(error), _) => {
-                    tracing::info!(target: "request", id, %error,
-                        "refusal not accepted by the caller");
-                    Next::Close
-                }
+        Outcome::Refused(refusal) => refuse(site, conn, &id, &refusal, &mut close).await,
+        // A caller that has only closed its sending side reads this answer; one that has
+        // left resets the connection.
+        Outcome::Left(_) if conn.read_closed && !conn.written => match exchange {
+            Some(exchange) => {
+                let refusal = exchange.give_up(HALF_CLOSED);
+                refuse(site, conn, &id, &refusal, &mut close).await
             }
+            None => Next::Close,
+        },
+        Outcome::Left(_) => Next::Close,
+    }
+}
+
+/// Answers with `refusal`.
+async fn refuse(
+    site: &Site,
+    conn: &mut Conn,
+    id: &str,
+    refusal: &Refusal,
+    close: &mut Close,
+) -> Next {
+    let last = close.decide(site, conn);
+    match (conn.write(&encode(refusal, last)).await, last) {
+        (Ok(()), true) => Next::Linger,
+        (Ok(()), false) => Next::Keep,
+        (Err(error), _) => {
+            tracing::info!(target: "request", id, %error, "refusal not accepted by the caller");
+            Next::Close
         }
     }
 }
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -65,8 +65,10 @@
     close: &mut Close,
 ) -> Outcome {
     let answer = tokio::select! {
-        answer = exchange.open(None) => answer,
+        biased;
+        // First, so that nothing is sent for a caller that has already left.
         end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
+        answer = exchange.open(None) => answer,
     };
     match answer {
         Err(refusal) => Outcome::Refused(refusal),
--- a/crates/router/src/proxy/response/close.rs
+++ b/crates/router/src/proxy/response/close.rs
@@ -8,7 +8,8 @@
 use crate::proxy::site::Site;
 
 /// Whether a caller's connection closes after an answer, decided when its head is
-/// written: a process that stops first answers the requests that have been read ahead.
+/// written: a process that stops, or whose caller sends nothing more, first answers the
+/// requests that have been read ahead.
 #[derive(Debug)]
 pub struct Close {
     /// The caller has asked for it.
@@ -27,8 +28,8 @@
 
     /// Decides it for an answer to `caller` whose head is about to be written.
     pub fn decide(&mut self, site: &Site, caller: &mut Conn) -> bool {
-        let stopping = site.stopping.get().is_some();
-        self.announced = self.requested || stopping && !has_read_ahead(caller, self.limits.head);
+        let ends = site.stopping.get().is_some() || caller.read_closed;
+        self.announced = self.requested || ends && !has_read_ahead(caller, self.limits.head);
         self.announced
     }
 
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -153,6 +153,7 @@
         return;
     }
     tracing::warn!(target: "run", handled = site.handled.count(), "requests interrupted");
+    // Err: it is set already.
     let _ = site.interrupt.set(());
     let end = site.now() + INTERRUPT_TIME;
     while site.handled.count() > 0 && site.now() < end {
