LOST: answers without an end to the router's own calls cannot fill the memory

What callers saw: a host whose store, engine or cache store sends bytes without an end exceeds its memory within half a second and is killed, with all requests in progress.

Cause: the client of the store and of control interfaces collects bodies of any length until the call's time is up (1.5 s for the store, 1.7 s for cache events, 0.3 s for reports).

Change: a body has at most 4 MiB, and a report 256 KiB, since many may be read at once (one for each silent stream). A longer one is an error with its limit, after which the connection is closed and the call is repeated as after other failures.

Ruled out: one limit for all. Pages of the store have up to 1 MB of records, and the first read of an engine's events returns all that it still has.

--- a/crates/router/src/proxy/reports.rs
+++ b/crates/router/src/proxy/reports.rs
@@ -32,6 +32,9 @@
 /// Time-out of an engine's answer, which usually takes a few milliseconds.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest report, in bytes. Many may be read at once, one for each silent stream.
+const MAX_REPORT_SIZE: usize = 256 << 10;
+
 /// How far a report may lag behind the engine's state: a query sent this long
 /// after a refusal returns the state after the refusal.
 const LAG: Duration = Duration::from_millis(300);
@@ -85,7 +88,9 @@
 
 /// A client that uses `conn`, a new connection to `upstream`.
 fn client(upstream: &Upstream, conn: Conn) -> HttpClient {
-    HttpClient::new(upstream.entry.borrow().addr).with_conn(conn)
+    HttpClient::new(upstream.entry.borrow().addr)
+        .with_conn(conn)
+        .with_max_body_size(MAX_REPORT_SIZE)
 }
 
 /// Handles the refusal by `upstream` of a request sent for the version `asked` of
--- a/crates/router/src/proxy/storeclient.rs
+++ b/crates/router/src/proxy/storeclient.rs
@@ -15,6 +15,28 @@
 /// Time limit for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest body of an answer, in bytes, unless a client has a limit of its own. The store's
+/// pages and engines' cache events stay below this.
+const MAX_BODY_SIZE: usize = 4 << 20;
+
+quick_error! {
+    /// Why an answer was not read whole.
+    #[derive(Debug)]
+    enum ExchangeError {
+        /// It could not be read.
+        Read(error: ReadError) {
+            from()
+            from(error: std::io::Error) -> (error.into())
+            from(error: http1::BadMessage) -> (error.into())
+            display("{error}")
+        }
+        /// Its body is longer than allowed.
+        BodyTooLong(limit: usize) {
+            display("the body is longer than {limit} bytes")
+        }
+    }
+}
+
 quick_error! {
     /// Why a call got no answer.
     #[derive(Debug)]
@@ -43,12 +65,13 @@
     peer: SocketAddr,
     conn: Option<Conn>,
     bytes: u64,
+    max_body_size: usize,
 }
 
 impl HttpClient {
     /// A client of `peer`, not yet connected.
     pub fn new(peer: SocketAddr) -> Self {
-        Self { peer, conn: None, bytes: 0 }
+        Self { peer, conn: None, bytes: 0, max_body_size: MAX_BODY_SIZE }
     }
 
     /// Uses `conn`, a connection to the peer, for the next calls.
@@ -56,6 +79,11 @@
         Self { conn: Some(conn), ..self }
     }
 
+    /// Limits the bodies of answers to `bytes`.
+    pub fn with_max_body_size(self, bytes: usize) -> Self {
+        Self { max_body_size: bytes, ..self }
+    }
+
     /// Whether another host relays the connection.
     pub fn is_relayed(&self) -> bool {
         self.conn.as_ref().is_some_and(|conn| conn.relayed)
@@ -85,7 +113,8 @@
         };
         let bytes = encode(call, headers, self.peer);
         self.bytes += bytes.len() as u64;
-        match tokio::time::timeout(limit, exchange(&mut conn, &bytes, call.method)).await {
+        let exchange = exchange(&mut conn, &bytes, call.method, self.max_body_size);
+        match tokio::time::timeout(limit, exchange).await {
             Ok(Ok((reply, keep))) => {
                 self.bytes += reply.body.len() as u64;
                 self.conn = keep.then_some(conn);
@@ -114,13 +143,22 @@
     }
 }
 
-async fn exchange(conn: &mut Conn, bytes: &[u8], method: &str) -> Result<(Reply, bool), ReadError> {
+/// Sends the request `bytes` and reads the answer; true if the connection can be kept.
+async fn exchange(
+    conn: &mut Conn,
+    bytes: &[u8],
+    method: &str,
+    max_body_size: usize,
+) -> Result<(Reply, bool), ExchangeError> {
     conn.write(bytes).await?;
     let head = answer::read_head(conn).await?;
     let mut body = Body::from(http1::response_framing(method, &head)?);
     let mut received = BytesMut::new();
     while let Some(data) = answer::next_piece(conn, &mut body).await? {
         received.extend_from_slice(&data);
+        if received.len() > max_body_size {
+            return Err(ExchangeError::BodyTooLong(max_body_size));
+        }
     }
     let keep = !head.headers.closes(head.minor) && conn.buf.is_empty() && !conn.read_closed;
     let era = store::era(|name| head.headers.get(name)).unwrap_or_else(|error| {
