--- a/crates/router/src/proxy/answer.rs
+++ b/crates/router/src/proxy/answer.rs
@@ -11,6 +11,9 @@
 /// Longest head of an answer, in bytes.
 const HEAD_LIMIT: usize = 32 << 10;
 
+/// Most interim answers before a head.
+const MAX_INTERIM_ANSWERS: usize = 64;
+
 /// Status 101, after which the connection is no longer used for HTTP.
 const SWITCHING: u16 = 101;
 
@@ -32,14 +35,24 @@
         Closed {
             display("connection closed")
         }
+        /// The peer has sent too many interim answers.
+        TooManyInterim {
+            display("more than {MAX_INTERIM_ANSWERS} interim answers")
+        }
     }
 }
 
 /// Reads the head of the answer; interim answers (1xx) are skipped.
 pub async fn read_head(conn: &mut Conn) -> Result<ResponseHead, ReadError> {
+    let mut interim = 0;
     loop {
         match http1::response_head(&mut conn.buf, HEAD_LIMIT)? {
-            Some(head) if (100..200).contains(&head.status) && head.status != SWITCHING => continue,
+            Some(head) if (100..200).contains(&head.status) && head.status != SWITCHING => {
+                interim += 1;
+                if interim > MAX_INTERIM_ANSWERS {
+                    return Err(ReadError::TooManyInterim);
+                }
+            }
             Some(head) => return Ok(head),
             None if conn.fill().await? == 0 => return Err(ReadError::Closed),
             None => {}
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -26,7 +26,8 @@
 /// Answers to other requests that are skipped before the expected one.
 const MAX_STRAY_ANSWERS: usize = 2;
 
-/// Longest body, in bytes, of an answer that is read whole before it is forwarded.
+/// Longest body, in bytes, of an answer that is skipped, or read whole before it is
+/// forwarded.
 const BODY_LIMIT: usize = 16 << 20;
 
 /// A connection whose answer has begun.
@@ -145,7 +146,7 @@
         if framing == http1::Framing::Close {
             break;
         }
-        while let Some(_data) = next_piece(pooled.conn(), &mut body).await? {}
+        skip(pooled.conn(), &mut body).await?;
     }
     Err(Failure::InvalidAnswer("answer head", "answers another request".into()))
 }
@@ -171,6 +172,19 @@
     }
 }
 
+/// Reads the rest of `body` and drops it.
+async fn skip(conn: &mut Conn, body: &mut Body) -> Result<(), Failure> {
+    let mut skipped = 0;
+    while let Some(data) = next_piece(conn, body).await? {
+        skipped += data.len();
+        if skipped > BODY_LIMIT {
+            let why = "answers another request at too great a length".into();
+            return Err(Failure::InvalidAnswer("answer body", why));
+        }
+    }
+    Ok(())
+}
+
 async fn next_piece(conn: &mut Conn, body: &mut Body) -> Result<Option<Bytes>, Failure> {
     answer::next_piece(conn, body).await.map_err(|e| ("answer body", e).into())
 }
