--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -76,7 +76,8 @@
 
 /// An idle connection to `upstream`. None is used while requests there get no
 /// answer: a new connection shows whether the link is lost. A relayed one is not
-/// used where the link is to be tried again.
+/// used where the link is to be tried again, or where the relaying host is silent or
+/// stops: the connection would end with its process.
 fn kept(site: &Site, upstream: &Upstream) -> Option<Conn> {
     let now = site.now();
     let stalled = upstream.health.borrow().stalled_for(now) >= STALL_TIMEOUT;
@@ -84,7 +85,8 @@
     if stalled && path == Path::Direct {
         return None;
     }
-    upstream.pool.take(now, path != Path::Both)
+    let relay_serves = |conn: &Conn| conn.peer().is_some_and(|host| site.peers.is_open(host));
+    upstream.pool.take(now, |conn| !conn.relayed || (path != Path::Both && relay_serves(conn)))
 }
 
 /// Sends the encoded `request` to `upstream` and reads the head of the answer.
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -7,6 +7,7 @@
 
 mod delivery;
 mod message;
+mod relaying;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -21,11 +22,10 @@
 use marjoram_core::pace::LinkSpeed;
 use marjoram_core::place;
 use marjoram_core::quota::ledger::Hosts;
-use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::fleet::{Load, Upstream};
+use super::fleet::Load;
 use super::traffic::Traffic;
 pub use message::{
     BacklogAnswer, BacklogQuery, ClaimReport, Heartbeat, HostRecord, LimitAnswer, LimitReport,
@@ -274,27 +274,6 @@
         open.map(|p| (p.record.callers, p.lost_links.all)).collect()
     }
 
-    /// Up to `count` hosts that may relay a connection to `upstream`, drawn by their
-    /// capacity: those that are not cut off from its service and do not report it
-    /// unreachable, and take callers, if there are any; else those that are stopping.
-    pub fn relays(&self, upstream: &Upstream, count: usize) -> Vec<SocketAddr> {
-        let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
-        let service = xxh3_64(upstream.entry.borrow().service.as_bytes());
-        let known = self.known.borrow();
-        let reaches = |p: &&Peer| {
-            !p.lost_links.services.contains(&service) && !p.unreachable.contains(&upstream.key)
-        };
-        let alive = known.values().filter(|p| p.is_alive(now, peer_timeout));
-        let mut hosts: Vec<&Peer> = alive.filter(reaches).collect();
-        if hosts.iter().any(|p| p.open) {
-            hosts.retain(|p| p.open);
-        }
-        let weight = |p: &&Peer| f64::from(p.control_capacity.0.max(1));
-        let drawn = hosts.choose_multiple_weighted(&mut rand::rng(), count, weight);
-        // Weights are positive, so an error means that there are no hosts.
-        drawn.map(|drawn| drawn.map(|p| p.record.peers).collect()).unwrap_or_default()
-    }
-
     /// Number of other hosts that have requests at the upstream with the key `key`.
     pub fn users(&self, key: u64) -> usize {
         let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
--- a/crates/router/src/proxy/pool.rs
+++ b/crates/router/src/proxy/pool.rs
@@ -22,12 +22,12 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection that can still be used at `now`, and
-    /// is not relayed unless `relayed` is set.
-    pub fn take(&self, now: Duration, relayed: bool) -> Option<Conn> {
+    /// Takes the most recently used connection that can still be used at `now` and that
+    /// `may_use` allows; those used more recently are closed.
+    pub fn take(&self, now: Duration, may_use: impl Fn(&Conn) -> bool) -> Option<Conn> {
         loop {
             let (mut conn, until) = self.idle.borrow_mut().pop_back()?;
-            if now < until && (relayed || !conn.relayed) && conn.is_reusable() {
+            if now < until && may_use(&conn) && conn.is_reusable() {
                 return Some(conn);
             }
         }
