LOST: an answer of a silent engine is kept until another engine has accepted it

What callers saw: on the own interface a request ended with 502, or its stream with an error event, though its engine was sound: it had sent nothing for a second or two and then went on.

If none took it, nothing was left to pass on. The same held for the head of an answer.

Change: the silent answer is awaited while other engines are asked (forward/takeover).

Ruled out: dropping the silent answer only at the first chunk of another engine, which would also cover a second engine that fails right after it has accepted; prompts would run twice for as long as the other queue is.

--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -51,6 +51,12 @@
     has_deadline: bool,
 }
 
+/// State of a job before a silent engine was excluded.
+pub struct Excluded {
+    last_error: Option<Error>,
+    crashed: bool,
+}
+
 /// The engine chosen for a job's next attempt.
 pub struct Choice {
     /// The engine.
@@ -229,6 +235,27 @@
         };
     }
 
+    /// Excludes the engine at `addr`, which is silent, from further attempts until it is
+    /// readmitted. `may_have_crashed` tells whether it may have crashed while running the job.
+    /// Returns the state to restore then.
+    pub fn exclude(&mut self, addr: &str, may_have_crashed: bool) -> Excluded {
+        let excluded = Excluded { last_error: self.last_error.take(), crashed: self.crashed };
+        self.failed_engines.push(addr.to_string());
+        self.crashed |= may_have_crashed;
+        excluded
+    }
+
+    /// Ends the exclusion of the engine at `addr`; `error` is what the other engines answered,
+    /// if they did. Once one of them may have run the request, it stays so.
+    pub fn readmit(&mut self, addr: &str, excluded: Excluded, error: Option<Error>) {
+        self.failed_engines.retain(|failed| failed != addr);
+        self.crashed = excluded.crashed;
+        let ran = |error: &Error| matches!(error, Error::Engine(..));
+        let errors = [excluded.last_error, self.last_error.take(), error];
+        let mut errors = errors.into_iter().flatten();
+        self.last_error = errors.find(ran);
+    }
+
     /// The error to return to the caller if no engine can be chosen.
     fn give_up_without_engine(&mut self, node: &Node, withheld: &[Slot]) -> Error {
         let pool = node.pool.load();
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -142,6 +142,15 @@
         wait_listening(&addr);
     }
 
+    /// Starts a further engine and adds it to the host list.
+    pub async fn add_engine(&mut self) {
+        let first: SocketAddr = self.engines[0].parse().expect("ip:port");
+        let i = self.engines.len();
+        self.engines.push(format!("127.0.0.1:{}", first.port() + i as u16));
+        self.start_engine(i);
+        put_host(&self.hosts, &entry(&self.engines[i], Role::Engine, HostState::Live, i)).await;
+    }
+
     /// Starts the service. After a kill it restarts with its run counts empty.
     pub fn start_service(&mut self) {
         let addr = self.service.clone();
