CONFIG: hosts that are gone do not delay the renewal of polls

What callers saw: nothing yet; found in review. A host that was one of 61 on record, of which 60 were gone, put a configuration without a wake-up in force after 12 s or later.

Cause: the time between renewals grew with the hosts on record, and a poll kept the time that was drawn when more hosts were present.

Evidence: hosts_that_are_gone_do_not_delay_a_configuration_whose_wake_up_is_lost failed before (not in force after 12 s), also with the hosts present counted but the first poll kept.

Change: the hosts that are present count, and a poll that lasts longer than they allow is sent again.

--- a/crates/core/src/poll_renewal.rs
+++ b/crates/core/src/poll_renewal.rs
@@ -1,6 +1,6 @@
-//! When long polls are renewed, so that no time limit hangs on a single wake-up.
+//! When long polls are renewed, so that no time limit depends on a single wake-up.
 //!
-//! Load pattern: a store answers a waiting read when a record is written, but may miss
+//! Load pattern: a store answers a waiting read when a record is written, but may fail
 //! to do so for all readers at once. Hosts that wait with long polls then learn of the
 //! record with the next one, or when their polls end. Polls that are renewed often
 //! enough for the limit at each host cost more calls the more hosts there are.
@@ -19,6 +19,9 @@
 /// calls and for putting in force what it finds.
 const FEW_HOSTS_SHARE: f64 = 0.6;
 
+/// Divisor of that time for the shortest of these polls.
+const MIN_FEW_HOSTS_DIVISOR: f64 = 2.0;
+
 /// Shortest poll.
 const MIN_POLL: Duration = Duration::from_millis(100);
 
@@ -40,8 +43,10 @@
     let few = limit.mul_f64(FEW_HOSTS_SHARE);
     // The mean of the random times is half of this.
     let longest = limit * 2 / RENEWALS * hosts.max(1) as u32;
-    match longest < few.mul_f64(1.5) {
-        true => few.mul_f64(0.5 + random / 2.0),
+    let shortest = few.div_f64(MIN_FEW_HOSTS_DIVISOR);
+    // Of the two, the one that renews less often.
+    match longest < few + shortest {
+        true => shortest + (few - shortest).mul_f64(random),
         false => longest.min(MAX_POLL).mul_f64(random).max(MIN_POLL),
     }
 }
--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -34,6 +34,9 @@
 /// a store that is available answers within this time.
 const STARTUP_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time between checks whether a poll lasts too long, since hosts have gone.
+const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The offset at which to continue reading, and the era of the store to which it
 /// belongs.
 #[derive(Debug, Clone, Copy)]
@@ -102,12 +105,17 @@
     let mut call_state = CallState::new(S::TOPIC);
     let mut from: Option<Offset> = None;
     loop {
-        let asked = site.now();
+        let (asked, random) = (site.now(), rand::random());
         let valid = from.filter(|from| from.is_current(&site));
         let result = match valid {
             None => list(&site, &mut client, &mut sink, from).await,
             Some(at) => tokio::select! {
-                read = read(&site, &mut client, &mut sink, at) => read,
+                read = read(&site, &mut client, &mut sink, at, random) => read,
+                // A call that waits for longer than the hosts that are left allow.
+                () = poll_expired(&site, asked, random), if S::pause(&site).is_none() => {
+                    client = HttpClient::new(site.settings.load().store.addr);
+                    continue;
+                }
                 // A call that was waiting when the store became unavailable or
                 // changed its address may never be answered, so it is sent again.
                 () = site.store_recovered.notified() => {
@@ -151,6 +159,19 @@
     }
 }
 
+/// How long a poll waits; `random` is that of the poll, from 0 to 1.
+fn poll_wait(site: &Site, random: f64) -> Duration {
+    poll_time(site.peers.present_count(), site.settings.load().bounds.config, random)
+}
+
+/// Waits until a poll begun at `asked` has lasted longer than it may with the hosts that are
+/// present by then.
+async fn poll_expired(site: &Site, asked: Duration, random: f64) {
+    while site.now() < asked + poll_wait(site, random) + ANSWER_TIMEOUT {
+        tokio::time::sleep(POLL_CHECK_INTERVAL).await;
+    }
+}
+
 /// Waits until the next read is due or a newer era of the store is known; returns
 /// where to continue.
 async fn wait_next<S: Sink>(site: &Rc<Site>, sink: &mut S, read: Read) -> Offset {
@@ -227,10 +248,11 @@
     client: &mut HttpClient,
     sink: &mut S,
     from: Offset,
+    random: f64,
 ) -> Result<Option<Offset>, String> {
     let wait = match S::pause(site) {
         Some(_) => Duration::ZERO,
-        None => poll_time(site.peers.count(), site.settings.load().bounds.config, rand::random()),
+        None => poll_wait(site, random),
     };
     let Offset { era, at } = from;
     let reply = call(site, client, &store::read(S::TOPIC, at, wait), wait + ANSWER_TIMEOUT).await?;
