--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -38,6 +38,8 @@
     pub head: ResponseHead,
     /// What its headers say about the send.
     pub mark: ResponseMetadata,
+    /// When its head was received.
+    pub begun: Duration,
     /// The body ends with the connection.
     pub until_close: bool,
     pooled: PooledConn,
@@ -140,7 +142,8 @@
         if !stray {
             let until_close = framing == http1::Framing::Close;
             let upstream = upstream.clone();
-            return Ok(StartedAnswer { upstream, head, mark, until_close, pooled, body });
+            let begun = site.now();
+            return Ok(StartedAnswer { upstream, head, mark, begun, until_close, pooled, body });
         }
         site.counters.count("upstream.stray_answers");
         tracing::warn!(target: "attempt", upstream = %upstream.life, ours = attempt,
@@ -192,6 +195,19 @@
 }
 
 impl StartedAnswer {
+    /// Whether it is a server error, or a success without a seal.
+    pub fn is_failure(&self) -> bool {
+        match self.head.status {
+            200..=299 => !self.mark.sealed,
+            status => status >= 500,
+        }
+    }
+
+    /// Closes the connection; nothing more can be read.
+    pub fn close(&mut self) {
+        self.pooled.conn = None;
+    }
+
     /// The next bytes of the body; `None` at its end. Cancel safe: no bytes are
     /// lost if the future is dropped.
     pub async fn next_data(&mut self) -> Result<Option<Bytes>, Failure> {
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -35,6 +35,7 @@
 use choose::Chosen;
 use limits::Denials;
 use send::Sent;
+use takeover::PendingSend;
 pub use takeover::Takeover;
 
 /// Unreachable upstreams that one request tries before it is refused.
@@ -93,8 +94,8 @@
     tried: Vec<Instance>,
     /// Upstreams that could not be connected to.
     unreachable: Vec<Instance>,
-    /// An upstream may have begun to run it.
-    may_have_run: bool,
+    /// Sends after which an upstream may have begun to run it.
+    possible_runs: u32,
     /// Sends so far, without those that could not connect.
     pub sends: u32,
     /// Connects that failed.
@@ -116,6 +117,8 @@
     withheld: Cell<bool>,
     /// The upstream of the last send.
     pub last: Option<Instance>,
+    /// When the last send was begun, while it has no answer.
+    pending_send: PendingSend,
 }
 
 impl Exchange {
@@ -169,7 +172,7 @@
             charge,
             tried: Vec::new(),
             unreachable: Vec::new(),
-            may_have_run: false,
+            possible_runs: 0,
             sends: 0,
             failed_connects: 0,
             waited: Duration::ZERO,
@@ -180,6 +183,7 @@
             denials: RefCell::default(),
             withheld: Cell::new(false),
             last: None,
+            pending_send: PendingSend::default(),
         })
     }
 
@@ -188,6 +192,11 @@
         self.request.asked.attempt.as_deref().unwrap_or("-")
     }
 
+    /// Whether an upstream may have begun to run it.
+    fn may_have_run(&self) -> bool {
+        self.possible_runs > 0
+    }
+
     /// The request.
     pub fn request(&self) -> &Request {
         &self.request
@@ -205,7 +214,7 @@
 
     /// The refusal at the deadline.
     pub fn deadline_refusal(&self) -> Refusal {
-        match self.may_have_run {
+        match self.may_have_run() {
             true => Refusal::with_status(504, "not answered in time"),
             false => Refusal::not_run("not sent in time", RETRY_MIN),
         }
@@ -271,7 +280,7 @@
     fn may_send(&self) -> Result<(), Refusal> {
         self.check_quarantine()?;
         let tried = self.tried.len() as u32;
-        match (self.sends, self.may_have_run) {
+        match (self.sends, self.may_have_run()) {
             _ if self.left().is_zero() => Err(self.deadline_refusal()),
             _ if self.failed_connects >= MAX_CONNECT_TRIES => {
                 Err(self.give_up("upstreams unreachable"))
@@ -298,7 +307,7 @@
 
     /// The refusal when the request is not sent any more, for the reason `why`.
     pub fn give_up(&self, why: &'static str) -> Refusal {
-        match self.may_have_run {
+        match self.may_have_run() {
             true => Refusal::with_status(502, why),
             false => Refusal::not_run(why, self.retry_after()),
         }
@@ -310,7 +319,7 @@
     fn give_up_until(&self, why: &'static str, wait: Duration) -> Refusal {
         let wait = wait.min(quota::RETRY_MAX);
         let spread = (wait.mul_f64(quota::RETRY_JITTER) + MIN_SPREAD).mul_f64(rand::random());
-        match self.may_have_run {
+        match self.may_have_run() {
             true => Refusal::with_status(502, why),
             false => Refusal::not_run_until(why, wait + spread),
         }
@@ -331,7 +340,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.notify_room();
-        if let Some(charge) = self.charge.take().filter(|_| !self.may_have_run) {
+        if let Some(charge) = self.charge.take().filter(|_| self.possible_runs == 0) {
             charge.refund(&self.site);
         }
     }
--- a/crates/router/src/proxy/request/poison.rs
+++ b/crates/router/src/proxy/request/poison.rs
@@ -39,7 +39,7 @@
         self.site.counters.count("upstream.broken");
         tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %failure,
             fingerprint = %self.fingerprint, sends = self.sends, "answer cut off by upstream");
-        let ran = self.site.now().saturating_sub(self.begun);
+        let ran = self.site.now().saturating_sub(opened.begun);
         self.check_for_crash(upstream, failure, Some(ran));
     }
 
@@ -89,7 +89,7 @@
     /// Refuses a request that is in quarantine, or whose prompt has parts that are.
     pub(super) fn check_quarantine(&self) -> Result<(), Refusal> {
         let left = poison::refused_for(&self.site, self.fingerprint, &self.parts, self.id());
-        match (left, self.may_have_run) {
+        match (left, self.may_have_run()) {
             (None, _) => Ok(()),
             (Some(_), true) => Err(Refusal::with_status(502, QUARANTINED)),
             (Some(left), false) => Err(Refusal::quarantined(left)),
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -1,7 +1,6 @@
 //! Sends a request to the upstream chosen, and applies the outcome to the state
 //! of the request and to the upstream's health.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,8 +10,9 @@
 use marjoram_platform::headers;
 
 use super::choose::Chosen;
-use super::takeover::Head;
+use super::takeover::HeadOutcome;
 use super::{Answer, Exchange};
+use crate::paths::ConnectError;
 use crate::proxy::attempt::{self, StartedAnswer};
 use crate::proxy::backlog::Claim;
 use crate::proxy::failure::Failure;
@@ -122,20 +122,25 @@
         let method = self.request.head.method.clone();
         // From here on the upstream may have received the request, also if this
         // future is dropped.
-        let may_have_run_before = std::mem::replace(&mut self.may_have_run, true);
-        let sent = pin!(attempt::send(&site, upstream, &method, id.as_deref(), &encoded));
+        self.possible_runs += 1;
+        self.pending_send.set(Some(begun));
+        let sent = attempt::send(&site, upstream, &method, id.as_deref(), &encoded);
         let (result, failed) = match self.wait_for_head(chosen, begun, sent, resumed).await {
-            Head::Received(result, failed) => (result, failed),
-            Head::Replaced(answer, ended) => {
+            HeadOutcome::Received(result, failed) => (result, failed),
+            HeadOutcome::Replaced(answer, ended) => {
                 self.record_replaced_send(upstream, ended, begun);
                 return Sent::Replaced(answer);
             }
         };
-        let placed = Placed { chosen, flight, ahead, begun, may_have_run_before };
-        match (self.handle_head(placed, result).await, failed) {
+        let placed = Placed { chosen, flight, ahead, begun };
+        let sent = match (self.handle_head(placed, result).await, failed) {
             (Sent::NoAnswer, Some((opened, body))) => Sent::Failed(opened, body),
             (sent, _) => sent,
+        };
+        if !matches!(sent, Sent::Open(..)) {
+            self.pending_send.set(None);
         }
+        sent
     }
 
     /// Records how the send to a silent `upstream` ended whose request another one has
@@ -148,11 +153,30 @@
     ) {
         let now = self.site.now();
         match ended.unwrap_or(Err(Failure::TimedOut(now - begun))) {
-            Ok(refused) => refused.finish(now),
+            Ok(refused) if refused.mark.not_run => {
+                self.possible_runs -= 1;
+                refused.finish(now);
+            }
+            Ok(failed) => drop(failed),
+            Err(Failure::Unreachable(why)) => self.record_unreachable(upstream, &why),
             Err(failure) => self.record_failed_send(upstream, &failure),
         }
     }
 
+    /// Records that no connection to `upstream` could be opened, so that nothing was sent.
+    fn record_unreachable(&mut self, upstream: &Rc<Upstream>, why: &ConnectError) {
+        self.possible_runs -= 1;
+        self.sends -= 1;
+        self.failed_connects += 1;
+        self.tried.retain(|life| *life != upstream.life);
+        self.unreachable.push(upstream.life.clone());
+        upstream.mark_down(why, self.site.now());
+        rate_limits::refund(&self.site, upstream);
+        self.site.counters.count("upstream.unreachable");
+        tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %why,
+            "upstream unreachable");
+    }
+
     /// Records that a send to `upstream` got no answer.
     fn record_failed_send(&mut self, upstream: &Rc<Upstream>, failure: &Failure) {
         upstream.record_failure(failure, self.site.now());
@@ -169,23 +193,14 @@
         placed: Placed<'_>,
         result: Result<StartedAnswer, Failure>,
     ) -> Sent {
-        let Placed { chosen, mut flight, ahead, begun, may_have_run_before } = placed;
+        let Placed { chosen, mut flight, ahead, begun } = placed;
         let site = self.site.clone();
         let upstream = &chosen.upstream;
         let now = site.now();
         self.waited = now - begun;
         match result {
             Err(Failure::Unreachable(why)) => {
-                self.may_have_run = may_have_run_before;
-                self.sends -= 1;
-                self.failed_connects += 1;
-                self.tried.retain(|life| *life != upstream.life);
-                self.unreachable.push(upstream.life.clone());
-                upstream.mark_down(&why, now);
-                rate_limits::refund(&site, upstream);
-                site.counters.count("upstream.unreachable");
-                tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %why,
-                    "upstream unreachable");
+                self.record_unreachable(upstream, &why);
                 Sent::NoAnswer
             }
             Err(failure) => {
@@ -193,7 +208,7 @@
                 Sent::NoAnswer
             }
             Ok(opened) if opened.mark.not_run => {
-                self.may_have_run = may_have_run_before;
+                self.possible_runs -= 1;
                 self.handle_refusal(opened, chosen.weights, now).await
             }
             Ok(opened) => {
@@ -363,8 +378,6 @@
     /// Prompt tokens that the engine had to prefill then, those of this request included.
     ahead: u64,
     begun: Duration,
-    /// Whether an upstream may have run it before.
-    may_have_run_before: bool,
 }
 
 /// The outcome of one send.
--- a/crates/router/src/proxy/request/takeover.rs
+++ b/crates/router/src/proxy/request/takeover.rs
@@ -5,7 +5,9 @@
 //! If its answer is given up before another upstream has begun one, a request that
 //! would have been answered fails, and a stream that its caller already reads is cut.
 
-use std::pin::{Pin, pin};
+use std::cell::Cell;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -18,6 +20,16 @@
 use crate::proxy::failure::Failure;
 use crate::proxy::refusal::Refusal;
 
+/// Longest time for which an engine keeps a prompt that has been sent to another engine:
+/// two that compute it cost others their places.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// Time between checks of that.
+const OVERLAP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// When the last send was begun, while it has no answer.
+pub(super) type PendingSend = Rc<Cell<Option<Duration>>>;
+
 /// How the wait for a silent upstream ended. `T` is what it sent.
 pub enum Takeover<T> {
     /// It went on.
@@ -30,7 +42,7 @@
 }
 
 /// How the wait for the head of an answer ended.
-pub(super) enum Head {
+pub(super) enum HeadOutcome {
     /// The upstream has answered or failed; the failure that another one has answered
     /// meanwhile, if it has.
     Received(Result<StartedAnswer, Failure>, Option<(StartedAnswer, BytesMut)>),
@@ -42,6 +54,7 @@
 struct LastSend {
     claim: Option<Claim>,
     upstream: Option<Instance>,
+    begun: Duration,
 }
 
 impl Exchange {
@@ -57,7 +70,12 @@
         takes_over: impl Fn(&Answer) -> bool,
         resumed: Option<u64>,
     ) -> Takeover<T> {
-        let last = LastSend { claim: self.claim.take(), upstream: self.last.clone() };
+        let begun = self.begun;
+        let last = LastSend { claim: self.claim.take(), upstream: self.last.clone(), begun };
+        self.site.counters.count("request.upstream_silent");
+        tracing::info!(target: "attempt", id = self.id(),
+            upstream = last.upstream.as_ref().map(ToString::to_string),
+            "upstream silent, asking another one");
         let mut silent = pin!(silent);
         let (ended, other) = {
             // Boxed, since the other send may be tried beside a further one.
@@ -74,6 +92,8 @@
         match (ended, other) {
             (Some(sent), None) => {
                 self.restore(last);
+                self.site.counters.count("request.upstream_went_on");
+                tracing::info!(target: "attempt", id = self.id(), "silent upstream has gone on");
                 Takeover::WentOn(sent)
             }
             (ended, Some(Ok(answer))) if takes_over(&answer) => Takeover::Replaced(answer, ended),
@@ -91,47 +111,75 @@
         &mut self,
         chosen: &Chosen,
         begun: Duration,
-        mut sent: Pin<&mut impl Future<Output = Result<StartedAnswer, Failure>>>,
+        sent: impl Future<Output = Result<StartedAnswer, Failure>>,
         resumed: Option<u64>,
-    ) -> Head {
-        let timed_out = |this: &Self| Err(Failure::TimedOut(this.site.now() - begun));
+    ) -> HeadOutcome {
+        let mut sent = Box::pin(sent);
         let end = chosen.begin_within.min(self.expires.saturating_sub(begun));
         let patience = self.first_byte_timeout(chosen.expected_wait).min(end);
         let soon = tokio::time::timeout_at(self.site.at(begun + patience), &mut sent).await;
         if let Ok(result) = soon {
-            return Head::Received(result, None);
+            return HeadOutcome::Received(result, None);
         }
-        let end = self.site.at(begun + end);
+        let until = self.site.at(begun + end);
+        let overlap_end = self.overlap_end();
+        // Owns the send, so that its connection closes at the end also while another is awaited.
+        let mut silent = pin!(async move {
+            tokio::select! {
+                biased;
+                sent = sent => Some(sent),
+                () = tokio::time::sleep_until(until) => None,
+                () = overlap_end => None,
+            }
+        });
         let mut failed = None;
-        if patience < end.duration_since(self.site.at(begun)) && self.may_send_elsewhere(chosen) {
-            let silent = tokio::time::timeout_at(end, &mut sent);
-            let went_on = |sent: &Result<Result<StartedAnswer, _>, _>| match sent {
-                Ok(Ok(opened)) => !opened.mark.not_run,
-                Ok(Err(_)) | Err(_) => false,
+        if patience < end && self.may_send_elsewhere(chosen) {
+            let went_on = |sent: &Option<Result<StartedAnswer, _>>| match sent {
+                Some(Ok(opened)) => !opened.mark.not_run && !opened.is_failure(),
+                Some(Err(_)) | None => false,
             };
             let takes_over = |answer: &Answer| matches!(answer, Answer::Open(..));
-            let ended =
-                |result: Result<_, _>| result.unwrap_or(Err(Failure::TimedOut(Duration::ZERO)));
-            match self.open_other(silent, went_on, takes_over, resumed).await {
+            let site = self.site.clone();
+            let ended = |sent: Option<Result<_, _>>| {
+                sent.unwrap_or_else(|| Err(Failure::TimedOut(site.now() - begun)))
+            };
+            match self.open_other(silent.as_mut(), went_on, takes_over, resumed).await {
                 Takeover::Replaced(answer, sent) => {
-                    return Head::Replaced(answer, sent.map(ended));
+                    return HeadOutcome::Replaced(answer, sent.map(ended));
                 }
-                Takeover::WentOn(sent) => return Head::Received(ended(sent), None),
+                Takeover::WentOn(sent) => return HeadOutcome::Received(ended(sent), None),
                 Takeover::Failed(sent, other) => {
                     if let Ok(Answer::Failed(opened, body)) = other {
                         failed = Some((opened, body));
                     }
                     if let Some(sent) = sent {
-                        return Head::Received(ended(sent), failed);
+                        return HeadOutcome::Received(ended(sent), failed);
                     }
                 }
             }
         }
-        let result = tokio::time::timeout_at(end, sent).await;
-        Head::Received(result.unwrap_or_else(|_| timed_out(self)), failed)
+        let result = silent.await;
+        let timed_out = || Err(Failure::TimedOut(self.site.now() - begun));
+        HeadOutcome::Received(result.unwrap_or_else(timed_out), failed)
+    }
+
+    /// Completes once an engine that is silent has to give the prompt up, since another one
+    /// that was sent it has not answered for [`MAX_OVERLAP`]; never for other requests.
+    pub fn overlap_end(&self) -> impl Future<Output = ()> + 'static {
+        self.pending_send.set(None);
+        let (site, pending) = (self.site.clone(), self.pending_send.clone());
+        let computes_prompt = self.request.asked.prompt.is_some();
+        async move {
+            if !computes_prompt {
+                return std::future::pending().await;
+            }
+            while pending.get().is_none_or(|since| site.now() < since + MAX_OVERLAP) {
+                tokio::time::sleep(OVERLAP_INTERVAL).await;
+            }
+        }
     }
 
     fn restore(&mut self, last: LastSend) {
-        (self.claim, self.last) = (last.claim, last.upstream);
+        (self.claim, self.last, self.begun) = (last.claim, last.upstream, last.begun);
     }
 }
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -329,12 +329,24 @@
         }
         let takes_over =
             |answer: &Answer| matches!(answer, Answer::Open(next, _) if is_stream(next));
-        let other = self.exchange.open_other(
-            opened.next_data(),
-            Result::is_ok,
-            takes_over,
-            self.last_event_id,
-        );
+        let whole = self.splitter.is_empty();
+        let went_on = |data: &Result<Option<Bytes>, Failure>| match data {
+            Ok(Some(_)) => true,
+            Ok(None) => whole,
+            Err(_) => false,
+        };
+        let overlap_end = self.exchange.overlap_end();
+        let silent = async {
+            tokio::select! {
+                biased;
+                data = opened.next_data() => data,
+                () = overlap_end => {
+                    opened.close();
+                    Err(Failure::TimedOut(silent_for))
+                }
+            }
+        };
+        let other = self.exchange.open_other(silent, went_on, takes_over, self.last_event_id);
         let takeover = tokio::select! {
             takeover = other => takeover,
             end = caller.wait_until_closed(READ_AHEAD) => return Step::Left(end.to_string()),
