--- a/crates/router/src/proxy/follow.rs
+++ b/crates/router/src/proxy/follow.rs
@@ -105,6 +105,7 @@
     let mut call_state = CallState::new(S::TOPIC);
     let mut from: Option<Offset> = None;
     loop {
+        client.set_peer(site.settings.load().store.addr);
         let (asked, random) = (site.now(), rand::random());
         let valid = from.filter(|from| from.is_current(&site));
         let result = match valid {
--- a/crates/router/src/proxy/leadership/membership.rs
+++ b/crates/router/src/proxy/leadership/membership.rs
@@ -188,6 +188,7 @@
     last: Token,
 ) -> Result<(Token, Membership), String> {
     let settings = site.settings.load_full();
+    client.set_peer(settings.store.addr);
     let generation = last.generation_in(site.era.get().unwrap_or_default());
     let join = store::join(GROUP, &settings.name, TOPIC, lease(site), generation);
     match client.call(&join, &[], JOIN_TIMEOUT).await {
--- a/crates/router/src/proxy/storeclient.rs
+++ b/crates/router/src/proxy/storeclient.rs
@@ -74,6 +74,13 @@
         Self { peer, conn: None, bytes: 0, max_body_size: MAX_BODY_SIZE }
     }
 
+    /// Makes further calls to `peer`, over a new connection if it is another one.
+    pub fn set_peer(&mut self, peer: SocketAddr) {
+        if self.peer != peer {
+            (self.peer, self.conn) = (peer, None);
+        }
+    }
+
     /// Uses `conn`, a connection to the peer, for the next calls.
     pub fn with_conn(self, conn: Conn) -> Self {
         Self { conn: Some(conn), ..self }
