--- a/crates/router/tests/endless_answers.rs
+++ b/crates/router/tests/endless_answers.rs
@@ -16,6 +16,7 @@
 const ANSWER_TIME: Duration = Duration::from_secs(25);
 /// Largest growth of the router's resident memory.
 const MAX_GROWTH: u64 = 64 << 20;
+const ENDLESS_BODY: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffffff\r\n";
 const EVENT_STREAM: &str =
     "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 1000000000000\r\n\r\n";
 
@@ -145,3 +146,19 @@
     let body = completion("kili-checks", 8, max_tokens, stream);
     assert_bounded(site(Role::Engine, &addr), "/v1/completions", body);
 }
+
+#[test_case(ENDLESS_BODY, "xxxxxxxxxxxxxxxx" ; "a body")]
+#[test_case("HTTP/1.1 200 OK\r\nx-header: ", "xxxxxxxxxxxxxxxx" ; "a line of the head")]
+#[test_case("", "HTTP/1.1 100 Continue\r\n\r\n" ; "interim heads")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "xxxxxxxxxxxxxxxx" ; "a chunk extension")]
+fn a_service_without_an_end(head: &'static str, part: &'static str) {
+    let addr = serve_endless("/v1/alerts", head, part);
+    assert_bounded(site(Role::Service, &addr), "/v1/services/alerts", "short shot".into());
+}
+
+/// The client library returns an empty body for an answer that ends with its connection.
+#[test]
+fn a_service_answer_without_a_length_is_not_taken_for_an_empty_one() {
+    let addr = serve_endless("/v1/alerts", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxx");
+    assert_bounded(site(Role::Service, &addr), "/v1/services/alerts", "short shot".into());
+}
