LOST: an engine whose state has no end is marked down in time

What callers saw: an engine that sends a load report or events without an end stays among the engines that requests are sent to.

Cause: the time-out of a read covered the head of the answer only; the library's time-out of a body (10 s) is checked only while no bytes arrive.

Change: a body must have arrived within 2 s of its head.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -17,6 +17,8 @@
 
 /// Largest answer accepted, in bytes.
 const BODY_LIMIT: usize = 64 << 20;
+/// Time-out of the body of an answer after its head.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The JSON body at `url`.
 pub async fn get_json<T: DeserializeOwned>(
@@ -39,6 +41,8 @@
         status if !status.is_success() => return Err(format!("status {status}")),
         _ => {}
     }
-    let body = response.body().limit(BODY_LIMIT).await.map_err(|e| e.to_string())?;
+    let body = ntex::time::timeout(BODY_TIMEOUT, response.body().limit(BODY_LIMIT)).await;
+    let body = body.map_err(|()| format!("no end of the body within {BODY_TIMEOUT:?}"))?;
+    let body = body.map_err(|e| e.to_string())?;
     serde_json::from_slice(&body).map(Some).map_err(|e| e.to_string())
 }
--- a/crates/router/tests/endless_answers.rs
+++ b/crates/router/tests/endless_answers.rs
@@ -162,3 +162,41 @@
     let addr = serve_endless("/v1/alerts", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxx");
     assert_bounded(site(Role::Service, &addr), "/v1/services/alerts", "short shot".into());
 }
+
+/// The router reads the state of engines in the background, and must notice in time that an
+/// engine sends none.
+#[test_case(ENDLESS_BODY ; "a body")]
+#[test_case("HTTP/1.1 200 OK\r\nx-header: " ; "a line of the head")]
+fn an_engine_whose_state_is_without_an_end_is_marked_down(head: &'static str) {
+    let addr = serve_endless("/v1/", head, "xxxxxxxxxxxxxxxx");
+    let site = Site::start(1, 1, &[]);
+    run(async move {
+        let offset = site.configure("kili-checks", "round-robin").await;
+        site.wait_config_applied(offset).await;
+        site.wait_ready(0).await;
+        let before = site.memory("router0");
+        put_host(&site.hosts, &host(&addr, Role::Engine, HostState::Live)).await;
+        let (begun, mut peak, mut down_after) = (Instant::now(), 0, None);
+        while begun.elapsed() < Duration::from_secs(12) {
+            let asked = Instant::now();
+            let dump = state(&site.routers[0]).await.expect("the router serves others");
+            assert!(
+                asked.elapsed() < Duration::from_secs(2),
+                "others wait for {:?}",
+                asked.elapsed()
+            );
+            if dump["engines"][1]["down"] == true {
+                down_after.get_or_insert(begun.elapsed());
+            }
+            peak = peak.max(site.memory("router0"));
+            ntex::time::sleep(Duration::from_millis(20)).await;
+        }
+        let growth = peak.saturating_sub(before);
+        println!("down after {down_after:.1?}, {} MiB more", growth >> 20);
+        assert!(growth < MAX_GROWTH, "{} MiB more", growth >> 20);
+        assert!(down_after.is_some_and(|after| after < Duration::from_secs(6)), "{down_after:?}");
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let (status, text) = post(&url, &completion("kili-checks", 8, 2, false)).await;
+        assert_eq!(status, 200, "{text}");
+    });
+}
