LOST: a stop waits for calls to services; requests of callers that left have a log line

What callers saw: a call to a plain service that ran longer than the drain period was cut off without an answer when the router stopped. A completion in one response, or a call, whose connection closed before its answer had no log line.

Cause: the stop waited for requests in flight at engines only, and the server closes connections that still wait for an answer when it stops, also in a graceful stop. It drops the handler of a request whose connection closes, so that nothing is logged.

Change: each request is counted from its handler's start until the server has read its answer (serve/serving), and a stop waits for all of them, up to 30 s as before. The lines of failed requests and calls name the request's id and the caller; a request whose connection closes first has a line that says so.

Left: the server library takes a caller that closes its sending side for one that has left, without a setting for it; such requests get no answer, but now a line.

--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -148,6 +148,8 @@
     pub policies: policy::Router,
     /// Requests in flight from this node, by slot.
     pub inflight: [AtomicU32; MAX_SLOTS],
+    /// Requests of callers being served.
+    pub serving: AtomicU32,
     /// Prompt tokens sent from this node and not yet read, by slot.
     pub pending: [AtomicU64; MAX_SLOTS],
     /// Measured time each engine takes to read prompts, by slot.
@@ -212,6 +214,7 @@
             cache_index: CacheIndex::new(),
             policies: policy::Router::new(),
             inflight: std::array::from_fn(|_| AtomicU32::new(0)),
+            serving: AtomicU32::new(0),
             pending: std::array::from_fn(|_| AtomicU64::new(0)),
             prefill_time: std::array::from_fn(|_| PrefillTime::new()),
             budget: Budget::new(RETRY_BUDGET_PER_MILLE, RETRY_BURST),
@@ -307,11 +310,6 @@
     pub fn outages(&self, slot: Slot) -> u32 {
         self.outages[usize::from(slot.0)].load(Ordering::Relaxed)
     }
-
-    /// Requests in flight from this node at all engines.
-    pub fn inflight_total(&self) -> u32 {
-        self.inflight.iter().map(|n| n.load(Ordering::Relaxed)).sum()
-    }
 }
 
 /// Incarnation of this process, from the wall clock: higher after each restart, as
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod route;
 mod service;
+mod serving;
 mod state;
 
 use std::sync::Arc;
@@ -100,10 +101,12 @@
     lease_tasks::release(&node).await;
     ntex::time::sleep(node.settings.drain).await;
     let deadline = Instant::now() + DRAIN_LIMIT;
-    while node.inflight_total() > 0 && Instant::now() < deadline {
+    // The server closes connections when it stops, also those of requests being served.
+    let serving = || node.serving.load(Ordering::Acquire);
+    while serving() > 0 && Instant::now() < deadline {
         ntex::time::sleep(Duration::from_millis(50)).await;
     }
-    tracing::info!(target: "serve", "serve: drained, {} in flight; stopping.", node.inflight_total());
+    tracing::info!(target: "serve", "serve: drained, {} being served; stopping.", serving());
     server.stop(true).await;
 }
 
--- a/crates/router/src/serve/complete.rs
+++ b/crates/router/src/serve/complete.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use futures::SinkExt;
 use futures::channel::mpsc;
+use futures::{SinkExt, StreamExt};
 use marjoram_core::fingerprint::Fingerprint;
-use marjoram_core::ids::{RequestId, WorkspaceId};
+use marjoram_core::ids::WorkspaceId;
 use marjoram_core::wire::{Chunk, Completion, CompletionRequest};
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse};
 
+use super::serving::Serving;
 use super::{Shared, reply_error};
 use crate::error::Error;
 use crate::forward::{self, ChunkSink, LIMIT_STEP};
@@ -27,19 +28,35 @@
 
 pub async fn complete(node: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
     let node: Arc<Node> = node.get_ref().clone();
-    let peer = request.peer_addr().map(|a| a.to_string()).unwrap_or_else(|| "caller".into());
+    let mut serving = Serving::new(node.clone(), request.peer_addr());
     node.counters.requests.fetch_add(1, Ordering::Relaxed);
-    match accept(&node, &peer, &body).await {
-        Ok(response) => response,
+    let accepted = accept(&node, &serving, &body).await;
+    serving.set_answered();
+    match accepted {
+        Ok(Accepted::Answer(answer)) => HttpResponse::Ok().json(&answer),
+        Ok(Accepted::Stream(chunks)) => {
+            // Kept until the server has read the whole stream or dropped it.
+            let body = chunks.inspect(move |_| {
+                let _ = &serving;
+            });
+            HttpResponse::Ok().content_type("text/event-stream").streaming(body)
+        }
         Err(error) => {
             node.counters.failed.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(target: "serve", "serve: refused: {error}.");
+            tracing::info!(target: "serve", "serve: request {} from {} failed: {error}.", serving.id, serving.peer);
             reply_error(&error)
         }
     }
 }
 
-async fn accept(node: &Arc<Node>, peer: &str, body: &[u8]) -> Result<HttpResponse, Error> {
+/// The answer to an accepted request.
+enum Accepted {
+    Answer(Completion),
+    Stream(mpsc::Receiver<Result<Bytes, std::io::Error>>),
+}
+
+async fn accept(node: &Arc<Node>, serving: &Serving, body: &[u8]) -> Result<Accepted, Error> {
+    let (id, peer) = (serving.id, serving.peer.as_str());
     if node.draining.load(Ordering::Acquire) {
         return Err(Error::Draining);
     }
@@ -60,7 +77,6 @@
         .routing
         .get(&workspace)
         .ok_or_else(|| Error::UnknownWorkspace(peer.into(), workspace.to_string()))?;
-    let id = RequestId(node.request_id());
     let streamed = request.stream;
     node.budget.earn();
     let fingerprint = Fingerprint::new(&[&workspace.to_string(), PATH], body);
@@ -71,18 +87,13 @@
         true => {
             let (tx, rx) = mpsc::channel(64);
             ntex::rt::spawn(stream(node.clone(), job, accepted, tx));
-            Ok(HttpResponse::Ok().content_type("text/event-stream").streaming(rx))
+            Ok(Accepted::Stream(rx))
         }
         false => {
             let mut collected = CollectedAnswer(String::new(), accepted.engine.addr.clone());
             let usage = forward::pump(node, &mut job, accepted, &mut collected).await?;
             node.counters.answered.fetch_add(1, Ordering::Relaxed);
-            Ok(HttpResponse::Ok().json(&Completion {
-                id,
-                text: collected.0,
-                usage,
-                engine: collected.1,
-            }))
+            Ok(Accepted::Answer(Completion { id, text: collected.0, usage, engine: collected.1 }))
         }
     }
 }
--- a/crates/router/src/serve/service.rs
+++ b/crates/router/src/serve/service.rs
@@ -9,6 +9,7 @@
 use ntex::web::{HttpRequest, HttpResponse, types};
 use rand::seq::SliceRandom;
 
+use super::serving::Serving;
 use super::{Shared, reply_error};
 use crate::at_most_once;
 use crate::error::Error;
@@ -26,17 +27,12 @@
     body: Bytes,
 ) -> HttpResponse {
     let node: Arc<Node> = node.get_ref().clone();
-    if node.draining.load(Ordering::Acquire) {
-        return reply_error(&Error::Draining);
-    }
-    let mut services = node.pool.load().services.clone();
-    services.shuffle(&mut rand::rng());
-    let call = at_most_once::Call { services, path: name.into_inner(), body };
-    let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
-    let reply = match key {
-        Some(key) => at_most_once::call(&node, key, call).await,
-        None => at_most_once::call_plain(&node, call).await,
+    let mut serving = Serving::new(node.clone(), request.peer_addr());
+    let reply = match node.draining.load(Ordering::Acquire) {
+        true => at_most_once::Reply::Refused(Error::Draining),
+        false => call(&node, name.into_inner(), &request, body).await,
     };
+    serving.set_answered();
     match reply {
         at_most_once::Reply::Answer(answer, replayed) => {
             let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -46,8 +42,24 @@
                 .body(answer.body)
         }
         at_most_once::Reply::Refused(error) => {
-            tracing::info!(target: "serve", "serve: service call refused: {error}.");
+            tracing::info!(target: "serve", "serve: service call {} from {} failed: {error}.", serving.id, serving.peer);
             reply_error(&error)
         }
     }
 }
+
+async fn call(
+    node: &Arc<Node>,
+    path: String,
+    request: &HttpRequest,
+    body: Bytes,
+) -> at_most_once::Reply {
+    let mut services = node.pool.load().services.clone();
+    services.shuffle(&mut rand::rng());
+    let call = at_most_once::Call { services, path, body };
+    let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
+    match key {
+        Some(key) => at_most_once::call(node, key, call).await,
+        None => at_most_once::call_plain(node, call).await,
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/serving.rs
@@ -0,0 +1,43 @@
+//! Counts the requests that are being served, and logs those whose connection closes before
+//! the answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use marjoram_core::ids::RequestId;
+
+use crate::node::Node;
+
+/// A request being served, counted until dropped. A stop waits for it.
+pub struct Serving {
+    node: Arc<Node>,
+    /// The router's id of the request.
+    pub id: RequestId,
+    /// Address of the caller.
+    pub peer: String,
+    answered: bool,
+}
+
+impl Serving {
+    pub fn new(node: Arc<Node>, peer: Option<std::net::SocketAddr>) -> Self {
+        node.serving.fetch_add(1, Ordering::AcqRel);
+        let id = RequestId(node.request_id());
+        let peer = peer.map_or_else(|| "caller".into(), |addr| addr.to_string());
+        Self { node, id, peer, answered: false }
+    }
+
+    /// Records that the request has its answer or refusal.
+    pub fn set_answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.node.serving.fetch_sub(1, Ordering::AcqRel);
+        if !self.answered {
+            let draining = self.node.draining.load(Ordering::Acquire);
+            tracing::info!(target: "serve", "serve: connection of {} closed before the answer to {}; draining: {draining}.", self.peer, self.id);
+        }
+    }
+}
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -39,6 +39,8 @@
     pub engine_args: Vec<String>,
     /// Host lists of routers that do not use the common one, by the router's number.
     pub own_host_lists: HashMap<usize, String>,
+    /// File that the log of routers started from now on is written to.
+    pub router_log: Option<PathBuf>,
     _block: Block,
     children: Vec<(String, Child)>,
 }
@@ -89,6 +91,7 @@
             engine_args: engine_args.iter().map(|s| s.to_string()).collect(),
             router_args: router_args.iter().map(|s| s.to_string()).collect(),
             own_host_lists: HashMap::new(),
+            router_log: None,
             _block: block,
             children: Vec::new(),
         };
@@ -122,13 +125,16 @@
     }
 
     fn spawn(&mut self, name: &str, program: PathBuf, args: &[&str]) {
-        let child = Command::new(program)
+        let mut command = Command::new(&program);
+        command
             .args(args)
             .env("MARJORAM_LOG", std::env::var("SITE_LOG").unwrap_or("warn".into()))
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("process starts");
+            .stdout(Stdio::null());
+        if let Some(path) = self.router_log.as_ref().filter(|_| program == router_bin()) {
+            command.env("MARJORAM_LOG", "info").stderr(std::fs::File::create(path).unwrap());
+        }
+        let child = command.spawn().expect("process starts");
         self.children.push((name.to_string(), child));
     }
 
