LOST: the outcome of a call with a key is recorded although its caller has left

What callers saw: a caller whose connection closed while its call with an idempotency key ran, and which sent it again, got 409 "outcome is not known" until the claim expired, though the call had run and been answered.

Cause: the server drops the handler of a request whose connection closes, and with it the call before its outcome is recorded.

Change: such a call runs in a task of its own, for which a stop waits as well.

--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -148,7 +148,7 @@
     pub policies: policy::Router,
     /// Requests in flight from this node, by slot.
     pub inflight: [AtomicU32; MAX_SLOTS],
-    /// Requests of callers being served.
+    /// Tasks that serve requests of callers.
     pub serving: AtomicU32,
     /// Prompt tokens sent from this node and not yet read, by slot.
     pub pending: [AtomicU64; MAX_SLOTS],
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -106,7 +106,7 @@
     while serving() > 0 && Instant::now() < deadline {
         ntex::time::sleep(Duration::from_millis(50)).await;
     }
-    tracing::info!(target: "serve", "serve: drained, {} being served; stopping.", serving());
+    tracing::info!(target: "serve", "serve: drained, {} tasks still serve; stopping.", serving());
     server.stop(true).await;
 }
 
--- a/crates/router/src/serve/service.rs
+++ b/crates/router/src/serve/service.rs
@@ -9,7 +9,7 @@
 use ntex::web::{HttpRequest, HttpResponse, types};
 use rand::seq::SliceRandom;
 
-use super::serving::Serving;
+use super::serving::{Count, Serving};
 use super::{Shared, reply_error};
 use crate::at_most_once;
 use crate::error::Error;
@@ -58,8 +58,17 @@
     services.shuffle(&mut rand::rng());
     let call = at_most_once::Call { services, path, body };
     let key = request.headers().get(IDEMPOTENCY_KEY).and_then(|v| v.to_str().ok());
-    match key {
-        Some(key) => at_most_once::call(node, key, call).await,
-        None => at_most_once::call_plain(node, call).await,
-    }
+    let Some(key) = key.map(str::to_owned) else {
+        return at_most_once::call_plain(node, call).await;
+    };
+    // A task of its own records the outcome also if the caller leaves.
+    let (node, count) = (node.clone(), Count::new(node.clone()));
+    let task = ntex::rt::spawn(async move {
+        let _count = count;
+        at_most_once::call(&node, &key, call).await
+    });
+    task.await.unwrap_or_else(|error| {
+        let why = format!("the call ended without an outcome: {error:?}");
+        at_most_once::Reply::Refused(Error::Engine("call", "service".into(), why))
+    })
 }
--- a/crates/router/src/serve/serving.rs
+++ b/crates/router/src/serve/serving.rs
@@ -8,9 +8,25 @@
 
 use crate::node::Node;
 
-/// A request being served, counted until dropped. A stop waits for it.
+/// Counts one task that serves a request until dropped. A stop waits for it.
+pub struct Count(Arc<Node>);
+
+impl Count {
+    pub fn new(node: Arc<Node>) -> Self {
+        node.serving.fetch_add(1, Ordering::AcqRel);
+        Self(node)
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.serving.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A request being served.
 pub struct Serving {
-    node: Arc<Node>,
+    count: Count,
     /// The router's id of the request.
     pub id: RequestId,
     /// Address of the caller.
@@ -20,10 +36,9 @@
 
 impl Serving {
     pub fn new(node: Arc<Node>, peer: Option<std::net::SocketAddr>) -> Self {
-        node.serving.fetch_add(1, Ordering::AcqRel);
         let id = RequestId(node.request_id());
         let peer = peer.map_or_else(|| "caller".into(), |addr| addr.to_string());
-        Self { node, id, peer, answered: false }
+        Self { count: Count::new(node), id, peer, answered: false }
     }
 
     /// Records that the request has its answer or refusal.
@@ -34,9 +49,8 @@
 
 impl Drop for Serving {
     fn drop(&mut self) {
-        self.node.serving.fetch_sub(1, Ordering::AcqRel);
         if !self.answered {
-            let draining = self.node.draining.load(Ordering::Acquire);
+            let draining = self.count.0.draining.load(Ordering::Acquire);
             tracing::info!(target: "serve", "serve: connection of {} closed before the answer to {}; draining: {draining}.", self.peer, self.id);
         }
     }
--- a/crates/router/tests/caller_connections.rs
+++ b/crates/router/tests/caller_connections.rs
@@ -201,3 +201,20 @@
         assert!(left.elapsed() < Duration::from_secs(2), "ended after {:?}", left.elapsed());
     });
 }
+
+/// The retry of a call with a key must get the answer of the call that ran, not a conflict.
+#[test]
+fn the_answer_to_a_call_whose_caller_has_left_is_replayed_to_a_retry() {
+    let site = configured(&[]);
+    replace_service(&site, &serve_slowly(Duration::from_secs(1)));
+    let bytes = call().replace("\r\n\r\n", "\r\nidempotency-key: left-1\r\n\r\n");
+    let mut socket = connect(&site);
+    socket.write_all(bytes.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    drop(socket);
+    std::thread::sleep(Duration::from_secs(2));
+    let mut socket = connect(&site);
+    socket.write_all(bytes.as_bytes()).unwrap();
+    let answer = read_all(socket);
+    assert!(answer.contains("slow answer"), "{answer}");
+}
