CONFIG: calls of the own interface end in time also if an answer stalls

What callers could see: a new configuration that is not in force for 11 s at the routers whose read of the log got a head and no body; the same for the host list and for claims of calls that run at most once.

Cause: the time-out of 2 s ends with the head of the answer; the client's own for the body is 10 s.

Evidence: crates/router/tests/config_in_force.rs, a log that stalls one read of each of two routers: in force after 10.9 s, 6 s allowed.

Change: the time-outs of calls to the log and of reads of JSON hold for the whole answer. The stand-in log can stall reads.

Ruled out: the fault of the platform's long polls. The own interface has no call that waits for a record: the configuration is read every second, hosts every second, crash reports every 0.5 s, claims every 2 s, each with its own time-out.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -17,8 +17,6 @@
 
 /// Largest answer accepted, in bytes.
 const BODY_LIMIT: usize = 64 << 20;
-/// Time-out of the body of an answer after its head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The JSON body at `url`.
 pub async fn get_json<T: DeserializeOwned>(
@@ -29,20 +27,24 @@
     read_json(client, url, limit).await?.ok_or_else(|| "not modified".into())
 }
 
-/// The JSON body at `url`; `None` when it is not modified.
+/// The JSON body at `url`, whole within `limit`; `None` when it is not modified.
 async fn read_json<T: DeserializeOwned>(
     client: &Client,
     url: &str,
     limit: Duration,
 ) -> Result<Option<T>, String> {
-    let mut response = client.get(url).timeout(limit).send().await.map_err(|e| e.to_string())?;
-    match response.status() {
-        StatusCode::NOT_MODIFIED => return Ok(None),
-        status if !status.is_success() => return Err(format!("status {status}")),
-        _ => {}
-    }
-    let body = ntex::time::timeout(BODY_TIMEOUT, response.body().limit(BODY_LIMIT)).await;
-    let body = body.map_err(|()| format!("no end of the body within {BODY_TIMEOUT:?}"))?;
-    let body = body.map_err(|e| e.to_string())?;
-    serde_json::from_slice(&body).map(Some).map_err(|e| e.to_string())
+    let answered = async {
+        let mut response =
+            client.get(url).timeout(limit).send().await.map_err(|e| e.to_string())?;
+        match response.status() {
+            StatusCode::NOT_MODIFIED => return Ok(None),
+            status if !status.is_success() => return Err(format!("status {status}")),
+            _ => {}
+        }
+        let body = response.body().limit(BODY_LIMIT).await.map_err(|e| e.to_string())?;
+        serde_json::from_slice(&body).map(Some).map_err(|e| e.to_string())
+    };
+    // The client's own time-out ends with the head of the answer.
+    let timed_out = |_| Err(format!("no complete answer in {} ms", limit.as_millis()));
+    ntex::time::timeout(limit, answered).await.unwrap_or_else(timed_out)
 }
--- a/crates/router/src/log.rs
+++ b/crates/router/src/log.rs
@@ -92,34 +92,44 @@
     }
 
     async fn post<T: Serialize>(&self, path: &str, record: &T) -> Result<(u16, Vec<u8>), Error> {
-        let body =
-            serde_json::to_string(record).map_err(|e| self.failed("append", e.to_string()))?;
+        let failed = |why| self.failed("append", why);
+        let body = serde_json::to_string(record).map_err(|e| failed(e.to_string()))?;
         let url = format!("http://{}{path}", self.addr);
-        let mut response = CLIENT
-            .with(|client| client.post(&url))
-            .send_body(body)
-            .await
-            .map_err(|e| self.failed("append", e.to_string()))?;
-        let bytes =
-            response.body().await.map_err(|e| self.failed("append", e.to_string()))?.to_vec();
-        Ok((response.status().as_u16(), bytes))
+        let sent = CLIENT.with(|client| client.post(&url)).send_body(body);
+        let answered = async {
+            let mut response = sent.await.map_err(|e| failed(e.to_string()))?;
+            let bytes = response.body().await.map_err(|e| failed(e.to_string()))?;
+            Ok((response.status().as_u16(), bytes.to_vec()))
+        };
+        self.in_time("append", answered).await
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let failed = |why| self.failed("read", why);
         let url = format!("http://{}{path}", self.addr);
-        let mut response = CLIENT
-            .with(|client| client.get(&url))
-            .send()
-            .await
-            .map_err(|e| self.failed("read", e.to_string()))?;
-        if !response.status().is_success() {
-            return Err(self.failed("read", format!("status {}", response.status())));
-        }
-        let body = response.body().limit(ANSWER_LIMIT).await;
-        let bytes = body.map_err(|e| self.failed("read", e.to_string()))?;
+        let sent = CLIENT.with(|client| client.get(&url)).send();
+        let answered = async {
+            let mut response = sent.await.map_err(|e| failed(e.to_string()))?;
+            if !response.status().is_success() {
+                return Err(failed(format!("status {}", response.status())));
+            }
+            response.body().limit(ANSWER_LIMIT).await.map_err(|e| failed(e.to_string()))
+        };
+        let bytes = self.in_time("read", answered).await?;
         self.parse("read", &bytes)
     }
 
+    /// Ends `call` after [`TIMEOUT`]: the client's own time-out ends with the head of the answer.
+    async fn in_time<T>(
+        &self,
+        step: &'static str,
+        call: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let timed_out =
+            |_| Err(self.failed(step, format!("no complete answer in {} ms", TIMEOUT.as_millis())));
+        ntex::time::timeout(TIMEOUT, call).await.unwrap_or_else(timed_out)
+    }
+
     fn parse<T: DeserializeOwned>(&self, step: &'static str, bytes: &[u8]) -> Result<T, Error> {
         serde_json::from_slice(bytes).map_err(|e| self.failed(step, e.to_string()))
     }
--- a/crates/router/tests/config_in_force.rs
+++ b/crates/router/tests/config_in_force.rs
@@ -53,3 +53,21 @@
         site.wait_config_applied(late).await;
     });
 }
+
+#[test]
+fn a_configuration_is_in_force_in_time_although_an_answer_of_the_log_stalls() {
+    let site = Site::start(1, 2, &[]);
+    run(async move {
+        let offset = site.configure("star-quotes", "round-robin").await;
+        site.wait_config_applied(offset).await;
+        let stalled = format!("http://{}/v1/admin/stall?stream=config&count=2", site.log);
+        client().post(stalled).send().await.expect("reads stalled");
+        // Time for the next read of each router.
+        ntex::time::sleep(Duration::from_millis(1_500)).await;
+        let started = Instant::now();
+        let change = site.configure("star-quotes", "prefix-aware").await;
+        site.wait_config_applied(change).await;
+        let took = started.elapsed();
+        assert!(took < Duration::from_secs(6), "applied by every router after {took:?}");
+    });
+}
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -12,6 +12,8 @@
 //! - `POST /v1/admin/outage?ms=N`: fails every call for N ms.
 //! - `POST /v1/admin/lose?stream=S&count=N&late_ms=M`: executes the next N
 //!   appends to S without responding, M ms late if `late_ms` is given.
+//! - `POST /v1/admin/stall?stream=S&count=N`: answers the next N reads of S with a
+//!   head and no body.
 //! - `POST /v1/admin/expire?stream=S`: drops every record of S.
 
 use std::collections::HashMap;
@@ -44,6 +46,8 @@
     outage_until: Option<Instant>,
     /// Appends whose responses are to be lost, if an operator injected that fault.
     lose: Option<Lose>,
+    /// Reads whose bodies are not sent, if an operator injected that fault.
+    stall: Option<Stall>,
     /// Current second and the number of appends in it, for the rate limit.
     window: (u64, u32),
 }
@@ -79,6 +83,12 @@
     late_ms: Option<u64>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Stall {
+    stream: String,
+    count: u32,
+}
+
 #[derive(Debug, Deserialize)]
 struct Outage {
     ms: u64,
@@ -96,6 +106,7 @@
             .route("/v1/streams/{name}", web::get().to(read))
             .route("/v1/admin/outage", web::post().to(outage))
             .route("/v1/admin/lose", web::post().to(lose))
+            .route("/v1/admin/stall", web::post().to(stall))
             .route("/v1/admin/expire", web::post().to(expire))
     })
     .workers(2)
@@ -173,6 +184,10 @@
     if state.down() {
         return HttpResponse::ServiceUnavailable().body("log service outage");
     }
+    if state.stalls(&name) {
+        let endless = futures::stream::pending::<Result<ntex::util::Bytes, std::io::Error>>();
+        return HttpResponse::Ok().streaming(endless);
+    }
     let retention = log.opts.retention_s * 1000;
     let stream = state.streams.entry(name.into_inner()).or_default();
     stream.expire(now_ms().saturating_sub(retention));
@@ -206,6 +221,13 @@
     HttpResponse::NoContent().finish()
 }
 
+async fn stall(log: types::State<&'static Log>, query: types::Query<Stall>) -> HttpResponse {
+    let stall = query.into_inner();
+    tracing::info!(target: "log", "log: stalling {} reads of {}.", stall.count, stall.stream);
+    log.state.lock().unwrap().stall = Some(stall);
+    HttpResponse::NoContent().finish()
+}
+
 async fn expire(log: types::State<&'static Log>, query: types::Query<Expire>) -> HttpResponse {
     let mut state = log.state.lock().unwrap();
     state.streams.entry(query.stream.clone()).or_default().expire(u64::MAX);
@@ -248,6 +270,17 @@
         }
     }
 
+    /// Whether the body of the next read of `stream` is not sent.
+    fn stalls(&mut self, stream: &str) -> bool {
+        match &mut self.stall {
+            Some(stall) if stall.stream == stream && stall.count > 0 => {
+                stall.count -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
     fn down(&self) -> bool {
         self.outage_until.is_some_and(|until| Instant::now() < until)
     }
