LOST: answers that are read whole have a limit together

What callers saw: where several long answers arrive at the same time, the host exceeds its memory and is killed, with all requests in progress.

Cause: each answer that is read whole may have 16 MB, and nothing limits them together. Each was held twice, since the head and the body were joined for the caller, and was copied as it grew.

Change: core::buffer_budget holds the bodies that are being read, in blocks. All together may have a sixth of limits.memoryMb, which is now read from the settings. Beyond that the longest is dropped, the newest of equally long ones: its request gets 502, since it may have run, and a line in the log; other upstreams are not tried and its own is not blamed. Bodies count until the caller has them. The body of a failure that cannot be read has a line in the log as well.

A sixth of 110 MB still holds one answer of 16 MB.

Response heads are written as before; response.rs is split, answers that are read whole are in response/buffered.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -54,6 +54,10 @@
     pub quota: Tolerance,
 }
 
+/// Fraction of the memory for answers that are read whole, one of 16 MB on a host of 110 MB.
+/// The rest is for requests, streams and indices, and for fragmentation of the heap.
+const BUFFER_FRACTION: u64 = 6;
+
 /// Resources that the process on a host may use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Capacity {
@@ -61,6 +65,8 @@
     pub cores: f64,
     /// Speed of its network link.
     pub link: LinkSpeed,
+    /// Memory, in bytes; a process that exceeds it is killed.
+    pub memory: u64,
 }
 
 impl Capacity {
@@ -68,6 +74,11 @@
     pub fn control_capacity(self) -> ControlCapacity {
         ControlCapacity::new(self.cores, self.link.0)
     }
+
+    /// The bytes of answers that may be buffered at the same time.
+    pub fn buffered_bytes(self) -> usize {
+        (self.memory / BUFFER_FRACTION) as usize
+    }
 }
 
 /// Connection settings for the platform's store.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,6 +66,8 @@
 //! - [`store_availability`]: when the platform's store was available.
 //! - [`in_progress`]: the requests in progress, and those that end without an
 //!   outcome.
+//! - [`buffer_budget`]: a limit on the bytes of answers that are buffered at the same
+//!   time.
 //! - [`stop`]: which requests are still accepted during shutdown.
 //! - [`switches`]: turns individual mechanisms of the routing decisions off.
 //! - [`events`]: splits a stream of server-sent events into complete events.
@@ -76,6 +78,7 @@
 pub mod brittle;
 pub mod broadcast;
 pub mod budget;
+pub mod buffer_budget;
 pub mod cache;
 pub mod cache_updates;
 pub mod candidacy;
--- a/crates/router/src/forward/events.rs
+++ b/crates/router/src/forward/events.rs
@@ -8,14 +8,11 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
-use marjoram_core::events::Splitter;
+use marjoram_core::events::{EventTooLong, Splitter};
 use ntex::http::client::ClientResponse;
 use ntex::http::error::PayloadError;
 use quick_error::quick_error;
 
-/// Largest event accepted, in bytes. Each holds one chunk of text.
-const MAX_EVENT_SIZE: usize = 1 << 20;
-
 quick_error! {
     /// A failure to read an event.
     #[derive(Debug)]
@@ -26,9 +23,10 @@
             source(source)
             from()
         }
-        /// The event is too large.
-        TooLarge {
-            display("an event of more than {MAX_EVENT_SIZE} bytes")
+        /// The event is too long.
+        TooLong(error: EventTooLong) {
+            display("{error}")
+            from()
         }
     }
 }
@@ -37,13 +35,11 @@
 pub struct CompleteEvents {
     response: ClientResponse,
     splitter: Splitter,
-    /// Bytes received since the last complete event.
-    pending: usize,
 }
 
 impl CompleteEvents {
     pub fn new(response: ClientResponse) -> Self {
-        Self { response, splitter: Splitter::new(), pending: 0 }
+        Self { response, splitter: Splitter::new() }
     }
 }
 
@@ -53,20 +49,15 @@
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let this = self.get_mut();
         loop {
-            if let Some(event) = this.splitter.next_event() {
-                this.pending = 0;
-                return Poll::Ready(Some(Ok(event.bytes)));
-            }
-            if this.pending > MAX_EVENT_SIZE {
-                return Poll::Ready(Some(Err(ReadError::TooLarge)));
+            match this.splitter.next_event() {
+                Ok(Some(event)) => return Poll::Ready(Some(Ok(event.bytes))),
+                Ok(None) => {}
+                Err(error) => return Poll::Ready(Some(Err(error.into()))),
             }
             match futures::ready!(this.response.poll_next_unpin(cx)) {
                 None => return Poll::Ready(None),
                 Some(Err(error)) => return Poll::Ready(Some(Err(error.into()))),
-                Some(Ok(bytes)) => {
-                    this.pending += bytes.len();
-                    this.splitter.push(&bytes);
-                }
+                Some(Ok(bytes)) => this.splitter.push(&bytes),
             }
         }
     }
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use marjoram_core::buffer_budget::{BufferBudget, CompleteBody};
 use marjoram_core::exchange::ResponseMetadata;
 use marjoram_core::health::STALL_TIMEOUT;
 use marjoram_core::reach::Path;
@@ -221,19 +222,19 @@
         self.pooled.is_relayed()
     }
 
-    /// Reads the whole body.
-    pub async fn collect(&mut self) -> Result<BytesMut, Failure> {
-        let mut collected = BytesMut::new();
+    /// Reads the whole body, within the memory that `buffers` leaves.
+    pub async fn collect(&mut self, buffers: &BufferBudget) -> Result<CompleteBody, Failure> {
+        let mut collected = buffers.begin();
         while let Some(data) = self.next_data().await? {
-            collected.extend_from_slice(&data);
-            if collected.len() > BODY_LIMIT {
+            collected.append(&data)?;
+            if collected.size() > BODY_LIMIT {
                 return Err(Failure::InvalidAnswer(
                     "answer body",
                     "too long to be collected".into(),
                 ));
             }
         }
-        Ok(collected)
+        Ok(collected.finish()?)
     }
 
     /// Returns the connection to the pool if it can serve other requests: the
--- a/crates/router/src/proxy/failure.rs
+++ b/crates/router/src/proxy/failure.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use marjoram_core::buffer_budget::Exhausted;
 use quick_error::quick_error;
 
 use crate::paths::ConnectError;
@@ -38,6 +39,11 @@
         InvalidAnswer(step: &'static str, why: String) {
             display("{step}: {why}")
         }
+        /// This host had no memory left for the answer; the request may have run.
+        NoMemory(why: Exhausted) {
+            from()
+            display("no memory for the answer: {why}")
+        }
         /// Nothing was received for too long; the request may have run.
         TimedOut(after: Duration) {
             display("nothing received for {} ms", after.as_millis())
--- a/crates/router/src/proxy/http1.rs
+++ b/crates/router/src/proxy/http1.rs
@@ -286,10 +286,16 @@
     }
 
     /// Ends the head and adds `body` with its length.
-    pub fn finish(mut self, body: &[u8]) -> BytesMut {
-        self.header("content-length", body.len().to_string().as_bytes());
+    pub fn finish(self, body: &[u8]) -> BytesMut {
+        let mut bytes = self.finish_head(body.len());
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    /// Ends the head; a body of `size` bytes follows.
+    pub fn finish_head(mut self, size: usize) -> BytesMut {
+        self.header("content-length", size.to_string().as_bytes());
         self.0.extend_from_slice(b"\r\n");
-        self.0.extend_from_slice(body);
         self.0
     }
 
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -16,7 +16,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use marjoram_core::buffer_budget::CompleteBody;
 use marjoram_core::catalog::{Catalog, Kind, Route, Workspace};
 use marjoram_core::exchange::{PartId, RequestMetadata};
 use marjoram_core::fingerprint::Fingerprint;
@@ -69,7 +70,7 @@
     /// An answer that has begun; its body is still to be read.
     Open(StartedAnswer, Flight),
     /// A failure that an upstream answered, with its whole body.
-    Failed(StartedAnswer, BytesMut),
+    Failed(StartedAnswer, CompleteBody),
 }
 
 /// A request that has been admitted, and the state of its sends.
@@ -229,7 +230,7 @@
     /// route allows it. `resumed` is the last event of this answer that the caller
     /// already has.
     pub async fn open(&mut self, resumed: Option<u64>) -> Result<Answer, Refusal> {
-        let mut failed: Option<(StartedAnswer, BytesMut)> = None;
+        let mut failed: Option<(StartedAnswer, CompleteBody)> = None;
         let mut weights_tries = 0;
         loop {
             let chosen = match self.next_in_turn(resumed.is_some()).await {
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use marjoram_core::buffer_budget::CompleteBody;
 use marjoram_core::exchange::{Envelope, Part};
 use marjoram_core::part_index::CacheId;
 use marjoram_platform::headers;
@@ -314,12 +315,20 @@
         }
     }
 
-    /// Reads the whole body of the answer; `None` if it does not arrive before
-    /// the caller's deadline.
-    async fn collect(&self, mut opened: StartedAnswer) -> Option<(StartedAnswer, BytesMut)> {
-        let deadline = self.site.at(self.expires);
-        let body = tokio::time::timeout_at(deadline, opened.collect()).await.ok()?.ok()?;
-        Some((opened, body))
+    /// Reads the whole body of the answer; `None` if it cannot be read, or does not arrive
+    /// before the caller's deadline.
+    async fn collect(&self, mut opened: StartedAnswer) -> Option<(StartedAnswer, CompleteBody)> {
+        let begun = self.site.now();
+        let collected = opened.collect(&self.site.buffers);
+        let result = tokio::time::timeout_at(self.site.at(self.expires), collected).await;
+        match result.unwrap_or_else(|_| Err(Failure::TimedOut(self.site.now() - begun))) {
+            Ok(body) => Some((opened, body)),
+            Err(failure) => {
+                tracing::warn!(target: "attempt", id = self.id(), upstream = %opened.upstream.life,
+                    status = opened.head.status, %failure, "body of a failure not read");
+                None
+            }
+        }
     }
 
     /// Checks an answer that has begun. A server error is read whole, to be passed
@@ -385,7 +394,7 @@
     /// An answer that has begun; its body is still to be read.
     Open(StartedAnswer, Flight),
     /// A failure that the upstream answered, with its whole body.
-    Failed(StartedAnswer, BytesMut),
+    Failed(StartedAnswer, CompleteBody),
     /// An answer that has begun at another upstream, since this one was silent.
     Replaced(Answer),
     /// Not run: the upstream serves another version of its weights than this host
--- a/crates/router/src/proxy/request/takeover.rs
+++ b/crates/router/src/proxy/request/takeover.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use marjoram_core::buffer_budget::CompleteBody;
 use marjoram_core::upstream::Instance;
 
 use super::choose::Chosen;
@@ -45,7 +45,7 @@
 pub(super) enum HeadOutcome {
     /// The upstream has answered or failed; the failure that another one has answered
     /// meanwhile, if it has.
-    Received(Result<StartedAnswer, Failure>, Option<(StartedAnswer, BytesMut)>),
+    Received(Result<StartedAnswer, Failure>, Option<(StartedAnswer, CompleteBody)>),
     /// Another upstream has begun to answer; how this one had ended, if it had.
     Replaced(Answer, Option<Result<StartedAnswer, Failure>>),
 }
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -1,5 +1,6 @@
 //! Forwards an answer to the caller: a complete body, or a stream event by event.
 
+mod buffered;
 mod close;
 
 pub use close::Close;
@@ -19,6 +20,7 @@
 use super::request::{Answer, Exchange, Takeover};
 use super::site::Site;
 use crate::conn::{Conn, PeerEnd};
+use buffered::{forward_buffered, forward_error};
 
 /// Silence within a stream after which its upstream is probed. The stream is
 /// resumed elsewhere only if the upstream does not answer the probe: an engine
@@ -96,82 +98,6 @@
     writer
 }
 
-/// Forwards an error response of an upstream.
-async fn forward_error(
-    site: &Site,
-    caller: &mut Conn,
-    opened: StartedAnswer,
-    body: &[u8],
-    close: &mut Close,
-) -> Outcome {
-    let status = opened.head.status;
-    // Callers take these statuses as a promise that the request was not executed.
-    if matches!(status, 408 | 421 | 429 | 503) && !opened.mark.not_run {
-        opened.finish(site.now());
-        return Outcome::Refused(Refusal::with_status(
-            502,
-            "upstream failed after it may have run",
-        ));
-    }
-    let bytes = close.finish(head(&opened), site, caller).finish(body);
-    opened.finish(site.now());
-    Outcome::written(status, caller.write(&bytes).await)
-}
-
-/// Forwards an answer after its body has been received completely, so that the
-/// caller never takes a truncated one for complete.
-async fn forward_buffered(
-    site: &Site,
-    caller: &mut Conn,
-    exchange: &mut Exchange,
-    mut opened: StartedAnswer,
-    mut flight: Flight,
-    close: &mut Close,
-) -> Outcome {
-    let begun = site.now();
-    loop {
-        let collected = tokio::select! {
-            body = tokio::time::timeout_at(site.at(exchange.expires), opened.collect()) => body,
-            end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
-        };
-        match collected {
-            Err(_) => return Outcome::Refused(exchange.deadline_refusal()),
-            Ok(Ok(body)) => {
-                let status = opened.head.status;
-                let head = close.finish(head(&opened), site, caller);
-                let bytes = match exchange.request().head.method.as_str() {
-                    "HEAD" => head.finish_without_body(),
-                    _ => head.finish(&body),
-                };
-                {
-                    let mut health = opened.upstream.health.borrow_mut();
-                    health.record_response(true);
-                    health.record_latency(site.now().saturating_sub(begun) + exchange.last_wait());
-                }
-                exchange.record_completion(status);
-                opened.finish(site.now());
-                drop(flight);
-                return Outcome::written(status, caller.write(&bytes).await);
-            }
-            Ok(Err(failure)) => {
-                exchange.record_broken_answer(&opened, &failure);
-                drop((opened, flight));
-                let again = tokio::select! {
-                    again = exchange.open(None) => again,
-                    end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
-                };
-                match again {
-                    Err(refusal) => return Outcome::Refused(refusal),
-                    Ok(Answer::Failed(opened, body)) => {
-                        return forward_error(site, caller, opened, &body, close).await;
-                    }
-                    Ok(Answer::Open(next, next_flight)) => (opened, flight) = (next, next_flight),
-                }
-            }
-        }
-    }
-}
-
 /// A stream of events being forwarded to a caller.
 struct Stream<'a> {
     site: &'a Site,
--- /dev/null
+++ b/crates/router/src/proxy/response/buffered.rs
@@ -0,0 +1,113 @@
+//! Forwards answers whose bodies are read whole first.
+
+use std::io;
+
+use bytes::BytesMut;
+use marjoram_core::buffer_budget::CompleteBody;
+
+use super::{Close, Outcome, READ_AHEAD, head};
+use crate::conn::Conn;
+use crate::proxy::attempt::StartedAnswer;
+use crate::proxy::failure::Failure;
+use crate::proxy::fleet::Flight;
+use crate::proxy::refusal::Refusal;
+use crate::proxy::request::{Answer, Exchange};
+use crate::proxy::site::Site;
+
+/// Forwards an error response of an upstream.
+pub(super) async fn forward_error(
+    site: &Site,
+    caller: &mut Conn,
+    opened: StartedAnswer,
+    body: &CompleteBody,
+    close: &mut Close,
+) -> Outcome {
+    let status = opened.head.status;
+    // Callers take these statuses as a promise that the request was not executed.
+    if matches!(status, 408 | 421 | 429 | 503) && !opened.mark.not_run {
+        opened.finish(site.now());
+        return Outcome::Refused(Refusal::with_status(
+            502,
+            "upstream failed after it may have run",
+        ));
+    }
+    let head = close.finish(head(&opened), site, caller).finish_head(body.size());
+    opened.finish(site.now());
+    Outcome::written(status, write_answer(caller, head, body).await)
+}
+
+/// Writes an answer: its head, and the body in blocks.
+async fn write_answer(
+    caller: &mut Conn,
+    mut head: BytesMut,
+    body: &CompleteBody,
+) -> io::Result<()> {
+    let mut blocks = body.blocks();
+    head.extend_from_slice(blocks.next().unwrap_or_default());
+    caller.write(&head).await?;
+    for block in blocks {
+        caller.write(block).await?;
+    }
+    Ok(())
+}
+
+/// Forwards an answer after its body has been received completely, so that the
+/// caller never takes a truncated one for complete.
+pub(super) async fn forward_buffered(
+    site: &Site,
+    caller: &mut Conn,
+    exchange: &mut Exchange,
+    mut opened: StartedAnswer,
+    mut flight: Flight,
+    close: &mut Close,
+) -> Outcome {
+    let begun = site.now();
+    loop {
+        let collected = tokio::select! {
+            body = tokio::time::timeout_at(site.at(exchange.expires), opened.collect(&site.buffers)) => body,
+            end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
+        };
+        match collected {
+            Err(_) => return Outcome::Refused(exchange.deadline_refusal()),
+            Ok(Ok(body)) => {
+                let status = opened.head.status;
+                let without_body = exchange.request().head.method == "HEAD";
+                let head = close.finish(head(&opened), site, caller);
+                let head = match without_body {
+                    true => head.finish_without_body(),
+                    false => head.finish_head(body.size()),
+                };
+                {
+                    let mut health = opened.upstream.health.borrow_mut();
+                    health.record_response(true);
+                    health.record_latency(site.now().saturating_sub(begun) + exchange.last_wait());
+                }
+                exchange.record_completion(status);
+                opened.finish(site.now());
+                drop(flight);
+                return Outcome::written(status, write_answer(caller, head, &body).await);
+            }
+            Ok(Err(failure @ Failure::NoMemory(_))) => {
+                site.counters.count("answer.no_memory");
+                tracing::warn!(target: "attempt", id = exchange.id(),
+                    upstream = %opened.upstream.life, %failure, "answer given up");
+                return Outcome::Refused(Refusal::with_status(502, "no memory for the answer"));
+            }
+            Ok(Err(failure)) => {
+                exchange.record_broken_answer(&opened, &failure);
+                drop((opened, flight));
+                let again = tokio::select! {
+                    again = exchange.open(None) => again,
+                    end = caller.wait_until_closed(READ_AHEAD) => return Outcome::left(&end),
+                };
+                match again {
+                    Err(refusal) => return Outcome::Refused(refusal),
+                    Ok(Answer::Failed(opened, body)) => {
+                        return forward_error(site, caller, opened, &body, close).await;
+                    }
+                    Ok(Answer::Open(next, next_flight)) => (opened, flight) = (next, next_flight),
+                }
+            }
+        }
+    }
+}
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -17,6 +17,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use marjoram_core::brittle::{MaxRejections, Statement};
 use marjoram_core::budget::{Allowance, Budget};
+use marjoram_core::buffer_budget::BufferBudget;
 use marjoram_core::cache_updates::UpdateQueue;
 use marjoram_core::candidacy::ControlCapacity;
 use marjoram_core::catalog::Catalog;
@@ -128,6 +129,8 @@
     pub rollout_check: Notify,
     /// Requests in progress.
     pub handled: InProgress,
+    /// Limits the answers that are read whole at the same time.
+    pub buffers: BufferBudget,
     budgets: RefCell<HashMap<String, Budget>>,
     /// The coordinated services of the configuration in force.
     coordinated: RefCell<HashMap<String, Rc<Coordination>>>,
@@ -144,6 +147,7 @@
     pub fn new(settings: HostSettings, policy: PolicyName, switches: Switches) -> Rc<Self> {
         let traffic = Rc::new(Traffic::default());
         let peers = Peers::new(&settings, traffic.clone());
+        let buffers = BufferBudget::new(settings.capacity.buffered_bytes());
         Rc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             policy,
@@ -183,6 +187,7 @@
             store_recovered: Notify::new(),
             rollout_check: Notify::new(),
             handled: InProgress::new(report_lost),
+            buffers,
             budgets: RefCell::default(),
             coordinated: RefCell::default(),
             start: Instant::now(),
