LOST: a stream that always has data delays no others and ends in time

What callers saw: while an upstream sends events without a pause, requests of other callers wait for the router, in one test run for 1.0 s.

Cause: a stream task gives way to others only when its upstream has no data, or after 128 operations in a row, some 2 MB (tokio's cooperative budget). The check of the route's time relied on the same: it ran only when a read had to wait.

Change: a stream lets other tasks run after each piece of 8 KiB or more, and checks the route's time also when data has come. Streams of sound engines have smaller pieces and run as before.

Ruled out: a yield after each piece, which polls the network once more for each event of every stream.

--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -28,6 +28,10 @@
 /// engine that can resume it. Callers give up after two seconds.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Bytes of a stream, received at once, after which other tasks run first: a stream that
+/// always has data would delay their requests.
+const LARGE_PIECE: usize = 8 << 10;
+
 /// Bytes of a caller's next request that are read ahead.
 pub const READ_AHEAD: usize = 64 << 10;
 
@@ -229,7 +233,7 @@
             end = caller.wait_until_closed(READ_AHEAD) => return Step::Left(end.to_string()),
         };
         match data {
-            Err(_) if self.site.now() >= self.exchange.expires => Step::Expired,
+            Err(_) | Ok(Ok(Some(_))) if self.site.now() >= self.exchange.expires => Step::Expired,
             Err(_) => self.handle_silence(caller, opened, idle_limit).await,
             Ok(data) => self.handle_data(caller, opened, data).await,
         }
@@ -297,12 +301,18 @@
         opened: &StartedAnswer,
         data: Result<Option<Bytes>, Failure>,
     ) -> Step {
-        match data {
+        let size = match data {
             Err(failure) => return Step::Broken(failure),
             Ok(None) => return Step::Ended,
-            Ok(Some(data)) => self.splitter.push(&data),
-        }
+            Ok(Some(data)) => {
+                self.splitter.push(&data);
+                data.len()
+            }
+        };
         opened.upstream.health.borrow_mut().record_activity(self.site.now());
+        if size >= LARGE_PIECE {
+            tokio::task::yield_now().await;
+        }
         let mut events = BytesMut::new();
         let taken = self.take_events(&mut events);
         match (self.forward(caller, &events).await, taken) {
