--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod choose;
 mod copies;
+mod failures;
 mod limits;
 mod poison;
 mod send;
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -1,7 +1,6 @@
 //! Sends a request to the upstream chosen, and applies the outcome to the state
 //! of the request and to the upstream's health.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,13 +12,12 @@
 use super::choose::Chosen;
 use super::takeover::HeadOutcome;
 use super::{Answer, Exchange};
-use crate::paths::ConnectError;
 use crate::proxy::attempt::{self, StartedAnswer};
 use crate::proxy::backlog::Claim;
 use crate::proxy::failure::Failure;
-use crate::proxy::fleet::{Flight, Upstream};
+use crate::proxy::fleet::Flight;
 use crate::proxy::http1::RequestWriter;
-use crate::proxy::{brittle, rate_limits, reports};
+use crate::proxy::{brittle, reports};
 
 /// How long an upstream that refused a request gets no others from this host.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(120);
@@ -144,50 +142,6 @@
         sent
     }
 
-    /// Records how the send to a silent `upstream` ended whose request another one has
-    /// taken over.
-    fn record_replaced_send(
-        &mut self,
-        upstream: &Rc<Upstream>,
-        ended: Option<Result<StartedAnswer, Failure>>,
-        begun: Duration,
-    ) {
-        let now = self.site.now();
-        match ended.unwrap_or(Err(Failure::TimedOut(now - begun))) {
-            Ok(refused) if refused.mark.not_run => {
-                self.possible_runs -= 1;
-                refused.finish(now);
-            }
-            Ok(failed) => drop(failed),
-            Err(Failure::Unreachable(why)) => self.record_unreachable(upstream, &why),
-            Err(failure) => self.record_failed_send(upstream, &failure),
-        }
-    }
-
-    /// Records that no connection to `upstream` could be opened, so that nothing was sent.
-    fn record_unreachable(&mut self, upstream: &Rc<Upstream>, why: &ConnectError) {
-        self.possible_runs -= 1;
-        self.sends -= 1;
-        self.failed_connects += 1;
-        self.tried.retain(|life| *life != upstream.life);
-        self.unreachable.push(upstream.life.clone());
-        upstream.mark_down(why, self.site.now());
-        rate_limits::refund(&self.site, upstream);
-        self.site.counters.count("upstream.unreachable");
-        tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life, %why,
-            "upstream unreachable");
-    }
-
-    /// Records that a send to `upstream` got no answer.
-    fn record_failed_send(&mut self, upstream: &Rc<Upstream>, failure: &Failure) {
-        upstream.record_failure(failure, self.site.now());
-        self.site.counters.count("upstream.broken");
-        tracing::warn!(target: "attempt", id = self.id(), upstream = %upstream.life,
-            %failure, fingerprint = %self.fingerprint, sends = self.sends,
-            "no answer from upstream");
-        self.check_for_crash(upstream, failure, None);
-    }
-
     /// Handles the head of the answer to a send, or its failure.
     async fn handle_head(
         &mut self,
