--- a/crates/router/tests/caller_connections.rs
+++ b/crates/router/tests/caller_connections.rs
@@ -78,6 +78,18 @@
     let _ = std::fs::remove_file(&log);
 }
 
+#[test_case(false, r#""completion_tokens":40"# ; "a response")]
+#[test_case(true, DONE ; "a stream")]
+fn a_caller_that_closes_only_its_sending_side_gets_its_answer(stream: bool, end: &str) {
+    let site = configured(&["--decode-ms", "20"]);
+    let mut socket = connect(&site);
+    socket.write_all(request(40, stream).as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(200));
+    socket.shutdown(Shutdown::Write).unwrap();
+    let answer = read_all(socket);
+    assert!(answer.contains(end), "{answer:?}");
+}
+
 #[test_case(false, r#""completion_tokens":20"# ; "responses")]
 #[test_case(true, DONE ; "streams")]
 fn pipelined_requests_are_all_answered(stream: bool, end: &str) {
