--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -12,7 +12,7 @@
 use ntex::http::client::ClientResponse;
 use ntex::http::client::error::SendRequestError;
 
-use super::takeover::{self, SILENCE_LIMIT, Takeover};
+use super::takeover::{self, RETRY_INTERVAL, SILENCE_LIMIT, Takeover};
 use crate::brittle;
 use crate::error::{self, Error};
 use crate::job::{Choice, Job, version};
@@ -147,19 +147,23 @@
         let silence = Error::Engine("send", addr.clone(), "engine became unreachable".into());
         let limit = job.time_to_deadline().map_or(SILENCE_LIMIT, |left| left.min(SILENCE_LIMIT));
         let end = Instant::now() + limit;
-        let head = ntex::time::timeout(limit, &mut request);
         let goes_on = |head: &Result<Result<ClientResponse, _>, ()>| match head {
             Ok(Ok(response)) => response.status().is_success(),
             Ok(Err(_)) => false,
             Err(()) => true,
         };
-        let head = match takeover::ask_other(node, job, &silence, &self.engine, head, goes_on).await
-        {
-            Takeover::Replaced(other) => return Ok(Sent::Replaced(other, silence)),
-            Takeover::WentOn(head) | Takeover::Failed(Some(head)) => head,
-            Takeover::Failed(None) => {
-                let left = end.saturating_duration_since(Instant::now());
-                ntex::time::timeout(left, request).await
+        let head = loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let head = ntex::time::timeout(left, &mut request);
+            match takeover::ask_other(node, job, &silence, &self.engine, head, goes_on).await {
+                Takeover::Replaced(other) => return Ok(Sent::Replaced(other, silence)),
+                Takeover::WentOn(head) | Takeover::Failed(Some(head)) => break head,
+                Takeover::Failed(None) if left.is_zero() => break Err(()),
+                Takeover::Failed(None) => {}
+            }
+            let pause = RETRY_INTERVAL.min(left);
+            if let Ok(head) = ntex::time::timeout(pause, &mut request).await {
+                break Ok(head);
             }
         };
         match head {
--- a/crates/router/src/forward/relay.rs
+++ b/crates/router/src/forward/relay.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::{FIRST_CHUNK_TIMEOUT, REACHABILITY_POLL_INTERVAL, Reachability};
 use super::events::{CompleteEvents, ReadError};
-use super::takeover::{self, SILENCE_LIMIT, Takeover};
+use super::takeover::{self, RETRY_INTERVAL, SILENCE_LIMIT, Takeover};
 use super::{AcceptedRequest, ChunkSink, LIMIT_STEP, caller_gone};
 use crate::error::Error;
 use crate::job::Job;
@@ -117,7 +117,7 @@
             let (limit, reachability) = match (silent_since, first) {
                 (None, true) => (FIRST_CHUNK_TIMEOUT, Some(self.reachability)),
                 (None, false) => (node.settings.stream_idle, Some(self.reachability)),
-                (Some(_), _) => (node.settings.stream_idle, None),
+                (Some(_), _) => (RETRY_INTERVAL, None),
             };
             let limit = job.time_to_deadline().map_or(limit, |left| left.min(limit));
             let waited = next(node, reachability, &mut self.stream, limit, &is_closed).await;
--- a/crates/router/src/forward/takeover.rs
+++ b/crates/router/src/forward/takeover.rs
@@ -19,6 +19,10 @@
 /// request over.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time after which other engines are asked again while an engine stays silent: one may have
+/// become reachable through another router.
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How the wait for a silent engine ended. `T` is what it sent.
 pub enum Takeover<T> {
     /// It went on.
