--- a/crates/router/src/proxy/brittle.rs
+++ b/crates/router/src/proxy/brittle.rs
@@ -122,6 +122,11 @@
 pub fn record_rejection(site: &Site, upstream: &Upstream) {
     let Some(max) = site.brittle(&upstream.entry.borrow().service) else { return };
     let (load, random) = (load(site, upstream, site.peers.present_count()), rand::random());
+    let others = site.peers.rejections(upstream.key);
+    tracing::info!(target: "brittle", upstream = %upstream.life, %max, others,
+        hosts = load.hosts, known_hosts = site.peers.count(), running = load.running,
+        own = load.own, slots = load.slots, work_ms = load.work.as_millis() as u64,
+        uptime_ms = site.now().as_millis() as u64, "brittle upstream rejected a request");
     upstream.brittle_sends.borrow_mut().record_rejection(max, load, random, site.now());
     site.counters.count("upstream.brittle_rejections");
 }
