LIMIT: hosts send only to slots of brittle upstreams that they hold

Callers saw brittle upstreams fall over, and few requests served by those that did not. The proxy asks the coordinator of the service for slots as soon as a request waits, is woken by the grant, and gives slots back as soon as they are idle and others wait. Requests that a host gives up count as running for twice the usual time, since the upstream may run them on.

Ruled out: a wrong number of hosts (40 of 40 in all rejections).

--- a/crates/core/src/brittle.rs
+++ b/crates/core/src/brittle.rs
@@ -226,6 +226,23 @@
     Duration::from_secs_f64((hosts as f64 / rate * (0.5 + random)).min(MAX_PAUSE.as_secs_f64()))
 }
 
+/// A host's rejections by one upstream in the last [`WINDOW`].
+#[derive(Debug, Clone, Default)]
+pub struct RecentRejections(VecDeque<Duration>);
+
+impl RecentRejections {
+    /// Records a rejection at `now`.
+    pub fn record(&mut self, now: Duration) {
+        self.0.retain(|at| now < *at + WINDOW);
+        self.0.push_back(now);
+    }
+
+    /// How many there were at `now`.
+    pub fn count(&self, now: Duration) -> u32 {
+        self.0.iter().filter(|at| now < **at + WINDOW).count() as u32
+    }
+}
+
 /// A host's sends to one brittle upstream, and the rejections that it got there.
 ///
 /// ```
@@ -256,8 +273,7 @@
 pub struct Sends {
     /// When the last request was sent.
     last: Option<Duration>,
-    /// Rejections in the last [`WINDOW`].
-    rejections: VecDeque<Duration>,
+    rejections: RecentRejections,
     /// Until when the slots of other hosts are left to these.
     paused_until: Duration,
     /// Until when this host's own slots are taken to be in use by others.
@@ -273,15 +289,14 @@
     /// Records a rejection at `now`, and leaves the upstream to other hosts for a time
     /// that `random`, from 0 to 1, varies.
     pub fn record_rejection(&mut self, max: MaxRejections, load: Load, random: f64, now: Duration) {
-        self.rejections.retain(|at| now < *at + WINDOW);
-        self.rejections.push_back(now);
+        self.rejections.record(now);
         self.paused_until = self.paused_until.max(now + pause(max, load.hosts, random));
         self.own_paused_until = self.own_paused_until.max(now + pause(max, load.owners(), random));
     }
 
     /// Rejections in the last [`WINDOW`].
     pub fn rejections(&self, now: Duration) -> u32 {
-        self.rejections.iter().filter(|at| now < **at + WINDOW).count() as u32
+        self.rejections.count(now)
     }
 
     /// Whether a request may be sent at `now`. Other hosts have recently got `others`
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -36,6 +36,7 @@
 mod response;
 mod run;
 mod site;
+mod slot_leases;
 mod state_transfer;
 mod storeclient;
 mod storelink;
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -2,6 +2,7 @@
 //! loaded each is.
 
 mod load;
+mod slots;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use lru::LruCache;
-use marjoram_core::brittle::Sends;
+use marjoram_core::brittle::RecentRejections;
 use marjoram_core::conditions::{Conditions, RateLimit};
 use marjoram_core::credit::Credit;
 use marjoram_core::exchange::{Part, PartId};
@@ -21,12 +22,14 @@
 use marjoram_core::reach::{self, Link};
 use marjoram_core::upstream::{Entry, Instance, UpstreamId};
 use rand::seq::IteratorRandom;
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::failure::Failure;
 use super::pool::Pool;
 use crate::paths::ConnectError;
 pub use load::{Flight, Load};
+pub use slots::SlotDemand;
 
 /// How long parts of a prefix path that were just read into an engine's cache are
 /// assumed to be cached without an event that confirms it: where this host reads
@@ -62,8 +65,8 @@
     pub invalid_logged: Cell<bool>,
     /// Its health as observed by this host.
     pub health: RefCell<Health>,
-    /// This host's sends to it while its service is brittle.
-    pub brittle_sends: RefCell<Sends>,
+    /// This host's requests that it rejected while its service was brittle.
+    pub rejections: RefCell<RecentRejections>,
     /// A connection to it is being tried, since it was down.
     pub retrying: Cell<bool>,
     /// This host's link to it.
@@ -76,6 +79,10 @@
     pub credit: Cell<Credit>,
     /// Prefill throughput that other hosts measured, in prompt tokens per millisecond.
     pub reported_throughput: Cell<Option<f64>>,
+    /// Until when requests that this host has abandoned may be running there.
+    abandoned: RefCell<Vec<Instant>>,
+    /// Told when one of this host's requests there has ended.
+    demand: Rc<SlotDemand>,
     /// Other hosts' requests there, from their last heartbeats.
     pub remote_load: Cell<Load>,
     /// Until when other hosts' unreachable reports count.
@@ -91,7 +98,7 @@
 }
 
 impl Upstream {
-    fn new(entry: Entry, conditions: Rc<RefCell<Conditions>>) -> Self {
+    fn new(entry: Entry, conditions: Rc<RefCell<Conditions>>, demand: &Rc<SlotDemand>) -> Self {
         Self {
             life: entry.life.clone(),
             key: key(&entry.life),
@@ -101,7 +108,9 @@
             conditions,
             invalid_logged: Cell::default(),
             health: RefCell::default(),
-            brittle_sends: RefCell::default(),
+            rejections: RefCell::default(),
+            abandoned: RefCell::default(),
+            demand: demand.clone(),
             retrying: Cell::default(),
             link: RefCell::default(),
             pool: Pool::default(),
@@ -265,6 +274,8 @@
     all: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     by_key: RefCell<HashMap<u64, Rc<Upstream>>>,
     services: RefCell<HashMap<String, Vec<Rc<Upstream>>>>,
+    /// Told when the number of requests at an upstream has fallen.
+    pub demand: Rc<SlotDemand>,
     /// What upstreams stated that are not listed any more, and may be listed again in
     /// the same incarnation, or that only other hosts list so far.
     unlisted: RefCell<Unlisted>,
@@ -303,7 +314,8 @@
                     self.remove(&former.life);
                 }
                 let conditions = self.unlisted.borrow_mut().0.pop(&key(&entry.life));
-                let upstream = Upstream::new(entry.clone(), conditions.unwrap_or_default());
+                let upstream =
+                    Upstream::new(entry.clone(), conditions.unwrap_or_default(), &self.demand);
                 let upstream = Rc::new(upstream);
                 self.all.borrow_mut().insert(entry.life.id.clone(), upstream.clone());
                 self.by_key.borrow_mut().insert(upstream.key, upstream.clone());
--- a/crates/router/src/proxy/fleet/load.rs
+++ b/crates/router/src/proxy/fleet/load.rs
@@ -33,6 +33,8 @@
     upstream: Rc<Upstream>,
     load: Load,
     awaiting_first_output: bool,
+    /// The upstream does not run it any more.
+    has_ended: bool,
 }
 
 impl Flight {
@@ -41,7 +43,12 @@
         let load = Load { running: 1, unread, memory };
         upstream.local_load.set(upstream.local_load.get().plus(load));
         upstream.health.borrow_mut().begin_wait(now);
-        Self { upstream, load, awaiting_first_output: true }
+        Self { upstream, load, awaiting_first_output: true, has_ended: false }
+    }
+
+    /// Records that the upstream has answered completely, or has not run the request.
+    pub fn end(&mut self) {
+        self.has_ended = true;
     }
 
     /// Records that the prompt has been processed, or that the answer has begun.
@@ -66,5 +73,9 @@
             unread: current.unread,
             memory: current.memory.saturating_sub(self.load.memory),
         });
+        if !self.has_ended {
+            self.upstream.note_abandoned();
+        }
+        self.upstream.note_ended();
     }
 }
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -234,15 +234,36 @@
         count: usize,
         own: Option<ControlCapacity>,
     ) -> Vec<Option<SocketAddr>> {
+        let hosts = self.named_by_capacity(group, count, own);
+        hosts.into_iter().map(|(_, addr)| addr).collect()
+    }
+
+    /// The same, with the hashes of the hosts' names.
+    pub fn named_by_capacity(
+        &self,
+        group: u64,
+        count: usize,
+        own: Option<ControlCapacity>,
+    ) -> Vec<(u64, Option<SocketAddr>)> {
         let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
-        let rank = |name: &str, capacity| (capacity, place::rank(group, xxh3_64(name.as_bytes())));
+        let host = |name: &str, capacity, addr| {
+            let name = xxh3_64(name.as_bytes());
+            ((capacity, place::rank(group, name)), (name, addr))
+        };
         let known = self.known.borrow();
         let alive = known.iter().filter(|(_, p)| p.open && p.is_alive(now, peer_timeout));
         let mut ranked: Vec<_> =
-            alive.map(|(name, p)| (rank(name, p.control_capacity), Some(p.record.peers))).collect();
-        ranked.extend(own.map(|capacity| (rank(&self.name, capacity), None)));
+            alive.map(|(name, p)| host(name, p.control_capacity, Some(p.record.peers))).collect();
+        ranked.extend(own.map(|capacity| host(&self.name, capacity, None)));
         ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-        ranked.into_iter().take(count).map(|(_, addr)| addr).collect()
+        ranked.into_iter().take(count).map(|(_, host)| host).collect()
+    }
+
+    /// The address of the host with this hashed name.
+    pub fn addr(&self, name: u64) -> Option<SocketAddr> {
+        let known = self.known.borrow();
+        let host = known.iter().find(|(known, _)| xxh3_64(known.as_bytes()) == name);
+        host.map(|(_, peer)| peer.record.peers)
     }
 
     /// The hosts as the quota accounts need them: how many send heartbeats, and
@@ -274,14 +295,6 @@
         open.map(|p| (p.record.callers, p.lost_links.all)).collect()
     }
 
-    /// Number of other hosts that have requests at the upstream with the key `key`.
-    pub fn users(&self, key: u64) -> usize {
-        let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
-        let known = self.known.borrow();
-        let alive = known.values().filter(|p| p.is_alive(now, peer_timeout));
-        alive.filter(|p| p.loads.iter().any(|(upstream, _)| *upstream == key)).count()
-    }
-
     /// Time in which every peer gets one heartbeat.
     pub fn heartbeat_round(&self) -> Duration {
         PERIOD * self.known.borrow().len().div_ceil(FANOUT).max(1) as u32
--- a/crates/router/src/proxy/hosts/message.rs
+++ b/crates/router/src/proxy/hosts/message.rs
@@ -12,6 +12,7 @@
 use marjoram_core::leadership::CandidateStatus;
 use marjoram_core::poison::{CrashReport, PartCrashReport, Quarantined};
 use marjoram_core::quota::ledger::{Allocation, Sender, Usage};
+use marjoram_core::slot_leases::{SlotGrant, SlotReport};
 use serde::{Deserialize, Serialize};
 
 use crate::proxy::fleet::Load;
@@ -68,6 +69,12 @@
     PartQuery(Vec<PartId>),
     /// The answer: the parts for which that is known, and how many milliseconds ago.
     PartCompletions(Vec<(PartId, u32)>),
+    /// The services that are brittle, for a host that has started.
+    BrittleServices(Vec<ReportedStatement>),
+    /// What the sender needs of the slots of a brittle service that the receiver coordinates.
+    SlotReport(Sender, SlotReport),
+    /// The slots that the receiver may use. The number is the hash of the coordinator's name.
+    SlotGrant(u64, SlotGrant),
 }
 
 /// What a host asks before it chooses an engine for a large prompt.
--- a/crates/router/src/proxy/peers.rs
+++ b/crates/router/src/proxy/peers.rs
@@ -20,7 +20,9 @@
 use super::fleet::Upstream;
 use super::hosts::{Message, PERIOD};
 use super::site::Site;
-use super::{backlog, brittle, cachefeed, notices, poison, quota, rate_limits, state_transfer};
+use super::{
+    backlog, brittle, cachefeed, notices, poison, quota, rate_limits, slot_leases, state_transfer,
+};
 use heartbeat::apply_announcement_ages;
 pub use heartbeat::send_heartbeats;
 
@@ -122,6 +124,11 @@
         Message::LimitAnswers(coordinator, answers) => {
             rate_limits::handle_answers(site, coordinator, &answers, from)
         }
+        Message::BrittleServices(statements) => brittle::apply_reported(site, &statements),
+        Message::SlotReport(sender, report) => slot_leases::handle_report(site, sender, &report),
+        Message::SlotGrant(coordinator, grant) => {
+            slot_leases::apply_grant(site, coordinator, grant)
+        }
         Message::BacklogQuery { id, query } => backlog::handle_query(site, id, &query, from),
         Message::BacklogAnswer { id, answer } => site.backlog.complete(id, answer),
         Message::Claim(sender, report) => backlog::handle_claim(site, sender, &report),
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -33,7 +33,7 @@
 use super::http1::RequestHead;
 use super::quota::{self, Charge};
 use super::refusal::{RETRY_MAX, RETRY_MIN, Refusal};
-use super::site::{Accounts, Site};
+use super::site::{Accounts, Site, SlotWait};
 use choose::Chosen;
 use limits::Denials;
 use send::Sent;
@@ -114,6 +114,8 @@
     accounts: RefCell<Accounts>,
     /// Upstreams to which the next send was denied because of their rate limits.
     denials: RefCell<Denials>,
+    /// The request waits for a slot of a brittle upstream.
+    slot_wait: RefCell<Option<SlotWait>>,
     /// It has been logged that the request waits until the crashes at which it was
     /// in flight are analysed.
     withheld: Cell<bool>,
@@ -183,6 +185,7 @@
             claim: None,
             accounts: RefCell::default(),
             denials: RefCell::default(),
+            slot_wait: RefCell::default(),
             withheld: Cell::new(false),
             last: None,
             pending_send: PendingSend::default(),
--- a/crates/router/src/proxy/request/limits.rs
+++ b/crates/router/src/proxy/request/limits.rs
@@ -4,11 +4,13 @@
 
 use marjoram_core::quota::gate::Admission;
 use marjoram_core::upstream::Instance;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Exchange;
 use super::choose::Chosen;
 use crate::proxy::refusal::Refusal;
-use crate::proxy::{brittle, rate_limits};
+use crate::proxy::site::SlotWait;
+use crate::proxy::{rate_limits, slot_leases};
 
 /// Upstreams whose rate limits are tried for one send. After that only upstreams
 /// without a limit are, so that a choice stays cheap where most have one.
@@ -40,12 +42,15 @@
     /// this host may not send it are passed over.
     pub(super) fn choose_within_limits(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
         let mut denials = self.denials.borrow_mut();
-        let brittle = brittle::withheld(&self.site, &self.service);
+        let brittle = slot_leases::withheld(&self.site, &self.service);
+        let service_key = xxh3_64(self.service.as_bytes());
         loop {
             let excluded = [&denials.upstreams[..], &brittle].concat();
             let chosen = match (self.choose(resumed, &excluded), denials.retry) {
                 (Err(_), Some(retry)) => return Err(self.refuse_over_limits(retry)),
                 (Err(_), _) if !brittle.is_empty() && self.may_wait_for_brittle() => {
+                    let mut wait = self.slot_wait.borrow_mut();
+                    wait.get_or_insert_with(|| SlotWait::new(&self.site, service_key));
                     return Ok(None);
                 }
                 (Err(_), _) if !brittle.is_empty() => {
@@ -63,7 +68,10 @@
                 return Err(self.give_up("repeat budget used up"));
             }
             match rate_limits::admit(&self.site, &chosen.upstream, self.id()) {
-                Admission::Admitted => return Ok(Some(chosen)),
+                Admission::Admitted => {
+                    self.slot_wait.take();
+                    return Ok(Some(chosen));
+                }
                 Admission::Refused(retry) => denials.add(&chosen.upstream.life, retry),
             }
             if denials.upstreams.len() >= MAX_DENIALS {
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -112,7 +112,6 @@
             wait_ms = chosen.expected_wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64, "placed");
         self.sends += 1;
-        brittle::record_send(&site, upstream);
         self.denials.take();
         self.last = Some(upstream.life.clone());
         self.tried.push(upstream.life.clone());
@@ -155,6 +154,7 @@
         self.waited = now - begun;
         match result {
             Err(Failure::Unreachable(why)) => {
+                flight.end();
                 self.record_unreachable(upstream, &why);
                 Sent::NoAnswer
             }
@@ -163,6 +163,7 @@
                 Sent::NoAnswer
             }
             Ok(opened) if opened.mark.not_run => {
+                flight.end();
                 self.possible_runs -= 1;
                 self.handle_refusal(opened, chosen.weights, now).await
             }
@@ -288,7 +289,7 @@
     /// Checks an answer that has begun. A server error is read whole, to be passed
     /// on if no other upstream succeeds. A success without the header with which
     /// upstreams seal their answers is dropped.
-    async fn check_answer(&mut self, opened: StartedAnswer, flight: Flight) -> Sent {
+    async fn check_answer(&mut self, opened: StartedAnswer, mut flight: Flight) -> Sent {
         let upstream = opened.upstream.clone();
         let status = opened.head.status;
         match status {
@@ -300,7 +301,11 @@
             }
             500..=599 => {
                 upstream.health.borrow_mut().record_response(false);
-                match self.collect(opened).await {
+                let collected = self.collect(opened).await;
+                if collected.is_some() {
+                    flight.end();
+                }
+                match collected {
                     Some((opened, body)) if opened.mark.sealed => Sent::Failed(opened, body),
                     _ => Sent::NoAnswer,
                 }
--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -91,6 +91,10 @@
     }
 
     fn has_slot(&self, upstream: &Upstream) -> bool {
+        // Slots of brittle upstreams are leased.
+        if self.site.brittle(&self.service).is_some() {
+            return true;
+        }
         let free = credit::free_places(upstream.entry.borrow().slots, upstream.load().running);
         match self.is_large() {
             true => free > 0.0,
@@ -145,8 +149,14 @@
                 return Ok(chosen);
             }
             match &mut place {
-                _ if !queued => tokio::time::sleep(WAIT_INTERVAL).await,
-                Some(place) => place.changed(self.site.now() + WAIT_INTERVAL).await,
+                _ if !queued => self.wait_for_slot().await,
+                Some(place) => {
+                    let end = self.site.now() + WAIT_INTERVAL;
+                    tokio::select! {
+                        () = place.changed(end) => {}
+                        () = self.site.slots.granted.notified() => {}
+                    }
+                }
                 None => {
                     self.check_expected_wait()?;
                     place = Some(self.join());
@@ -155,6 +165,12 @@
         }
     }
 
+    /// Waits until the next check, or until this host has been granted slots.
+    async fn wait_for_slot(&self) {
+        // Ends without a notification after the interval.
+        let _ = tokio::time::timeout(WAIT_INTERVAL, self.site.slots.granted.notified()).await;
+    }
+
     /// Refuses a request for which those ahead of it leave too little time.
     fn check_expected_wait(&self) -> Result<(), Refusal> {
         let now = self.site.now();
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -169,6 +169,7 @@
                     opened.upstream.health.borrow_mut().record_response(true);
                     self.exchange.record_completion(opened.head.status);
                     opened.finish(self.site.now());
+                    flight.end();
                     drop(flight);
                     return self.end(caller).await;
                 }
--- a/crates/router/src/proxy/response/buffered.rs
+++ b/crates/router/src/proxy/response/buffered.rs
@@ -84,6 +84,7 @@
                 }
                 exchange.record_completion(status);
                 opened.finish(site.now());
+                flight.end();
                 drop(flight);
                 return Outcome::written(status, write_answer(caller, head, &body).await);
             }
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -16,7 +16,7 @@
 use super::site::Site;
 use super::{
     backlog, cachefeed, callers, entry, follow, logs, notices, peers, poison, quota, rate_limits,
-    reach, state_transfer,
+    reach, slot_leases, state_transfer,
 };
 use crate::error::Error;
 
@@ -82,6 +82,7 @@
     ntex::rt::spawn(rate_limits::run(site.clone()));
     ntex::rt::spawn(rate_limits::learn(site.clone()));
     ntex::rt::spawn(backlog::run(site.clone()));
+    ntex::rt::spawn(slot_leases::run(site.clone()));
     let state_listener = listen(site.peers.record.peers)?;
     ntex::rt::spawn(state_transfer::serve(site.clone(), state_listener));
     ntex::rt::spawn(reach::run(site.clone()));
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -5,6 +5,7 @@
 mod notices;
 mod poison;
 mod quotas;
+mod slot_leases;
 mod startup_query;
 mod waiting;
 
@@ -35,6 +36,7 @@
 use marjoram_core::upstream::Registry;
 use tokio::sync::{Notify, SetOnce};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::counters::Counters;
 use super::fleet::Fleet;
@@ -47,6 +49,7 @@
 pub use notices::Notices;
 pub use poison::Poison;
 pub use quotas::Quotas;
+pub use slot_leases::{SlotLeases, SlotWait};
 pub use startup_query::StartupQuery;
 pub use waiting::{QueueKey, WaitQueue, Waiting};
 
@@ -70,8 +73,10 @@
     pub peers: Peers,
     /// Services from which this host is cut off: it has lost its links to their upstreams.
     pub cut_off: RefCell<Vec<String>>,
-    /// Which services are brittle, by name.
-    pub brittle: RefCell<HashMap<String, Statement>>,
+    /// Which services are brittle, by the hashes of their names.
+    pub brittle: RefCell<HashMap<u64, Statement>>,
+    /// Slots of brittle upstreams that this host holds or grants.
+    pub slots: SlotLeases,
     /// Connections to upstreams that this host relays for others.
     pub tunnels: Tunnels,
     /// Announced weights versions, by model.
@@ -159,6 +164,7 @@
             peers,
             cut_off: RefCell::default(),
             brittle: RefCell::default(),
+            slots: SlotLeases::default(),
             tunnels: Tunnels::default(),
             announced_weights: RefCell::default(),
             stores: Stores::default(),
@@ -224,7 +230,7 @@
     /// How many rejections the upstreams of `service` can bear; `None` if it is not
     /// brittle.
     pub fn brittle(&self, service: &str) -> Option<MaxRejections> {
-        self.brittle.borrow().get(service)?.in_force(self.now())
+        self.brittle.borrow().get(&xxh3_64(service.as_bytes()))?.in_force(self.now())
     }
 
     /// Whether this host is cut off from all upstreams.
