LIMIT: a host that starts asks which services are brittle

It waits for the answers to its query of limits already; the hosts asked now send the statements first.

brittle_upstreams_bear_forty_hosts_that_are_disturbed restarts ten and then all forty hosts, one after the other: 0 rejections. Open: when all restart at the same moment nobody knows.

--- a/crates/router/src/proxy/rate_limits/startup.rs
+++ b/crates/router/src/proxy/rate_limits/startup.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::{FIRST_GROUP, GROUPS};
+use crate::proxy::brittle;
 use crate::proxy::fleet::Upstream;
 use crate::proxy::hosts::{LimitAnswer, Message};
 use crate::proxy::quota::{MAX_BATCH, coordinators, sender};
@@ -58,6 +59,11 @@
     if !site.startup_query.has_ended() {
         return;
     }
+    let brittle = brittle::reported_statements(site);
+    if !brittle.is_empty() {
+        // Sent first: the answer below ends the wait of a host that asks.
+        site.peers.send_to(from, &Message::BrittleServices(brittle));
+    }
     let (own, limits) = (sender(site).host, limits_in_force(site));
     if limits.is_empty() {
         site.peers.send_to(from, &Message::LimitAnswers(own, Vec::new()));
