Test, KNOWN-RED: hosts of the own interface that start together send together

Sends::is_allowed dates the first send back by a random part of the interval, which is zero for all hosts that have run for less than that: 70 of 70 send in the same 5 ms. Tried and taken back: the first send at a random time after the start.

--- a/crates/core/tests/brittle.rs
+++ b/crates/core/tests/brittle.rs
@@ -170,3 +170,26 @@
         assert!(used > 0.33 * 0.85, "seed {seed}: {used:.3} of the slots used");
     }
 }
+
+#[test]
+fn hosts_that_start_together_do_not_send_together() {
+    const HOSTS: usize = 70;
+    let work = Duration::from_millis(300);
+    let load = Load { slots: 12, running: 0, own: 0, hosts: HOSTS, users: HOSTS, rank: HOSTS, work };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut sends = vec![Sends::default(); HOSTS];
+    let mut most = 0;
+    let steps = (0..800).map(|step| STEP * step);
+    for now in steps {
+        let mut together = 0;
+        for host in &mut sends {
+            if host.is_allowed(MAX, load, 0, rng.random(), now) {
+                host.record_send(now);
+                together += 1;
+            }
+        }
+        most = most.max(together);
+    }
+    // On average one host in ten steps.
+    assert!(most <= 5, "{most} of {HOSTS} hosts send in the same {STEP:?}");
+}
