--- a/crates/core/src/brittle.rs
+++ b/crates/core/src/brittle.rs
@@ -52,8 +52,9 @@
 /// How long a request is assumed to run at an upstream whose latency is not known.
 pub const DEFAULT_WORK: Duration = Duration::from_millis(500);
 
-/// How long a statement holds without answers that repeat it.
-const STATEMENT_TTL: Duration = Duration::from_secs(10);
+/// How long a statement holds without answers that repeat or withdraw it: upstreams that are
+/// down, or get no requests, state nothing.
+const STATEMENT_TTL: Duration = Duration::from_secs(120);
 
 /// Time without a statement after which an answer without one withdraws it: answers
 /// of several upstreams overtake each other.
@@ -93,9 +94,9 @@
 pub struct ReportedStatement {
     /// Hash of the service's name.
     pub service: u64,
-    /// What its upstreams can bear.
-    pub max: MaxRejections,
-    /// Milliseconds since an answer last stated it.
+    /// What its upstreams can bear; `None` if the statement is withdrawn.
+    pub max: Option<MaxRejections>,
+    /// Milliseconds since an answer last stated or withdrew it.
     pub age_ms: u32,
 }
 
@@ -112,6 +113,8 @@
 /// assert_eq!(statement.in_force(ms(200)), Some(MaxRejections(8)));
 /// statement.withdraw(ms(1_200));
 /// assert_eq!(statement.in_force(ms(1_300)), None);
+/// // Other hosts are told so.
+/// assert_eq!(statement.reported(7, ms(1_300)).unwrap().max, None);
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Statement {
@@ -142,10 +145,17 @@
         self.last.filter(|(_, at)| now < *at + STATEMENT_TTL).map(|(max, _)| max)
     }
 
-    /// How old the statement in force is at `now`.
-    pub fn age(&self, now: Duration) -> Option<Duration> {
-        self.in_force(now)?;
-        self.last.map(|(_, at)| now.saturating_sub(at))
+    /// What other hosts are told of `service` at `now`: the statement in force, or that it was
+    /// withdrawn lately. A host that does not hear of that gets no slots, and so no answer either.
+    pub fn reported(&self, service: u64, now: Duration) -> Option<ReportedStatement> {
+        let stated = self.last.filter(|(_, at)| now < *at + STATEMENT_TTL);
+        let (max, at) = match stated {
+            Some((max, at)) => (Some(max), at),
+            None => (None, Some(self.withdrawn).filter(|at| !at.is_zero())?),
+        };
+        let age = now.saturating_sub(at);
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        (age < STATEMENT_TTL).then_some(ReportedStatement { service, max, age_ms })
     }
 }
 
--- a/crates/core/tests/brittle.rs
+++ b/crates/core/tests/brittle.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use marjoram_core::brittle::{Load, MaxRejections, Sends, WINDOW};
+use marjoram_core::brittle::{Load, MaxRejections, Sends, Statement, WINDOW};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -171,11 +171,24 @@
     }
 }
 
+#[test]
+fn a_statement_outlives_a_time_without_answers() {
+    let (stated, seconds) = (Duration::from_secs(1), Duration::from_secs);
+    let mut statement = Statement::default();
+    statement.state(MAX, stated);
+    // All upstreams of the service are down, or starved, for half a minute.
+    assert_eq!(statement.in_force(seconds(31)), Some(MAX));
+    // The first answer that states nothing ends it.
+    statement.withdraw(seconds(31));
+    assert_eq!(statement.in_force(seconds(31)), None);
+}
+
 #[test]
 fn hosts_that_start_together_do_not_send_together() {
     const HOSTS: usize = 70;
     let work = Duration::from_millis(300);
-    let load = Load { slots: 12, running: 0, own: 0, hosts: HOSTS, users: HOSTS, rank: HOSTS, work };
+    let load =
+        Load { slots: 12, running: 0, own: 0, hosts: HOSTS, users: HOSTS, rank: HOSTS, work };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut sends = vec![Sends::default(); HOSTS];
     let mut most = 0;
--- a/crates/router/src/proxy/brittle.rs
+++ b/crates/router/src/proxy/brittle.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marjoram_core::brittle::{MaxRejections, ReportedStatement, Statement};
+use marjoram_core::brittle::{MaxRejections, ReportedStatement};
 use marjoram_core::conditions::Stated;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,11 +22,7 @@
     let key = xxh3_64(upstream.entry.borrow().service.as_bytes());
     match stated {
         Stated::Value(max) => state(site, key, max, site.now(), "answer"),
-        Stated::Nothing => {
-            if let Some(statement) = site.brittle.borrow_mut().get_mut(&key) {
-                statement.withdraw(sent);
-            }
-        }
+        Stated::Nothing => withdraw(site, key, sent, "answer"),
         Stated::Invalid => {}
     }
 }
@@ -44,6 +40,19 @@
     }
 }
 
+/// Records an answer without a statement to a request sent to `service` at `sent`.
+fn withdraw(site: &Site, service: u64, sent: Duration, source: &'static str) {
+    let former = in_force(site, service);
+    if let Some(statement) = site.brittle.borrow_mut().get_mut(&service) {
+        statement.withdraw(sent);
+    }
+    if former.is_some() && in_force(site, service).is_none() {
+        site.slots.granted.notify_waiters();
+        tracing::info!(target: "brittle", service = site.fleet.service_name(service), source,
+            "upstreams of a service are no longer brittle");
+    }
+}
+
 /// What the upstreams of `service`, the hash of a name, can bear, if they are brittle.
 pub fn in_force(site: &Site, service: u64) -> Option<MaxRejections> {
     site.brittle.borrow().get(&service)?.in_force(site.now())
@@ -54,21 +63,17 @@
     for statement in reported {
         let age = Duration::from_millis(u64::from(statement.age_ms));
         let at = site.now().saturating_sub(age);
-        state(site, statement.service, statement.max, at, "host");
+        match statement.max {
+            Some(max) => state(site, statement.service, max, at, "host"),
+            None => withdraw(site, statement.service, at, "host"),
+        }
     }
 }
 
-/// The services that are brittle, for other hosts.
+/// The services that are brittle, or have lately been, for other hosts.
 pub fn reported_statements(site: &Site) -> Vec<ReportedStatement> {
     let now = site.now();
-    let report = |(service, statement): (&u64, &Statement)| {
-        Some(ReportedStatement {
-            service: *service,
-            max: statement.in_force(now)?,
-            age_ms: u32::try_from(statement.age(now)?.as_millis()).unwrap_or(u32::MAX),
-        })
-    };
-    site.brittle.borrow().iter().filter_map(report).collect()
+    site.brittle.borrow().iter().filter_map(|(key, s)| s.reported(*key, now)).collect()
 }
 
 /// How many requests of this host brittle upstreams recently rejected, for other
