--- a/crates/router/src/proxy/request/failures.rs
+++ b/crates/router/src/proxy/request/failures.rs
@@ -9,7 +9,7 @@
 use crate::proxy::attempt::StartedAnswer;
 use crate::proxy::failure::Failure;
 use crate::proxy::fleet::Upstream;
-use crate::proxy::rate_limits;
+use crate::proxy::{brittle, rate_limits};
 
 impl Exchange {
     /// Records how the send to a silent `upstream` ended whose request another one has
@@ -24,6 +24,7 @@
         match ended.unwrap_or(Err(Failure::TimedOut(now - begun))) {
             Ok(refused) if refused.mark.not_run => {
                 self.possible_runs -= 1;
+                brittle::record_rejection(&self.site, upstream);
                 refused.finish(now);
             }
             Ok(failed) => drop(failed),
