LIMIT: hosts that all start together probe services before they send freely

Cause: the hosts asked for statements have just started too and answer nothing, so nobody knows. Now such hosts send a service one request each at most, and only as many of them as half of its slots, until one is answered; that host tells all others. It ends after 0.5 s at the latest, and does not apply where any host answers or there are no others.

--- a/crates/core/src/slot_leases.rs
+++ b/crates/core/src/slot_leases.rs
@@ -93,3 +93,18 @@
     /// Nearly all hosts report to this coordinator.
     pub has_quorum: bool,
 }
+
+/// Whether a host that has started may send a request to a service of which no host knows
+/// whether it is brittle, since all have started together. `rank` is the host's place, from 0,
+/// among those that do, `own` the number of its requests there, and `slots` that of the
+/// service's slots. The others wait for its answers.
+///
+/// ```
+/// use marjoram_core::slot_leases::may_probe;
+/// assert!(may_probe(14, 0, 30));
+/// assert!(!may_probe(15, 0, 30) && !may_probe(14, 1, 30));
+/// assert!(may_probe(0, 0, 0));
+/// ```
+pub fn may_probe(rank: usize, own: u32, slots: u32) -> bool {
+    own == 0 && rank < (slots as usize / 2).max(1)
+}
--- a/crates/router/src/proxy/brittle.rs
+++ b/crates/router/src/proxy/brittle.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::fleet::Upstream;
+use super::hosts::Message;
 use super::site::Site;
 use super::slot_leases;
 
@@ -25,6 +26,12 @@
         Stated::Nothing => withdraw(site, key, sent, "answer"),
         Stated::Invalid => {}
     }
+    let query = &site.startup_query;
+    if query.is_probing(site.now()) && query.record_known(key) {
+        let learned = ReportedStatement { service: key, max: in_force(site, key), age_ms: 0 };
+        site.peers.broadcast(&Message::BrittleServices(vec![learned]));
+        site.slots.granted.notify_waiters();
+    }
 }
 
 /// Records that the upstreams of `service`, the hash of a name, stated at `at` that they are
@@ -67,6 +74,10 @@
             Some(max) => state(site, statement.service, max, at, "host"),
             None => withdraw(site, statement.service, at, "host"),
         }
+        if site.startup_query.is_probing(site.now()) {
+            site.startup_query.record_known(statement.service);
+            site.slots.granted.notify_waiters();
+        }
     }
 }
 
--- a/crates/router/src/proxy/rate_limits/startup.rs
+++ b/crates/router/src/proxy/rate_limits/startup.rs
@@ -1,6 +1,7 @@
 //! Asks other hosts for the limits in force when this host starts. Without that, a host that
 //! has restarted would send without a limit until the upstream answers.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +17,9 @@
 const QUERIES: u32 = 4;
 const QUERY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long services are probed if no host has answered: longer than most requests run.
+const PROBE_SPAN: Duration = Duration::from_millis(500);
+
 /// Hosts that are asked besides the coordinators of limits.
 const QUERIED_HOSTS: usize = 8;
 
@@ -23,7 +27,9 @@
 pub async fn learn(site: Rc<Site>) {
     site.startup_reads.wait().await;
     let query = &site.startup_query;
-    query.begin(queried_hosts(&site));
+    let queried: HashSet<SocketAddr> = queried_hosts(&site).into_iter().collect();
+    let asked = queried.len();
+    query.begin(queried);
     for _ in 0..QUERIES {
         let unanswered = query.unanswered();
         if unanswered.is_empty() {
@@ -36,6 +42,9 @@
     }
     let unanswered = query.unanswered().len();
     tracing::info!(target: "conditions", unanswered, "asked other hosts for the limits in force");
+    if unanswered > 0 && unanswered == asked {
+        query.begin_probing(site.now() + PROBE_SPAN);
+    }
     query.end();
 }
 
@@ -56,7 +65,7 @@
 
 /// Answers the query of the host at `from`. A host that has just started itself does not answer.
 pub fn answer_query(site: &Site, from: SocketAddr) {
-    if !site.startup_query.has_ended() {
+    if !site.startup_query.has_ended() || site.startup_query.is_probing(site.now()) {
         return;
     }
     let brittle = brittle::reported_statements(site);
--- a/crates/router/src/proxy/request/limits.rs
+++ b/crates/router/src/proxy/request/limits.rs
@@ -41,6 +41,9 @@
     /// limit; `None` if the request has to wait at the router. Upstreams to which
     /// this host may not send it are passed over.
     pub(super) fn choose_within_limits(&self, resumed: bool) -> Result<Option<Chosen>, Refusal> {
+        if slot_leases::awaits_probe(&self.site, &self.service) {
+            return Ok(None);
+        }
         let mut denials = self.denials.borrow_mut();
         let brittle = slot_leases::withheld(&self.site, &self.service);
         let service_key = xxh3_64(self.service.as_bytes());
--- a/crates/router/src/proxy/slot_leases.rs
+++ b/crates/router/src/proxy/slot_leases.rs
@@ -8,7 +8,7 @@
 use marjoram_core::health::STALL_TIMEOUT;
 use marjoram_core::quota::ledger::Sender;
 use marjoram_core::slot_leases::coordinator::{Coordinator, UpstreamSlots};
-use marjoram_core::slot_leases::{SlotGrant, SlotReport, SlotUse};
+use marjoram_core::slot_leases::{SlotGrant, SlotReport, SlotUse, may_probe};
 use marjoram_core::upstream::Instance;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -79,6 +79,19 @@
     withheld.map(|upstream| upstream.life.clone()).collect()
 }
 
+/// Whether requests for `service` wait until it is known if it is brittle, because all hosts have
+/// started together and others probe it.
+pub fn awaits_probe(site: &Site, service: &str) -> bool {
+    let key = xxh3_64(service.as_bytes());
+    if !site.startup_query.is_probing(site.now()) || site.startup_query.knows(key) {
+        return false;
+    }
+    let upstreams = site.fleet.service(service);
+    let own = upstreams.iter().map(|u| u.occupied()).sum();
+    let slots = upstreams.iter().map(|u| u.entry.borrow().slots).sum();
+    !may_probe(site.peers.rank(key), own, slots)
+}
+
 /// Records that `upstream` of `service`, the hash of a name, has rejected a request.
 pub fn record_rejection(site: &Site, service: u64, upstream: &Upstream) {
     let slots = site.slots.service(service);
