--- a/crates/core/tests/slot_leases.rs
+++ b/crates/core/tests/slot_leases.rs
@@ -65,3 +65,13 @@
     assert!(outcome.served >= 0.95, "{outcome:?}");
     assert!(outcome.wait < Duration::from_millis(30), "{outcome:?}");
 }
+
+/// Bytes a second that a host of a large site may send to the others for one purpose.
+const MAX_BYTES: u64 = 2_000;
+
+#[test_matrix([295, 410], [PLAIN, ENGINES])]
+fn hosts_of_large_sites_send_few_bytes(hosts: usize, service: Service) {
+    let outcome = replay(hosts, service, 5, Disturbance::None);
+    let [mean, _coordinator] = outcome.sent;
+    assert!(mean.bytes <= MAX_BYTES, "{outcome:?}");
+}
--- a/crates/core/tests/slot_leases/replay.rs
+++ b/crates/core/tests/slot_leases/replay.rs
@@ -83,6 +83,15 @@
     pub served: f64,
     /// Mean wait of those that were served.
     pub wait: Duration,
+    /// Messages and bytes a second that a host sends: on average, and at most.
+    pub sent: [Traffic; 2],
+}
+
+/// Messages and bytes that a host sends.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
 }
 
 #[derive(Debug)]
@@ -118,6 +127,7 @@
     running: Vec<u32>,
     coordinator: Option<Coordinator>,
     away_until: Duration,
+    sent: Traffic,
 }
 
 pub struct Replay {
@@ -184,7 +194,13 @@
             self.upstreams.iter().map(|u| of(u).as_secs_f64()).sum()
         };
         let slots = f64::from(self.service.slots);
+        let (hosts, span) = (self.hosts.len() as u64, (END - STATED).as_secs());
+        let total = |of: fn(&Traffic) -> u64| self.hosts.iter().map(|h| of(&h.sent)).sum::<u64>();
+        let most = self.hosts.iter().map(|h| h.sent).max_by_key(|sent| sent.messages);
+        let rate = |t: Traffic, by: u64| Traffic { messages: t.messages / by, bytes: t.bytes / by };
+        let all = Traffic { messages: total(|t| t.messages), bytes: total(|t| t.bytes) };
         Outcome {
+            sent: [rate(all, hosts * span), rate(most.unwrap_or_default(), span)],
             used: sum(|u| u.busy) / sum(|u| u.up) / slots,
             used_at_end: sum(|u| u.busy_at_end) / sum(|u| u.up_at_end) / slots,
             served: self.waits.len() as f64 / f64::from(self.arrived),
@@ -215,6 +231,17 @@
             }
             _ => false,
         };
+        if from != to {
+            let config = bincode::config::standard();
+            let bytes = match &event {
+                Event::Report { report, .. } => bincode::serde::encode_to_vec(report, config),
+                Event::Grant { grant, .. } => bincode::serde::encode_to_vec(grant, config),
+                _ => unreachable!("not a message"),
+            };
+            let sent = &mut self.hosts[from].sent;
+            sent.messages += 1;
+            sent.bytes += bytes.expect("encodes").len() as u64;
+        }
         if !is_cut && (from == to || !self.rng.random_bool(0.01)) {
             let delay = Duration::from_micros(self.rng.random_range(500..2_500));
             self.at(self.now + if from == to { Duration::ZERO } else { delay }, event);
