Brittle upstreams: hosts send as before in the first half of stableWindowMs

Callers: when a service stated that it was brittle, its coordinator granted nothing for 1.6 to 2.6 s, until requests that nobody reports must have ended, though upstreams let as many wait as before for stableWindowMs. Hosts now send without leases until half of that has passed since the last answer without a statement; later statements open no such time. Hosts that have had no such answer, for example after a restart, keep to leases at once. The setting is read.

A grant of a former term that arrives late is ignored (by reading).

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -48,6 +48,8 @@
     pub config: Duration,
     /// How long a newly announced weights version may take to come into use.
     pub weights: Duration,
+    /// How long hosts have to learn of a change of the upstreams' conditions.
+    pub stable_window: Duration,
     /// How long a caller may keep an address response.
     pub answer_ttl: Duration,
     /// By how much a workspace's requests may exceed its quota.
--- a/crates/core/src/slot_leases/holder.rs
+++ b/crates/core/src/slot_leases/holder.rs
@@ -79,12 +79,17 @@
     last_grant: Option<Duration>,
     grant: (u64, u32),
     leases: HashMap<UpstreamKey, u16>,
-    valid_until: Duration,
+    /// When the newest report that it has answered was sent.
+    answered: Duration,
     is_contended: bool,
     has_quorum: bool,
 }
 
 impl Coordinator {
+    fn is_valid(&self, now: Duration) -> bool {
+        now < self.answered + LEASE_TTL
+    }
+
     fn is_silent(&self, now: Duration) -> bool {
         now >= self.last_grant.unwrap_or(self.since).max(self.since) + COORDINATOR_TIMEOUT
     }
@@ -138,7 +143,7 @@
     pub fn is_allowed(&self, upstream: UpstreamKey, running: u32, now: Duration) -> bool {
         self.coordinator.as_ref().is_some_and(|coordinator| {
             let leased = coordinator.leases.get(&upstream).copied().unwrap_or_default();
-            now < coordinator.valid_until && running < u32::from(leased)
+            coordinator.is_valid(now) && running < u32::from(leased)
         })
     }
 
@@ -148,17 +153,24 @@
             return;
         };
         let (term, number) = coordinator.grant;
-        if term == grant.term && grant.number < number {
+        let answers = Duration::from_micros(grant.answers_us);
+        let is_outdated = match term == grant.term {
+            true => grant.number < number,
+            false => answers < coordinator.answered,
+        };
+        if is_outdated {
             return;
         }
         let before = std::mem::take(&mut coordinator.leases);
         // A grant that does not take account of a rejection does not hold at that upstream.
-        let answers = Duration::from_micros(grant.answers_us);
         let is_informed =
             |key: &u64| self.rejected.get(key).is_none_or(|(_, rejected)| answers >= *rejected);
         let leases = grant.leases.into_iter().filter(|(key, _)| is_informed(key));
         coordinator.leases = leases.collect();
-        coordinator.valid_until = coordinator.valid_until.max(answers + LEASE_TTL);
+        coordinator.answered = match term == grant.term {
+            true => coordinator.answered.max(answers),
+            false => answers,
+        };
         coordinator.last_grant = Some(now);
         coordinator.is_contended = grant.is_contended;
         coordinator.has_quorum = grant.has_quorum;
@@ -222,7 +234,7 @@
 
     /// The slots held at `now`.
     pub fn leases(&self, now: Duration) -> impl Iterator<Item = (UpstreamKey, u16)> {
-        let valid = self.coordinator.iter().filter(move |c| now < c.valid_until);
+        let valid = self.coordinator.iter().filter(move |c| c.is_valid(now));
         valid.flat_map(|c| c.leases.iter().map(|(key, slots)| (*key, *slots)))
     }
 }
--- a/crates/router/src/proxy/brittle.rs
+++ b/crates/router/src/proxy/brittle.rs
@@ -23,7 +23,13 @@
     let key = xxh3_64(upstream.entry.borrow().service.as_bytes());
     match stated {
         Stated::Value(max) => state(site, key, max, site.now(), "answer"),
-        Stated::Nothing => withdraw(site, key, sent, "answer"),
+        Stated::Nothing => {
+            withdraw(site, key, sent, "answer");
+            if in_force(site, key).is_none() {
+                let slots = site.slots.service(key);
+                slots.last_sound.set(slots.last_sound.get().max(Some(sent)));
+            }
+        }
         Stated::Invalid => {}
     }
     let query = &site.startup_query;
--- a/crates/router/src/proxy/request/turn.rs
+++ b/crates/router/src/proxy/request/turn.rs
@@ -11,10 +11,10 @@
 use super::choose::{Chosen, DEFAULT_THROUGHPUT};
 use super::{Exchange, WAIT_INTERVAL, millis};
 use crate::proxy::fleet::Upstream;
-use crate::proxy::rate_limits;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::site::{QueueKey, WaitQueue};
 use crate::proxy::waiting::Place;
+use crate::proxy::{rate_limits, slot_leases};
 
 /// Divisor of the caller's time limit: a large prompt waits for its turn and for room for at most
 /// that fraction of it, since its target has passed then.
@@ -92,7 +92,7 @@
 
     fn has_slot(&self, upstream: &Upstream) -> bool {
         // Slots of brittle upstreams are leased.
-        if self.site.brittle(&self.service).is_some() {
+        if slot_leases::is_enforced(&self.site, &self.service) {
             return true;
         }
         let free = credit::free_places(upstream.entry.borrow().slots, upstream.load().running);
--- a/crates/router/src/proxy/site/slot_leases.rs
+++ b/crates/router/src/proxy/site/slot_leases.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use marjoram_core::slot_leases::coordinator::Coordinator;
 use marjoram_core::slot_leases::holder::Holder;
@@ -17,6 +18,8 @@
     pub holder: RefCell<Holder>,
     /// Its requests that wait.
     pub waiting: Cell<usize>,
+    /// When the last request was sent whose answer came before any statement.
+    pub last_sound: Cell<Option<Duration>>,
 }
 
 /// The slots of all brittle services, by the hashes of their names.
--- a/crates/router/src/proxy/slot_leases.rs
+++ b/crates/router/src/proxy/slot_leases.rs
@@ -66,10 +66,22 @@
     statements.iter().filter_map(|(key, s)| Some((*key, s.in_force(now)?))).collect()
 }
 
+/// Whether requests for `service` are sent only to slots that this host holds: not in the first
+/// part of the time in which upstreams let as many requests wait as before. The coordinator
+/// learns what runs there in the meantime.
+pub fn is_enforced(site: &Site, service: &str) -> bool {
+    if site.brittle(service).is_none() {
+        return false;
+    }
+    let last_sound = site.slots.service(xxh3_64(service.as_bytes())).last_sound.get();
+    let transition = site.settings.load().bounds.stable_window / 2;
+    last_sound.is_none_or(|sent| site.now() >= sent + transition)
+}
+
 /// Upstreams of `service` that may not get a request of this host now, since it is
 /// brittle and this host holds no free slot of theirs.
 pub fn withheld(site: &Site, service: &str) -> Vec<Instance> {
-    if site.brittle(service).is_none() {
+    if !is_enforced(site, service) {
         return Vec::new();
     }
     let (slots, now) = (site.slots.service(xxh3_64(service.as_bytes())), site.now());
