--- a/crates/core/src/slot_leases/coordinator.rs
+++ b/crates/core/src/slot_leases/coordinator.rs
@@ -4,16 +4,13 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
+use super::account::{Account, Holding, VOTE_TTL};
 use super::quorum::{self, HostCount};
 use super::slots::Slots;
-use super::{HostKey, LEASE_TTL, SlotGrant, SlotReport, SlotUse, UpstreamKey};
+use super::{HostKey, LEASE_TTL, SlotGrant, SlotReport, UpstreamKey};
 use crate::brittle::MaxRejections;
 use crate::quota::ledger::Sender;
 
-/// Time for which a report counts as a vote for this coordinator; shorter than the time after
-/// which a host reports to another one.
-const VOTE_TTL: Duration = Duration::from_millis(500);
-
 /// Time after a host's last report from which on its leases have ended also if that report was
 /// delayed.
 const EXPIRY: Duration = Duration::from_millis(700);
@@ -38,65 +35,6 @@
     pub is_open: bool,
 }
 
-/// Slots that one host holds or uses at one upstream.
-#[derive(Debug, Clone, Copy, Default)]
-struct Holding {
-    /// Granted to it.
-    leased: u16,
-    /// Granted to it as far as it may know.
-    bound: u16,
-    /// Its requests that may be running there.
-    running: u16,
-    /// Its rejections, as last reported.
-    rejected: u32,
-}
-
-impl Holding {
-    fn joining(reported: &SlotUse) -> (UpstreamKey, Self) {
-        (reported.upstream, Self { rejected: reported.rejected, ..Self::default() })
-    }
-
-    fn used(&self) -> u32 {
-        u32::from(self.bound.max(self.running))
-    }
-}
-
-/// One host.
-#[derive(Debug, Clone, Default)]
-struct Account {
-    life: u64,
-    /// Since when it reports without a pause.
-    since: Duration,
-    last_report: Duration,
-    sent_us: u64,
-    wanted: usize,
-    work: Duration,
-    holdings: HashMap<UpstreamKey, Holding>,
-    unusable: Vec<UpstreamKey>,
-    /// Number of the last grant.
-    number: u32,
-    /// Since when it has its slots, or waits for the first one.
-    tenure: Duration,
-    /// Its leases have changed since the last grant.
-    is_changed: bool,
-}
-
-impl Account {
-    fn leased(&self) -> usize {
-        self.holdings.values().map(|holding| usize::from(holding.leased)).sum()
-    }
-
-    /// Slots that it gives back, but may not have heard of yet.
-    fn returning(&self) -> usize {
-        let returning = |h: &Holding| usize::from(h.bound.saturating_sub(h.leased));
-        self.holdings.values().map(returning).sum()
-    }
-
-    fn is_vote(&self, now: Duration) -> bool {
-        now < self.last_report + VOTE_TTL && now >= self.since + LEASE_TTL
-    }
-}
-
 /// The accounts of one service, kept by its coordinator.
 #[derive(Debug, Clone)]
 pub struct Coordinator {
--- a/crates/core/tests/slot_leases/replay.rs
+++ b/crates/core/tests/slot_leases/replay.rs
@@ -1,16 +1,22 @@
 //! Hosts, upstreams and the messages between hosts, played event by event.
 
+#[path = "messages.rs"]
+mod messages;
+#[path = "scenario.rs"]
+mod scenario;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use marjoram_core::brittle::{MaxRejections, WINDOW};
+use marjoram_core::brittle::WINDOW;
 use marjoram_core::quota::ledger::Sender;
-use marjoram_core::slot_leases::coordinator::{Coordinator, UpstreamSlots};
+use marjoram_core::slot_leases::coordinator::Coordinator;
 use marjoram_core::slot_leases::holder::Holder;
-use marjoram_core::slot_leases::{SlotGrant, SlotReport, SlotUse};
+use marjoram_core::slot_leases::{SlotGrant, SlotReport};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+pub use scenario::{Disturbance, ENGINES, Outcome, PLAIN, Service, Traffic};
 
 /// When upstreams state that they are brittle, when they let none wait any more, and the end.
 const STATED: Duration = Duration::from_secs(1);
@@ -32,68 +38,6 @@
 const TICK: Duration = Duration::from_millis(20);
 const RESTART: Duration = Duration::from_millis(400);
 
-/// Shortest silence after which a host is taken to be gone.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_225);
-
-/// Step between the places of hosts in the order of coordinators; prime to all numbers of hosts.
-const ORDER: usize = 13;
-
-/// Upstreams of one kind.
-#[derive(Debug, Clone, Copy)]
-pub struct Service {
-    upstreams: usize,
-    slots: u32,
-    queue: usize,
-    work: Duration,
-}
-
-pub const PLAIN: Service =
-    Service { upstreams: 5, slots: 6, queue: 24, work: Duration::from_millis(15) };
-pub const ENGINES: Service =
-    Service { upstreams: 56, slots: 12, queue: 36, work: Duration::from_millis(300) };
-
-/// What is disturbed. Shares are of all hosts or upstreams; the coordinator is among the hosts.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Disturbance {
-    None,
-    /// Requests run this many times as long.
-    Slow(f64),
-    /// This many times as many requests.
-    Burst(f64),
-    /// This share of the upstreams is gone.
-    LostUpstreams(f64),
-    /// This share of the hosts restarts, without the requests that run for them being ended.
-    Restart(f64),
-    /// This share of the hosts stands still.
-    Silent(f64),
-    /// This share of the hosts is cut off from the others, and serves callers.
-    Cut(f64),
-}
-
-/// What was measured from the time on when upstreams let none wait.
-#[derive(Debug, Clone, Default)]
-pub struct Outcome {
-    pub falls: u32,
-    pub rejections: u32,
-    /// Share of the slots of upstreams that were up.
-    pub used: f64,
-    /// The same from when on the disturbance must be overcome.
-    pub used_at_end: f64,
-    /// Share of the requests.
-    pub served: f64,
-    /// Mean wait of those that were served.
-    pub wait: Duration,
-    /// Messages and bytes a second that a host sends: on average, and at most.
-    pub sent: [Traffic; 2],
-}
-
-/// Messages and bytes that a host sends.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Traffic {
-    pub messages: u64,
-    pub bytes: u64,
-}
-
 #[derive(Debug)]
 enum Event {
     Arrival,
@@ -323,72 +267,6 @@
         self.act(host);
     }
 
-    /// Sends what the host may send, and reports if that is due.
-    fn act(&mut self, host: usize) {
-        let now = self.now;
-        if now < self.hosts[host].away_until {
-            return;
-        }
-        self.hosts[host].waiting.retain(|since| now < *since + PATIENCE);
-        while !self.hosts[host].waiting.is_empty() && self.send_one(host) {}
-        if now < self.hosts[host].aware {
-            return;
-        }
-        let mut holder = std::mem::take(&mut self.hosts[host].holder);
-        let to = holder.coordinator(|| self.ranked(host), now);
-        self.hosts[host].holder = holder;
-        let Some(to) = to else { return };
-        let hosts = self.hosts.len() as u16;
-        let this = &mut self.hosts[host];
-        let demand = this.running.iter().sum::<u32>() as usize + this.waiting.len();
-        let wanted = this.holder.wanted(demand, now);
-        if now < this.holder.next_report(wanted, now) {
-            return;
-        }
-        this.holder.record_report(wanted, now);
-        let uses = (0..self.upstreams.len()).filter_map(|n| {
-            let (running, rejected) = (this.running[n] as u16, this.holder.rejected(n as u64));
-            (running > 0 || rejected > 0).then_some(SlotUse {
-                upstream: n as u64,
-                running,
-                rejected,
-            })
-        });
-        let report = SlotReport {
-            service: 1,
-            max: MaxRejections(self.max),
-            sent_us: now.as_micros() as u64,
-            applied: this.holder.applied(),
-            wanted: wanted as u16,
-            hosts,
-            work_ms: self.service.work.as_millis() as u32,
-            uses: uses.collect(),
-            unusable: (0..self.upstreams.len())
-                .filter(|n| now < self.upstreams[*n].down_until)
-                .map(|n| n as u64)
-                .collect(),
-        };
-        let sender = Sender { host: host as u64, life: self.hosts[host].life };
-        self.send(host, to as usize, Event::Report { to: to as usize, sender, report });
-    }
-
-    /// The hosts that may coordinate, as `host` sees them: the first ones of a fixed order that it
-    /// has heard of lately. The first of all is disturbed.
-    fn ranked(&self, host: usize) -> Vec<u64> {
-        let count = self.hosts.len();
-        let silence = Duration::from_millis(count.div_ceil(16) as u64 * 300).max(HEARTBEAT_TIMEOUT);
-        let is_silent = self.is_disturbed() && self.now >= DISTURBED + silence;
-        let is_heard = |other: usize| match self.disturbance {
-            Disturbance::Silent(share) if is_silent => !self.is_among(other, share),
-            Disturbance::Cut(share) if is_silent => {
-                self.is_among(host, share) == self.is_among(other, share)
-            }
-            _ => true,
-        };
-        let order = (0..count).map(|n| n * ORDER % count);
-        order.filter(|other| is_heard(*other)).take(5).map(|n| n as u64).collect()
-    }
-
     /// Sends one waiting request, if there is a slot for it.
     fn send_one(&mut self, host: usize) -> bool {
         let (now, count) = (self.now, self.upstreams.len());
@@ -465,46 +343,4 @@
             upstream.up_at_end += span(RECOVERED);
         }
     }
-
-    fn upstream_slots(&self) -> Vec<UpstreamSlots> {
-        let slots = |(n, upstream): (usize, &Upstream)| UpstreamSlots {
-            upstream: n as u64,
-            slots: self.service.slots,
-            is_open: self.now >= upstream.down_until,
-        };
-        self.upstreams.iter().enumerate().map(slots).collect()
-    }
-
-    /// The host `to` gets a report as a coordinator.
-    fn coordinate(&mut self, to: usize, sender: Sender, report: &SlotReport) {
-        let now = self.now;
-        let term = to as u64 * 1_000 + self.hosts[to].life;
-        let begun = &mut self.hosts[to].coordinator;
-        let is_new = begun.is_none();
-        let coordinator = begun.get_or_insert_with(|| Coordinator::new(1, term, report.max, now));
-        let grants = coordinator.report(sender, report, now);
-        if is_new {
-            self.advance(to);
-        }
-        self.send_grants(to, grants);
-    }
-
-    fn advance(&mut self, host: usize) {
-        let (now, this) = (self.now, &self.hosts[host]);
-        if now < this.away_until || this.coordinator.is_none() {
-            return;
-        }
-        let upstreams = self.upstream_slots();
-        let Some(coordinator) = &mut self.hosts[host].coordinator else { return };
-        coordinator.set_upstreams(&upstreams, now);
-        let grants = coordinator.advance(now);
-        self.send_grants(host, grants);
-    }
-
-    fn send_grants(&mut self, from: usize, grants: Vec<(u64, SlotGrant)>) {
-        for (to, grant) in grants {
-            let to = to as usize;
-            self.send(from, to, Event::Grant { to, from: from as u64, grant });
-        }
-    }
 }
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -3,15 +3,14 @@
 
 mod load;
 mod slots;
+mod unlisted;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::Duration;
 
-use lru::LruCache;
 use marjoram_core::brittle::RecentRejections;
 use marjoram_core::conditions::{Conditions, RateLimit};
 use marjoram_core::credit::Credit;
@@ -30,6 +29,7 @@
 use crate::paths::ConnectError;
 pub use load::{Flight, Load};
 pub use slots::SlotDemand;
+use unlisted::Unlisted;
 
 /// How long parts of a prefix path that were just read into an engine's cache are
 /// assumed to be cached without an event that confirms it: where this host reads
@@ -44,9 +44,6 @@
 /// something.
 const UNREACHABLE_REPORT_TTL: Duration = Duration::from_millis(500);
 
-/// Upstreams whose conditions are kept after they are not listed any more.
-const MAX_UNLISTED: NonZeroUsize = NonZeroUsize::new(1_024).expect("not zero");
-
 /// One upstream.
 pub struct Upstream {
     /// Id and incarnation.
@@ -281,15 +278,6 @@
     unlisted: RefCell<Unlisted>,
 }
 
-/// The conditions of upstreams that are not listed, by the keys of their incarnations.
-struct Unlisted(LruCache<u64, Rc<RefCell<Conditions>>>);
-
-impl Default for Unlisted {
-    fn default() -> Self {
-        Self(LruCache::new(MAX_UNLISTED))
-    }
-}
-
 impl Fleet {
     /// Adds or updates an upstream. A restarted upstream replaces its former
     /// incarnation, of which nothing is kept. So does an entry for another
