Abandoned requests are removed also while no service is brittle

Found by reading the change: a request that a host gives up is kept with its upstream until it is taken to have ended, but the list was cleared only where slots of a brittle service are counted. Without one it grew by 16 bytes for each request given up, for the life of the process. It is cleared when the next one is added.

There is no test of it.

--- a/crates/router/src/proxy/fleet/slots.rs
+++ b/crates/router/src/proxy/fleet/slots.rs
@@ -48,10 +48,14 @@
 impl Upstream {
     /// This host's requests that may be running there.
     pub fn occupied(&self) -> u32 {
+        self.remove_ended();
+        self.local_load.get().running + self.abandoned.borrow().len() as u32
+    }
+
+    /// Removes abandoned requests that are no longer taken to run.
+    fn remove_ended(&self) {
         let now = Instant::now();
-        let mut abandoned = self.abandoned.borrow_mut();
-        abandoned.retain(|until| now < *until);
-        self.local_load.get().running + abandoned.len() as u32
+        self.abandoned.borrow_mut().retain(|until| now < *until);
     }
 
     /// Records that a request is given up that may still be running.
@@ -59,6 +63,8 @@
         let work = self.health.borrow().latency().unwrap_or_default();
         let span = Duration::from_secs_f64(work * ABANDONED_FACTOR / 1e3);
         let until = Instant::now() + span.clamp(MIN_ABANDONED, MAX_ABANDONED);
+        // While no service is brittle, nothing else does.
+        self.remove_ended();
         self.abandoned.borrow_mut().push(until);
     }
 
