Abandoned requests are kept in core, with a test

The list and its times are a type of their own now (slot_leases::abandoned), and use the clock that counts suspension, as other leases do.

Nothing else changes.

--- a/crates/core/src/slot_leases.rs
+++ b/crates/core/src/slot_leases.rs
@@ -18,6 +18,7 @@
 //! at half of the rate of rejections that the upstream can bear, and all at once when requests
 //! that nobody reports must have ended.
 
+pub mod abandoned;
 mod account;
 pub mod coordinator;
 pub mod holder;
--- a/crates/core/tests/slot_leases.rs
+++ b/crates/core/tests/slot_leases.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use marjoram_core::slot_leases::abandoned::AbandonedRequests;
 use replay::{Disturbance, ENGINES, Outcome, PLAIN, Replay, Service};
 use test_case::test_matrix;
 
@@ -75,3 +76,14 @@
     let [mean, _coordinator] = outcome.sent;
     assert!(mean.bytes <= MAX_BYTES, "{outcome:?}");
 }
+
+#[test]
+fn abandoned_requests_are_not_kept_while_no_service_is_brittle() {
+    let (mut abandoned, work) = (AbandonedRequests::default(), Duration::from_millis(100));
+    // Nothing asks for the number of those that may be running.
+    for ms in 0..10_000 {
+        abandoned.record(work, Duration::from_millis(ms));
+    }
+    // One a millisecond, each of which may run for 200 ms.
+    assert!(abandoned.kept() <= 201, "{} requests are kept", abandoned.kept());
+}
--- a/crates/router/src/proxy/fleet.rs
+++ b/crates/router/src/proxy/fleet.rs
@@ -19,9 +19,9 @@
 use marjoram_core::host::DataCentre;
 use marjoram_core::part_index::{CacheId, PartIndex};
 use marjoram_core::reach::{self, Link};
+use marjoram_core::slot_leases::abandoned::AbandonedRequests;
 use marjoram_core::upstream::{Entry, Instance, UpstreamId};
 use rand::seq::IteratorRandom;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::failure::Failure;
@@ -76,8 +76,8 @@
     pub credit: Cell<Credit>,
     /// Prefill throughput that other hosts measured, in prompt tokens per millisecond.
     pub reported_throughput: Cell<Option<f64>>,
-    /// Until when requests that this host has abandoned may be running there.
-    abandoned: RefCell<Vec<Instant>>,
+    /// This host's requests that it has given up.
+    abandoned: RefCell<AbandonedRequests>,
     /// Told when one of this host's requests there has ended.
     demand: Rc<SlotDemand>,
     /// Other hosts' requests there, from their last heartbeats.
--- a/crates/router/src/proxy/fleet/slots.rs
+++ b/crates/router/src/proxy/fleet/slots.rs
@@ -4,15 +4,9 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use super::Upstream;
-
-/// How long an abandoned request is taken to run on, as a multiple of the time that requests run,
-/// and within bounds: an upstream may notice late that nobody waits for its answer.
-const ABANDONED_FACTOR: f64 = 2.0;
-const MIN_ABANDONED: Duration = Duration::from_millis(50);
-const MAX_ABANDONED: Duration = Duration::from_secs(1);
+use crate::clock;
 
 /// Tells the task that asks for slots of brittle upstreams when this host needs more or fewer.
 #[derive(Debug, Default)]
@@ -48,24 +42,14 @@
 impl Upstream {
     /// This host's requests that may be running there.
     pub fn occupied(&self) -> u32 {
-        self.remove_ended();
-        self.local_load.get().running + self.abandoned.borrow().len() as u32
-    }
-
-    /// Removes abandoned requests that are no longer taken to run.
-    fn remove_ended(&self) {
-        let now = Instant::now();
-        self.abandoned.borrow_mut().retain(|until| now < *until);
+        self.local_load.get().running + self.abandoned.borrow_mut().count(clock::now())
     }
 
     /// Records that a request is given up that may still be running.
     pub(super) fn note_abandoned(&self) {
-        let work = self.health.borrow().latency().unwrap_or_default();
-        let span = Duration::from_secs_f64(work * ABANDONED_FACTOR / 1e3);
-        let until = Instant::now() + span.clamp(MIN_ABANDONED, MAX_ABANDONED);
-        // While no service is brittle, nothing else does.
-        self.remove_ended();
-        self.abandoned.borrow_mut().push(until);
+        let work_ms = self.health.borrow().latency().unwrap_or_default();
+        let work = Duration::from_secs_f64(work_ms / 1e3);
+        self.abandoned.borrow_mut().record(work, clock::now());
     }
 
     /// Records that the number of this host's requests there has fallen.
