Hosts hash the names of the others once

Each message to a host that is named by its hash, and each ranking of hosts, hashed the names of all hosts that are known: for the coordinator of a brittle service that is as many hashes for each grant as there are hosts. A known host keeps its hash. Nothing else changes.

--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -56,6 +56,8 @@
 
 #[derive(Debug, Clone)]
 struct Peer {
+    /// Hash of its name.
+    key: u64,
     record: HostRecord,
     added: Duration,
     last_heartbeat: Option<Duration>,
@@ -123,6 +125,7 @@
                 tracing::info!(target: "peers", host = name, addr = %record.peers, source,
                     "host added");
                 let peer = Peer {
+                    key: xxh3_64(name.as_bytes()),
                     record,
                     added: now,
                     last_heartbeat: None,
@@ -149,10 +152,10 @@
     pub fn others(&self) -> Vec<OtherHost> {
         let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
         let known = self.known.borrow();
-        let others = known.iter().filter(|(_, p)| p.open && p.is_alive(now, peer_timeout));
-        let other = |(name, p): (&String, &Peer)| OtherHost {
+        let others = known.values().filter(|p| p.open && p.is_alive(now, peer_timeout));
+        let other = |p: &Peer| OtherHost {
             candidate_status: p.candidate_status,
-            rank: (p.control_capacity, xxh3_64(name.as_bytes())),
+            rank: (p.control_capacity, p.key),
             errors: p.store_error.map(|at| now.saturating_sub(at)),
         };
         others.map(other).collect()
@@ -173,9 +176,8 @@
         let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
         let own = (own, xxh3_64(self.name.as_bytes()));
         let known = self.known.borrow();
-        let alive = known.iter().filter(|(_, p)| p.is_alive(now, peer_timeout));
-        alive.filter(|(name, p)| (p.control_capacity, xxh3_64(name.as_bytes())) > own).count()
-            < count
+        let alive = known.values().filter(|p| p.is_alive(now, peer_timeout));
+        alive.filter(|p| (p.control_capacity, p.key) > own).count() < count
     }
 
     /// Whether this host is among the first `count` by rendezvous hashing of
@@ -218,11 +220,8 @@
     fn ranked(&self, key: u64) -> Vec<(u64, SocketAddr)> {
         let (now, gone) = (self.now.get(), self.peer_timeout() * GONE_FACTOR);
         let known = self.known.borrow();
-        let present =
-            known.iter().filter(|(_, p)| now < p.last_heartbeat.unwrap_or(p.added) + gone);
-        present
-            .map(|(name, p)| (place::rank(key, xxh3_64(name.as_bytes())), p.record.peers))
-            .collect()
+        let present = known.values().filter(|p| now < p.last_heartbeat.unwrap_or(p.added) + gone);
+        present.map(|p| (place::rank(key, p.key), p.record.peers)).collect()
     }
 
     /// The `count` hosts with the most capacity for `group`, of those that send
@@ -246,15 +245,13 @@
         own: Option<ControlCapacity>,
     ) -> Vec<(u64, Option<SocketAddr>)> {
         let (now, peer_timeout) = (self.now.get(), self.peer_timeout());
-        let host = |name: &str, capacity, addr| {
-            let name = xxh3_64(name.as_bytes());
-            ((capacity, place::rank(group, name)), (name, addr))
-        };
+        let host = |name, capacity, addr| ((capacity, place::rank(group, name)), (name, addr));
         let known = self.known.borrow();
-        let alive = known.iter().filter(|(_, p)| p.open && p.is_alive(now, peer_timeout));
+        let alive = known.values().filter(|p| p.open && p.is_alive(now, peer_timeout));
         let mut ranked: Vec<_> =
-            alive.map(|(name, p)| host(name, p.control_capacity, Some(p.record.peers))).collect();
-        ranked.extend(own.map(|capacity| host(&self.name, capacity, None)));
+            alive.map(|p| host(p.key, p.control_capacity, Some(p.record.peers))).collect();
+        let own_name = xxh3_64(self.name.as_bytes());
+        ranked.extend(own.map(|capacity| host(own_name, capacity, None)));
         ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
         ranked.into_iter().take(count).map(|(_, host)| host).collect()
     }
@@ -262,8 +259,7 @@
     /// The address of the host with this hashed name.
     pub fn addr(&self, name: u64) -> Option<SocketAddr> {
         let known = self.known.borrow();
-        let host = known.iter().find(|(known, _)| xxh3_64(known.as_bytes()) == name);
-        host.map(|(_, peer)| peer.record.peers)
+        known.values().find(|p| p.key == name).map(|p| p.record.peers)
     }
 
     /// The hosts as the quota accounts need them: how many send heartbeats, and
@@ -273,12 +269,8 @@
         let known = self.known.borrow();
         let reachable = known.values().filter(|p| p.is_alive(now, peer_timeout)).count() + 1;
         let is_recent = |p: &Peer| now < p.last_heartbeat.unwrap_or(p.added) + span;
-        let unreachable =
-            known.iter().filter(|(_, p)| !p.is_alive(now, peer_timeout) && is_recent(p));
-        Hosts {
-            reachable,
-            unreachable: unreachable.map(|(name, _)| xxh3_64(name.as_bytes())).collect(),
-        }
+        let unreachable = known.values().filter(|p| !p.is_alive(now, peer_timeout) && is_recent(p));
+        Hosts { reachable, unreachable: unreachable.map(|p| p.key).collect() }
     }
 
     /// Hashes of the names of the other hosts that have not been gone for long.
--- a/crates/router/src/proxy/hosts/delivery.rs
+++ b/crates/router/src/proxy/hosts/delivery.rs
@@ -6,7 +6,6 @@
 
 use marjoram_core::broadcast::{self, Host, Slice};
 use tokio::net::UdpSocket;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::message::Message;
 use super::{FANOUT, GONE_FACTOR, Heartbeat, MIN_PEER_TIMEOUT, Peer, Peers};
@@ -110,11 +109,9 @@
         let recent_timeout =
             MIN_PEER_TIMEOUT.min(self.peer_timeout()).max(self.heartbeat_round() * 3 / 2);
         let known = self.known.borrow();
-        let present =
-            known.iter().filter(|(_, p)| now < p.last_heartbeat.unwrap_or(p.added) + gone);
-        let host = |(name, p): (&String, &Peer)| {
-            let host =
-                Host { name: xxh3_64(name.as_bytes()), alive: p.is_alive(now, recent_timeout) };
+        let present = known.values().filter(|p| now < p.last_heartbeat.unwrap_or(p.added) + gone);
+        let host = |p: &Peer| {
+            let host = Host { name: p.key, alive: p.is_alive(now, recent_timeout) };
             (host, p.record.peers)
         };
         present.map(host).collect()
