--- a/crates/core/tests/slot_leases.rs
+++ b/crates/core/tests/slot_leases.rs
@@ -18,13 +18,17 @@
     outcome
 }
 
-#[test_matrix([9, 70, 295, 410], [PLAIN, ENGINES], [1, 5, 20])]
-fn slots_are_used_and_no_upstream_falls(hosts: usize, service: Service, max: u32) {
-    let outcome = replay(hosts, service, max, Disturbance::None);
+fn check_slots_used(hosts: usize, service: Service, max: u32, disturbance: Disturbance) {
+    let outcome = replay(hosts, service, max, disturbance);
     assert_eq!(outcome.falls, 0, "{outcome:?}");
     assert!(outcome.used >= MIN_USED, "{outcome:?}");
 }
 
+#[test_matrix([9, 70, 295, 410], [PLAIN, ENGINES], [1, 5, 20])]
+fn slots_are_used_and_no_upstream_falls(hosts: usize, service: Service, max: u32) {
+    check_slots_used(hosts, service, max, Disturbance::None);
+}
+
 #[test_matrix(
     [9, 70, 295, 410],
     [PLAIN, ENGINES],
@@ -37,9 +41,7 @@
     max: u32,
     disturbance: Disturbance,
 ) {
-    let outcome = replay(hosts, service, max, disturbance);
-    assert_eq!(outcome.falls, 0, "{outcome:?}");
-    assert!(outcome.used >= MIN_USED, "{outcome:?}");
+    check_slots_used(hosts, service, max, disturbance);
 }
 
 #[test_matrix(
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -49,7 +49,7 @@
 pub use notices::Notices;
 pub use poison::Poison;
 pub use quotas::Quotas;
-pub use slot_leases::{SlotLeases, SlotWait};
+pub use slot_leases::{ServiceSlots, SlotLeases, SlotWait};
 pub use startup_query::StartupQuery;
 pub use waiting::{QueueKey, WaitQueue, Waiting};
 
--- a/crates/router/src/proxy/slot_leases.rs
+++ b/crates/router/src/proxy/slot_leases.rs
@@ -8,14 +8,15 @@
 use marjoram_core::health::STALL_TIMEOUT;
 use marjoram_core::quota::ledger::Sender;
 use marjoram_core::slot_leases::coordinator::{Coordinator, UpstreamSlots};
-use marjoram_core::slot_leases::{SlotGrant, SlotReport, SlotUse, may_probe};
+use marjoram_core::slot_leases::{SlotGrant, SlotReport, SlotUse, UpstreamKey, may_probe};
 use marjoram_core::upstream::Instance;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::brittle::in_force;
 use super::fleet::Upstream;
 use super::hosts::Message;
 use super::quota::sender;
-use super::site::Site;
+use super::site::{ServiceSlots, Site};
 
 /// Time between two updates of the accounts that this host keeps.
 const TICK: Duration = Duration::from_millis(20);
@@ -66,26 +67,28 @@
     statements.iter().filter_map(|(key, s)| Some((*key, s.in_force(now)?))).collect()
 }
 
-/// Whether requests for `service` are sent only to slots that this host holds: not in the first
-/// part of the time in which upstreams let as many requests wait as before. The coordinator
-/// learns what runs there in the meantime.
+/// Whether requests for `service` are sent only to slots that this host holds.
 pub fn is_enforced(site: &Site, service: &str) -> bool {
-    if site.brittle(service).is_none() {
-        return false;
-    }
-    let last_sound = site.slots.service(xxh3_64(service.as_bytes())).last_sound.get();
+    enforced(site, service).is_some()
+}
+
+/// The slots of `service` if requests are sent only to those that this host holds: not in the
+/// first part of the time in which upstreams let as many requests wait as before. The coordinator
+/// learns what runs there in the meantime.
+fn enforced(site: &Site, service: &str) -> Option<Rc<ServiceSlots>> {
+    let key = xxh3_64(service.as_bytes());
+    in_force(site, key)?;
+    let slots = site.slots.service(key);
     let transition = site.settings.load().bounds.stable_window / 2;
-    last_sound.is_none_or(|sent| site.now() >= sent + transition)
+    let is_over = slots.last_sound.get().is_none_or(|sent| site.now() >= sent + transition);
+    is_over.then_some(slots)
 }
 
 /// Upstreams of `service` that may not get a request of this host now, since it is
 /// brittle and this host holds no free slot of theirs.
 pub fn withheld(site: &Site, service: &str) -> Vec<Instance> {
-    if !is_enforced(site, service) {
-        return Vec::new();
-    }
-    let (slots, now) = (site.slots.service(xxh3_64(service.as_bytes())), site.now());
-    let holder = slots.holder.borrow();
+    let Some(slots) = enforced(site, service) else { return Vec::new() };
+    let (holder, now) = (slots.holder.borrow(), site.now());
     let upstreams = site.fleet.service(service).into_iter();
     let withheld = upstreams.filter(|u| !holder.is_allowed(u.key, u.occupied(), now));
     withheld.map(|upstream| upstream.life.clone()).collect()
@@ -120,17 +123,19 @@
     let coordinator = holder.coordinator(|| candidates(site, service), now);
     let Some(coordinator) = coordinator else { return now + MAX_PAUSE };
     let upstreams = site.fleet.service(&name);
-    let occupied: u32 = upstreams.iter().map(|u| u.occupied()).sum();
-    let wanted = holder.wanted(occupied as usize + slots.waiting.get(), now);
+    let occupied: Vec<(UpstreamKey, u32)> =
+        upstreams.iter().map(|u| (u.key, u.occupied())).collect();
+    let own: u32 = occupied.iter().map(|(_, count)| count).sum();
+    let wanted = holder.wanted(own as usize + slots.waiting.get(), now);
     let due = holder.next_report(wanted, now);
     if now < due {
         return due;
     }
     let work = upstreams.iter().filter_map(|u| u.health.borrow().latency()).max_by(f64::total_cmp);
-    let uses = upstreams.iter().map(|u| SlotUse {
-        upstream: u.key,
-        running: u.occupied() as u16,
-        rejected: holder.rejected(u.key),
+    let uses = occupied.iter().map(|(upstream, running)| SlotUse {
+        upstream: *upstream,
+        running: *running as u16,
+        rejected: holder.rejected(*upstream),
     });
     let unusable = upstreams.iter().filter(|u| !is_usable(u, now));
     let report = SlotReport {
