Test, KNOWN-RED: brittle engines fall over under twenty-four routers of the own interface

The blocks of ports of these tests are twice as large, half as many, so that they hold as many routers.

--- a/crates/router/tests/brittle.rs
+++ b/crates/router/tests/brittle.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use site::{Site, completion, post, run};
+use test_case::test_case;
 
 const ENGINES: usize = 4;
-const ROUTERS: usize = 5;
 
 /// Slots of an engine, and rejections in a second that it can bear.
 const SLOTS: usize = 4;
@@ -19,9 +19,6 @@
 const TOKENS: u32 = 15;
 const TOKEN_MS: usize = 20;
 
-/// Callers at each router: together they could use three times the slots.
-const CALLERS: usize = 10;
-
 /// Pause of a caller after a refusal.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -71,38 +68,40 @@
     falls
 }
 
-/// One router starts when the engines already reject requests.
-#[test]
-fn brittle_engines_do_not_fall_in_overload() {
+/// One router starts when the engines already reject requests. The `callers` at each of the
+/// `routers` could together use three times the slots.
+#[test_case(5, 10; "five routers")]
+#[test_case(24, 2; "twenty-four routers")]
+fn brittle_engines_do_not_fall_in_overload(routers: usize, callers: usize) {
     let (slots, max, token_ms) =
         (SLOTS.to_string(), MAX_REJECTIONS.to_string(), TOKEN_MS.to_string());
     let engine_args =
         ["--slots", &slots, "--brittle", &max, "--decode-ms", &token_ms, "--load-lag-ms", "100"];
-    let site = Site::start(ENGINES, ROUTERS, &engine_args);
+    let site = Site::start(ENGINES, routers, &engine_args);
     let mut site = run(async move {
         let offset = site.configure("kili-checks", "least-load").await;
         site.wait_config_applied(offset).await;
-        for n in 0..ROUTERS {
+        for n in 0..routers {
             site.wait_ready(n).await;
         }
         site
     });
-    let late = ROUTERS - 1;
+    let late = routers - 1;
     site.kill(&format!("router{late}"));
     let enforced = Instant::now() + NOTICE;
     let end = enforced + COUNTED;
-    let callers = |routers: Vec<String>, from: Instant| {
+    let start_callers = |routers: Vec<String>, from: Instant| {
         std::thread::spawn(move || {
             std::thread::sleep(from.saturating_duration_since(Instant::now()));
-            let callers = routers.into_iter().flat_map(|r| std::iter::repeat_n(r, CALLERS));
+            let callers = routers.into_iter().flat_map(move |r| std::iter::repeat_n(r, callers));
             run(async move {
                 let served = callers.map(|router| call(router, end));
                 futures::future::join_all(served).await.into_iter().sum::<usize>()
             })
         })
     };
-    let early = callers(site.routers[..late].to_vec(), Instant::now());
-    let joined = callers(vec![site.routers[late].clone()], enforced);
+    let early = start_callers(site.routers[..late].to_vec(), Instant::now());
+    let joined = start_callers(vec![site.routers[late].clone()], enforced);
     let mut falls = restart_failed(&mut site, enforced);
     site.start_router(late);
     falls += restart_failed(&mut site, end);
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -24,7 +24,7 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Ports of the sites; each reserves one block.
-const PORT_RANGE: PortRange = PortRange { first: 20_000, block_size: 100, blocks: 110 };
+const PORT_RANGE: PortRange = PortRange { first: 20_000, block_size: 200, blocks: 55 };
 
 /// Processes of one site, killed when dropped.
 pub struct Site {
