Brittle engines of the own interface: slots are leased

More than 17 routers sent at random, and learnt of each other's rejections from load reports that are up to half a second old; hosts that had just started sent together.

Change: routers hold leases of slots (core::slot_leases), by calls between routers: the first by rendezvous hashing of those that callers may be sent to grants. A request for which no slot is held waits for one, for half a second or a quarter of its limit at most, as routers ask for as many slots as they have requests; an engine is chosen, and the request counted as running there, without another one in between. A coordinator that breaks its connections is replaced at once (Holder::record_end).

Ruled out: a wrong count of routers (24 are listed and alive); a limit of blind sends to N / 2 a second for all routers together, which serves a twentieth of what is asked at a third of the load, by reckoning.

--- a/crates/core/src/slot_leases/holder.rs
+++ b/crates/core/src/slot_leases/holder.rs
@@ -133,6 +133,14 @@
         Some(preferred)
     }
 
+    /// Records that the process of `host` has ended: if it is the coordinator, it is replaced
+    /// without waiting for its time-out.
+    pub fn record_end(&mut self, host: HostKey, now: Duration) {
+        if self.coordinator.take_if(|coordinator| coordinator.host == host).is_some() {
+            self.avoided.insert(host, now + AVOIDED_SPAN);
+        }
+    }
+
     /// The first of `ranked` that is not avoided, or the first of all.
     fn preferred(&self, ranked: &[HostKey]) -> Option<HostKey> {
         let heard = ranked.iter().find(|host| !self.avoided.contains_key(host));
--- a/crates/core/tests/slot_leases/replay.rs
+++ b/crates/core/tests/slot_leases/replay.rs
@@ -76,6 +76,8 @@
 
 pub struct Replay {
     service: Service,
+    /// Number of hosts, from the first on, that get requests.
+    busy: usize,
     max: u32,
     rate: f64,
     disturbance: Disturbance,
@@ -110,6 +112,7 @@
             hosts: (0..hosts).map(host).collect(),
             rate: load * slots / service.work.as_secs_f64(),
             service,
+            busy: hosts,
             max,
             disturbance,
             rng,
@@ -123,6 +126,18 @@
         }
     }
 
+    /// Gives all requests to the first `busy` hosts.
+    pub fn with_busy(self, busy: usize) -> Self {
+        Self { busy, ..self }
+    }
+
+    /// Has the last `count` hosts learn a second late that the upstreams are brittle.
+    pub fn with_unaware(mut self, count: usize) -> Self {
+        let late = STATED + Duration::from_secs(1);
+        self.hosts.iter_mut().rev().take(count).for_each(|host| host.aware = late);
+        self
+    }
+
     pub fn run(mut self) -> Outcome {
         self.at(Duration::ZERO, Event::Arrival);
         self.at(Duration::ZERO, Event::Tick);
@@ -262,7 +277,7 @@
         let gap = -self.rng.random::<f64>().max(1e-12).ln() / (self.rate * burst);
         self.at(self.now + Duration::from_secs_f64(gap), Event::Arrival);
         self.arrived += u32::from(self.now >= ENFORCED);
-        let host = self.rng.random_range(0..self.hosts.len());
+        let host = self.rng.random_range(0..self.busy);
         self.hosts[host].waiting.push_back(self.now);
         self.act(host);
     }
--- a/crates/router/src/brittle.rs
+++ b/crates/router/src/brittle.rs
@@ -1,47 +1,27 @@
 //! Limits what this router sends to engines that state how few rejections they can bear,
-//! on its own interface (see `marjoram_core::brittle`). Each router learns of it, and of
-//! the rejections of all routers, from the engines' load reports.
+//! on its own interface, to slots that it holds (see `marjoram_core::slot_leases`). Each router
+//! learns of it from the engines' load reports.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use marjoram_core::brittle::{self, Load};
 use marjoram_core::cache::Slot;
-use marjoram_core::place;
 use marjoram_core::wire::BrittleReport;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::brittle_engines::BrittleEngine;
 use crate::node::{Engine, Node};
 
-/// The load of an engine as far as this router knows. How many routers have requests there is not
-/// known, so all of them count as users.
-fn load(state: &BrittleEngine, node: &Node, engine: &Engine) -> Load {
-    let routers = node.entries.load();
-    let hosts = routers.len().max(1);
-    let rank = match brittle::divides_slots(hosts) {
-        true => {
-            let key = |addr: &str| place::rank(engine.key, xxh3_64(addr.as_bytes()));
-            let own = key(&node.settings.advertise);
-            routers.iter().filter(|router| key(&router.addr) > own).count()
-        }
-        false => hosts,
-    };
-    Load {
-        slots: state.report.slots,
-        running: node.load(engine.slot),
-        own: node.inflight[usize::from(engine.slot.0)].load(Ordering::Relaxed),
-        hosts,
-        users: hosts,
-        rank,
-        work: state.work,
-    }
+/// This router's requests that may be running at the engine in `slot`.
+pub fn occupied(node: &Node, slot: Slot, state: &mut BrittleEngine) -> u32 {
+    let running = node.inflight[usize::from(slot.0)].load(Ordering::Relaxed);
+    running + state.abandoned.count(node.uptime())
 }
 
 /// Records what the load report of `engine`, just received, states.
 pub fn record_report(node: &Node, engine: &Engine, report: Option<BrittleReport>) {
     if node.brittle.record_report(engine.slot, report, node.uptime()) {
         tracing::info!(target: "brittle", "brittle: engine {} states {report:?}.", engine.addr);
+        node.engine_slots.wake();
     }
 }
 
@@ -51,31 +31,27 @@
     if brittle.is_empty() {
         return Vec::new();
     }
-    let (now, pool) = (node.uptime(), node.pool.load());
+    let (now, pool, holder) = (node.uptime(), node.pool.load(), node.engine_slots.holder());
     let mut is_withheld = |engine: &&Engine| {
-        let Some(state) = brittle.get_mut(&engine.slot) else { return false };
-        let Some(max) = state.statement.in_force(now) else { return false };
-        let (load, others) = (load(state, node, engine), state.others(now));
-        !state.sends.is_allowed(max, load, others, rand::random(), now)
+        let limited = brittle.get_mut(&engine.slot).filter(|state| state.is_limited(now));
+        limited.is_some_and(|state| {
+            !holder.is_allowed(engine.key, occupied(node, engine.slot, state), now)
+        })
     };
     pool.engines.iter().filter(&mut is_withheld).map(|engine| engine.slot).collect()
 }
 
-/// Records a send to `engine`.
-pub fn record_send(node: &Node, engine: &Engine) {
-    if let Some(state) = node.brittle.lock().get_mut(&engine.slot) {
-        state.sends.record_send(node.uptime());
-    }
-}
-
 /// Records that `engine` rejected a request for want of a slot.
 pub fn record_rejection(node: &Node, engine: &Engine) {
     let now = node.uptime();
     let mut brittle = node.brittle.lock();
     let Some(state) = brittle.get_mut(&engine.slot) else { return };
-    let Some(max) = state.statement.in_force(now) else { return };
-    let load = load(state, node, engine);
-    state.sends.record_rejection(max, load, rand::random(), now);
+    if state.max_rejections(now).is_none() {
+        return;
+    }
+    state.rejections.record(now);
+    node.engine_slots.holder().record_rejection(engine.key, now);
+    node.engine_slots.note_demand();
     node.counters.brittle_rejections.fetch_add(1, Ordering::Relaxed);
 }
 
@@ -86,13 +62,19 @@
     }
 }
 
+/// Records that a request to the engine in `slot` is given up that may still be running.
+pub fn record_abandoned(node: &Node, slot: Slot) {
+    if let Some(state) = node.brittle.lock().get_mut(&slot) {
+        let work = state.work;
+        state.abandoned.record(work, node.uptime());
+    }
+}
+
 /// Whether `engine` may have failed because of the requests that it rejected, and not
 /// under one that it ran.
 pub fn may_have_failed(node: &Node, engine: &Engine) -> bool {
     let now = node.uptime();
     let brittle = node.brittle.lock();
-    brittle.get(&engine.slot).is_some_and(|state| {
-        state.statement.in_force(now).is_some()
-            && state.others(now) + state.sends.rejections(now) > 0
-    })
+    let is_brittle = |state: &&BrittleEngine| state.max_rejections(now).is_some();
+    brittle.get(&engine.slot).filter(is_brittle).is_some_and(|state| state.has_rejected(now))
 }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -29,6 +29,7 @@
 use marjoram_core::wire::{Chunk, Usage};
 
 use crate::brittle;
+use crate::engine_slots::SlotWait;
 use crate::error::Error;
 use crate::job::Job;
 use crate::node::{Engine, Node};
@@ -42,6 +43,9 @@
 /// have been evaluated.
 const VERDICT_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Interval at which a request that waits for a slot checks whether one is free.
+const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Step of errors of answers that are too long. They are not resumed.
 pub const LIMIT_STEP: &str = "limit";
 
@@ -59,7 +63,7 @@
 pub async fn open(node: &Arc<Node>, job: &mut Job) -> Result<AcceptedRequest, Error> {
     loop {
         wait_for_verdict(node, job).await;
-        let attempt = Attempt::new(node, job.choose(node)?);
+        let attempt = begin_attempt(node, job).await?;
         let (engine, generation) = (attempt.engine.clone(), attempt.generation);
         let (error, other) = match attempt.send(node, job).await {
             Ok(Sent::Accepted(accepted)) => return Ok(*accepted),
@@ -79,6 +83,27 @@
     }
 }
 
+/// Chooses the engine for the next attempt; waits for a slot if engines are brittle and this
+/// router holds none that is free.
+async fn begin_attempt(node: &Arc<Node>, job: &mut Job) -> Result<Attempt, Error> {
+    let mut wait = None;
+    loop {
+        let error = match job.choose(node) {
+            Ok(choice) => return Ok(Attempt::new(node, choice)),
+            Err(error) => error,
+        };
+        let left = job.slot_wait_left();
+        if !matches!(error, Error::Full(_)) || left.is_zero() {
+            if matches!(error, Error::Full(_)) {
+                node.counters.full.fetch_add(1, Ordering::Relaxed);
+            }
+            return Err(error);
+        }
+        let wait = wait.get_or_insert_with(|| SlotWait::new(&node.engine_slots));
+        wait.wait(left.min(SLOT_POLL_INTERVAL)).await;
+    }
+}
+
 /// Waits while `job` is withheld because crashes it was in flight at are still to be
 /// evaluated, but no longer than its first token may take.
 async fn wait_for_verdict(node: &Node, job: &Job) {
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -55,13 +55,20 @@
     node: Arc<Node>,
     slot: Slot,
     unread: u64,
+    /// The engine does not run it any more.
+    has_ended: bool,
 }
 
 impl Inflight {
     pub fn new(node: Arc<Node>, slot: Slot, unread: Tokens) -> Self {
         node.inflight[usize::from(slot.0)].fetch_add(1, Ordering::Relaxed);
         node.pending[usize::from(slot.0)].fetch_add(unread.0, Ordering::Relaxed);
-        Self { node, slot, unread: unread.0 }
+        Self { node, slot, unread: unread.0, has_ended: false }
+    }
+
+    /// Records that the engine has answered completely, or has not run the request.
+    pub fn end(&mut self) {
+        self.has_ended = true;
     }
 
     /// Records that the engine has read the prompt; returns the tokens that it had to read.
@@ -76,6 +83,10 @@
     fn drop(&mut self) {
         self.read();
         self.node.inflight[usize::from(self.slot.0)].fetch_sub(1, Ordering::Relaxed);
+        if !self.has_ended {
+            brittle::record_abandoned(&self.node, self.slot);
+        }
+        self.node.engine_slots.note_available();
     }
 }
 
@@ -120,7 +131,7 @@
 
 impl Attempt {
     pub fn new(node: &Arc<Node>, choice: Choice) -> Self {
-        let Choice { engine, unread } = choice;
+        let Choice { engine, unread, turn: _turn } = choice;
         Self {
             inflight: Inflight::new(node.clone(), engine.slot, unread),
             read_before: node.prefill_time[usize::from(engine.slot.0)].read(),
@@ -177,12 +188,16 @@
 
     /// Handles the head of the engine's answer.
     fn accept(
-        self,
+        mut self,
         node: &Arc<Node>,
         job: &mut Job,
         head: Result<ClientResponse, SendRequestError>,
     ) -> Result<Sent, Error> {
-        let response = check_head(node, &self.engine, head)?;
+        let response = check_head(node, &self.engine, head).inspect_err(|error| {
+            if matches!(error, Error::Refused(..)) {
+                self.inflight.end();
+            }
+        })?;
         let slot = self.engine.slot;
         let known = node.cache_index.life(slot);
         let version = response_version(&response).unwrap_or(version(known));
--- a/crates/router/src/forward/relay.rs
+++ b/crates/router/src/forward/relay.rs
@@ -95,6 +95,7 @@
         job.engine_request.resume_from = due + 1;
         job.engine_request.expect_version = Some(accepted.version);
         if let Some(usage) = chunk.usage {
+            inflight.end();
             return Ok(Relayed::Complete(usage));
         }
     }
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -1,6 +1,7 @@
 //! One caller's request, its attempts at engines and the choice of the next engine.
 
 use std::collections::BTreeSet;
+use std::sync::MutexGuard;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,11 @@
 /// Factor by which batch requests may wait longer than others.
 const BATCH_WAIT_FACTOR: u32 = 4;
 
+/// Longest time for which a request waits for a slot of a brittle engine, and the part of its
+/// limit that this may take.
+const MAX_SLOT_WAIT: Duration = Duration::from_millis(500);
+const SLOT_WAIT_DIVISOR: u32 = 4;
+
 /// A request, the state of its attempts, and the limits on further ones.
 pub struct Job {
     /// The router's id of the request.
@@ -58,11 +64,13 @@
 }
 
 /// The engine chosen for a job's next attempt.
-pub struct Choice {
+pub struct Choice<'a> {
     /// The engine.
     pub engine: Engine,
     /// Prompt tokens it has to read for this job (those not cached).
     pub unread: Tokens,
+    /// Keeps other requests from the slot until this one counts as running there.
+    pub turn: Option<MutexGuard<'a, ()>>,
 }
 
 impl Job {
@@ -114,12 +122,14 @@
     /// Chooses the engine for the next attempt by the workspace's policy. Returns
     /// the error for the caller if no engine is left, all attempts or the node's
     /// retry budget are used up, or the first token is not expected in time.
-    pub fn choose(&mut self, node: &Node) -> Result<Choice, Error> {
+    pub fn choose<'a>(&mut self, node: &'a Node) -> Result<Choice<'a>, Error> {
         if let Some(quarantined) = node.poison.quarantine_error(self.fingerprint) {
             // If an engine may have run it, the earlier error is returned: "not run"
             // would be false.
             return Err(self.last_error.take().unwrap_or(quarantined));
         }
+        let is_brittle = !node.brittle.lock().is_empty();
+        let turn = is_brittle.then(|| node.engine_slots.begin_choice());
         let (pool, withheld) = (node.pool.load(), brittle::withheld(node));
         let mut engines: Vec<(&Engine, ModelVersion)> = pool
             .engines
@@ -160,8 +170,7 @@
         let unread = self.prefix(version).tokens.0.saturating_sub(cached);
         let tokens_ahead = Tokens(candidates[index].pending.0 + unread);
         self.admit(node, engine.slot, tokens_ahead)?;
-        brittle::record_send(node, engine);
-        Ok(Choice { engine: engine.clone(), unread: Tokens(unread) })
+        Ok(Choice { engine: engine.clone(), unread: Tokens(unread), turn })
     }
 
     /// Checks that the next attempt may be made, with `tokens_ahead` prompt tokens to read
@@ -187,6 +196,12 @@
         Ok(())
     }
 
+    /// Time for which it may still wait for a slot of a brittle engine.
+    pub fn slot_wait_left(&self) -> Duration {
+        let limit = MAX_SLOT_WAIT.min(self.limit / SLOT_WAIT_DIVISOR);
+        limit.saturating_sub(self.started.elapsed())
+    }
+
     /// Whether the time limit for the first token has passed without a token.
     pub fn is_late(&self) -> bool {
         self.engine_request.resume_from == 0 && self.started.elapsed() >= self.limit
@@ -264,10 +279,7 @@
         match (self.last_error.take(), engines.filter_map(|e| node.backoff_left(e.slot)).min()) {
             (Some(error @ Error::Engine(..)), _) => error,
             (_, Some(left)) => Error::BackedOff(self.workspace.to_string(), left),
-            (_, None) if is_full => {
-                node.counters.full.fetch_add(1, Ordering::Relaxed);
-                Error::Full(self.workspace.to_string())
-            }
+            (_, None) if is_full => Error::Full(self.workspace.to_string()),
             (Some(error), None) => error,
             (None, None) => Error::NoEngine(self.workspace.to_string()),
         }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -27,6 +27,7 @@
 use crate::backoffs::Backoffs;
 use crate::brittle_engines::BrittleEngines;
 use crate::clock;
+use crate::engine_slots::EngineSlots;
 use crate::options::Settings;
 use crate::peer_links::PeerLinks;
 use crate::quarantine::Poison;
@@ -168,6 +169,10 @@
     pub backoffs: Backoffs,
     /// Engines that can bear few rejections.
     pub brittle: BrittleEngines,
+    /// Slots of brittle engines that this node holds or grants.
+    pub engine_slots: EngineSlots,
+    /// Identifies this process among those at the same address.
+    pub life: u64,
     /// A configuration has been put in force, or the stream has been read to its end.
     pub configured: AtomicBool,
     /// The start-up reads are done and callers are accepted (see `startup`).
@@ -224,6 +229,8 @@
             upstream_links: UpstreamLinks::default(),
             backoffs: Backoffs::default(),
             brittle: BrittleEngines::default(),
+            engine_slots: EngineSlots::default(),
+            life: nonce,
             configured: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -42,7 +42,7 @@
         }
         Err(_) => {
             node.links.remove(link);
-            Err(Error::Peer("call", addr.into(), format!("no answer in {limit:?}")))
+            Err(Error::Peer("await", addr.into(), format!("no answer in {limit:?}")))
         }
     }
 }
--- a/crates/router/src/peer/wire.rs
+++ b/crates/router/src/peer/wire.rs
@@ -6,6 +6,8 @@
 use bincode::config::{Configuration, Fixint, LittleEndian};
 use marjoram_core::ids::{BlockHash, Incarnation, ModelVersion};
 use marjoram_core::members::{Member, Status};
+use marjoram_core::quota::ledger::Sender;
+use marjoram_core::slot_leases::{HostKey, SlotGrant, SlotReport};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +21,10 @@
     Ping(Vec<WireMember>),
     /// A starting router asks for the callee's state.
     FetchState,
+    /// Asks the callee, which coordinates the slots of brittle engines, for some of them.
+    ReportSlots(Sender, SlotReport),
+    /// Grants slots to the callee; answered with no grant.
+    GrantSlots(HostKey, SlotGrant),
 }
 
 /// The answer to a [`Call`].
@@ -28,6 +34,8 @@
     Pong(Vec<WireMember>),
     /// The callee's state; empty while it is starting up itself.
     RouterState(RouterState),
+    /// The slots that the caller may use.
+    Granted(Option<SlotGrant>),
 }
 
 /// State that a router sends to one that has just started.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -33,6 +33,7 @@
 use crate::options::Settings;
 use crate::peer;
 use crate::poison;
+use crate::slot_grants;
 use crate::startup;
 
 type Shared = types::State<Arc<Node>>;
@@ -58,6 +59,7 @@
     ntex::rt::spawn(gossip::run(node.clone()));
     ntex::rt::spawn(lease_tasks::contend(node.clone()));
     ntex::rt::spawn(lease_tasks::run_holder_tasks(node.clone()));
+    ntex::rt::spawn(slot_grants::run(node.clone()));
     ntex::rt::spawn(at_most_once::follow(node.clone()));
     ntex::rt::spawn(poison::follow(node.clone()));
     let shared = node.clone();
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use crate::peer::wire::{self, Answer, Call};
 use crate::tunnel::{self, Tunnels};
-use crate::{gossip, link, startup, upstream_client};
+use crate::{gossip, link, slot_grants, startup, upstream_client};
 
 /// Serves other routers on `listener`, forever.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
@@ -15,6 +15,13 @@
     let answer = move |bytes: &[u8]| {
         let answer = match wire::decode(bytes)? {
             Call::Ping(updates) => Answer::Pong(gossip::answer(&callee, updates)),
+            Call::ReportSlots(from, report) => {
+                Answer::Granted(slot_grants::handle_report(&callee, from, &report))
+            }
+            Call::GrantSlots(coordinator, grant) => {
+                slot_grants::apply_grant(&callee, coordinator, grant);
+                Answer::Granted(None)
+            }
             Call::FetchState => Answer::RouterState(startup::current_state(&callee)),
         };
         wire::encode(&answer)
