Brittle upstreams: probes for crashes use slots that the host holds

None fell while the links hung.

Cause: a host that loses requests with their connections probes the upstream by its health path. A brittle upstream may reject that like any other request, and the host did not count it.

Change: a probe waits for a slot that the host holds, a second at most, and counts as running there. Without one the upstream counts as not crashed, as if it did not answer.

Ruled out: requests that go on running at the upstream after the reset (they are counted as running for twice the usual time, and hosts would have logged the rejections).

--- a/crates/router/src/proxy/poison.rs
+++ b/crates/router/src/proxy/poison.rs
@@ -39,6 +39,7 @@
 use super::reach;
 use super::reports;
 use super::site::Site;
+use super::slot_leases;
 use crate::clock;
 use crate::paths::ConnectError;
 
@@ -57,6 +58,9 @@
 /// has just restarted may be slow.
 const MAX_PROBES: u32 = 2;
 
+/// Time in which a probe of a brittle upstream gets a slot, as it may be rejected like a request.
+const SLOT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time between two checks of an upstream to which no path is known.
 const WATCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -144,7 +148,7 @@
 
 /// Whether `upstream`, which has just closed connections, has crashed. One that
 /// answers no probe is assumed not to have crashed.
-async fn has_crashed(site: &Site, upstream: &Upstream) -> bool {
+async fn has_crashed(site: &Site, upstream: &Rc<Upstream>) -> bool {
     let watch_end = site.now() + WATCH_TIME;
     let mut unanswered = 0;
     while unanswered < MAX_PROBES && site.now() < watch_end {
@@ -179,7 +183,7 @@
 }
 
 /// Probes `upstream` once.
-async fn probe(site: &Site, upstream: &Upstream) -> Probe {
+async fn probe(site: &Site, upstream: &Rc<Upstream>) -> Probe {
     let conn = match reach::connect(site, upstream).await {
         Ok(conn) => conn,
         Err(error @ ConnectError::NoPath) => {
@@ -195,7 +199,14 @@
         return Probe::Running;
     }
     let Some(call) = probe_call(site, upstream) else { return Probe::Running };
-    match reports::is_replaced(upstream, conn, &call).await {
+    let Some(mut slot) = slot_leases::occupy(site, upstream, SLOT_TIMEOUT).await else {
+        return Probe::NoAnswer;
+    };
+    let replaced = reports::is_replaced(upstream, conn, &call).await;
+    if replaced.is_some() {
+        slot.end();
+    }
+    match replaced {
         Some(true) => Probe::Crashed,
         Some(false) => Probe::Running,
         None => Probe::NoAnswer,
--- a/crates/router/src/proxy/slot_leases.rs
+++ b/crates/router/src/proxy/slot_leases.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::brittle::in_force;
-use super::fleet::Upstream;
+use super::fleet::{Flight, Upstream};
 use super::hosts::Message;
 use super::quota::sender;
 use super::site::{ServiceSlots, Site};
@@ -94,6 +94,20 @@
     withheld.map(|upstream| upstream.life.clone()).collect()
 }
 
+/// Occupies a slot of `upstream` until the result is dropped; waits for one no longer than `limit`
+/// if the upstream is brittle.
+pub async fn occupy(site: &Site, upstream: &Rc<Upstream>, limit: Duration) -> Option<Flight> {
+    let end = site.now() + limit;
+    let service = upstream.entry.borrow().service.clone();
+    while withheld(site, &service).contains(&upstream.life) {
+        if site.now() >= end {
+            return None;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+    Some(Flight::new(upstream.clone(), 0, 0, site.now()))
+}
+
 /// Whether requests for `service` wait until it is known if it is brittle, because all hosts have
 /// started together and others probe it.
 pub fn awaits_probe(site: &Site, service: &str) -> bool {
