Own interface: a resumed stream waits for a slot of a brittle engine

Cause: the wait for a slot was measured from when the request was received, and the error of the engine that was killed was returned before any wait. A router asks for a slot only while a request waits for one.

Change: each attempt may wait, and the error of the former engine is returned after that.

stream_that_runs_for_long_waits_for_a_slot_of_another_brittle_engine: an error event after 20 chunks before, all 30 since.

--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -22,7 +22,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use marjoram_core::cache::CacheGeneration;
 use marjoram_core::poison::BrokenRequest;
@@ -86,18 +86,17 @@
 /// Chooses the engine for the next attempt; waits for a slot if engines are brittle and this
 /// router holds none that is free.
 async fn begin_attempt(node: &Arc<Node>, job: &mut Job) -> Result<Attempt, Error> {
-    let mut wait = None;
+    let (mut wait, end) = (None, Instant::now() + job.slot_wait());
     loop {
-        let error = match job.choose(node) {
+        let full = match job.choose(node) {
             Ok(choice) => return Ok(Attempt::new(node, choice)),
-            Err(error) => error,
+            Err(full @ Error::Full(_)) => full,
+            Err(error) => return Err(error),
         };
-        let left = job.slot_wait_left();
-        if !matches!(error, Error::Full(_)) || left.is_zero() {
-            if matches!(error, Error::Full(_)) {
-                node.counters.full.fetch_add(1, Ordering::Relaxed);
-            }
-            return Err(error);
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            node.counters.full.fetch_add(1, Ordering::Relaxed);
+            return Err(job.give_up_full(full));
         }
         let wait = wait.get_or_insert_with(|| SlotWait::new(&node.engine_slots));
         wait.wait(left.min(SLOT_POLL_INTERVAL)).await;
--- a/crates/router/src/job.rs
+++ b/crates/router/src/job.rs
@@ -196,10 +196,15 @@
         Ok(())
     }
 
-    /// Time for which it may still wait for a slot of a brittle engine.
-    pub fn slot_wait_left(&self) -> Duration {
-        let limit = MAX_SLOT_WAIT.min(self.limit / SLOT_WAIT_DIVISOR);
-        limit.saturating_sub(self.started.elapsed())
+    /// Time for which an attempt may wait for a slot of a brittle engine.
+    pub fn slot_wait(&self) -> Duration {
+        MAX_SLOT_WAIT.min(self.limit / SLOT_WAIT_DIVISOR)
+    }
+
+    /// The error to return to the caller if no brittle engine has had a slot in that time. If an
+    /// engine may have run the job, its error is.
+    pub fn give_up_full(&mut self, full: Error) -> Error {
+        self.last_error.take().filter(|error| matches!(error, Error::Engine(..))).unwrap_or(full)
     }
 
     /// Whether the time limit for the first token has passed without a token.
@@ -276,10 +281,13 @@
         let pool = node.pool.load();
         let engines = pool.engines.iter().filter(|e| !e.leaving && !node.is_down(e.slot));
         let is_full = engines.clone().any(|e| withheld.contains(&e.slot));
-        match (self.last_error.take(), engines.filter_map(|e| node.backoff_left(e.slot)).min()) {
+        let backoff = engines.filter_map(|e| node.backoff_left(e.slot)).min();
+        if is_full && backoff.is_none() {
+            return Error::Full(self.workspace.to_string());
+        }
+        match (self.last_error.take(), backoff) {
             (Some(error @ Error::Engine(..)), _) => error,
             (_, Some(left)) => Error::BackedOff(self.workspace.to_string(), left),
-            (_, None) if is_full => Error::Full(self.workspace.to_string()),
             (Some(error), None) => error,
             (None, None) => Error::NoEngine(self.workspace.to_string()),
         }
--- a/crates/router/tests/streams.rs
+++ b/crates/router/tests/streams.rs
@@ -91,14 +91,20 @@
     });
 }
 
-#[test]
-fn stream_resumes_on_another_engine_when_its_engine_is_killed() {
-    let mut site = configured(2, &["--decode-ms", "50"], &[]);
+/// Kills the engine of a stream after `killed_after` of its chunks, and checks that another one
+/// goes on.
+fn check_resumed(engine_args: &[&str], killed_after: usize) {
+    let args = [&["--decode-ms", "50"], engine_args].concat();
+    let mut site = configured(2, &args, &[]);
     run(async move {
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let body = completion("kili-checks", 8, 1, false);
+        // Slots of brittle engines are not granted at once.
+        site::wait_for(|| async { (post(&url, &body).await.0 == 200).then_some(()) }).await;
         let response = open_stream(&site, 30).await;
         let busy = busy_engine(&site).await;
         let kill = |n| {
-            if n == 5 {
+            if n == killed_after {
                 site.kill(&format!("engine{busy}"));
             }
         };
@@ -109,6 +115,16 @@
     });
 }
 
+#[test]
+fn stream_resumes_on_another_engine_when_its_engine_is_killed() {
+    check_resumed(&[], 5);
+}
+
+#[test]
+fn stream_that_runs_for_long_waits_for_a_slot_of_another_brittle_engine() {
+    check_resumed(&["--slots", "4", "--brittle", "8"], 20);
+}
+
 #[test]
 fn engine_that_refuses_connections_is_skipped() {
     let mut site = configured(2, &[], &[]);
