Brittle upstreams: one lookup of statements, names hashed only where needed

Site::brittle did the same as brittle::in_force. Each choice of an upstream hashed the service's name twice, also while no service is brittle and none is probed. lib.rs described core::brittle as it was before the limits left it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,8 +31,7 @@
 //! - [`upstream`]: the registry of upstreams, built from their own entries.
 //! - [`conditions`]: the conditions under which an upstream takes requests, as it
 //!   states them in its answers.
-//! - [`brittle`]: limits what hosts together send to upstreams that cannot bear many
-//!   rejections.
+//! - [`brittle`]: what upstreams state that cannot bear many rejections.
 //! - [`slot_leases`]: divides the slots of such upstreams among all hosts.
 //! - [`health`]: passive health tracking of upstreams.
 //! - [`reach`]: distinguishes an upstream that is down from a lost link, and selects
--- a/crates/router/src/engine_slots.rs
+++ b/crates/router/src/engine_slots.rs
@@ -61,8 +61,8 @@
     pub fn note_available(&self) {
         if self.is_followed.load(Ordering::Relaxed) {
             self.available.notify_waiters();
-            self.changed.notify_one();
         }
+        self.note_demand();
     }
 
     /// Ends the wait for changes, also if none are followed yet.
--- a/crates/router/src/proxy/brittle.rs
+++ b/crates/router/src/proxy/brittle.rs
@@ -119,7 +119,8 @@
 /// Whether `upstream` may have failed because of the requests that it rejected,
 /// and not under one that it ran.
 pub fn may_have_failed(site: &Site, upstream: &Upstream) -> bool {
-    let is_brittle = site.brittle(&upstream.entry.borrow().service).is_some();
+    let service = xxh3_64(upstream.entry.borrow().service.as_bytes());
+    let is_brittle = in_force(site, service).is_some();
     let own = upstream.rejections.borrow().count(site.now());
     is_brittle && own + site.peers.rejections(upstream.key) > 0
 }
--- a/crates/router/src/proxy/request/limits.rs
+++ b/crates/router/src/proxy/request/limits.rs
@@ -46,14 +46,15 @@
         }
         let mut denials = self.denials.borrow_mut();
         let brittle = slot_leases::withheld(&self.site, &self.service);
-        let service_key = xxh3_64(self.service.as_bytes());
         loop {
             let excluded = [&denials.upstreams[..], &brittle].concat();
             let chosen = match (self.choose(resumed, &excluded), denials.retry) {
                 (Err(_), Some(retry)) => return Err(self.refuse_over_limits(retry)),
                 (Err(_), _) if !brittle.is_empty() && self.may_wait_for_brittle() => {
                     let mut wait = self.slot_wait.borrow_mut();
-                    wait.get_or_insert_with(|| SlotWait::new(&self.site, service_key));
+                    wait.get_or_insert_with(|| {
+                        SlotWait::new(&self.site, xxh3_64(self.service.as_bytes()))
+                    });
                     return Ok(None);
                 }
                 (Err(_), _) if !brittle.is_empty() => {
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use marjoram_core::brittle::{MaxRejections, Statement};
+use marjoram_core::brittle::Statement;
 use marjoram_core::budget::{Allowance, Budget};
 use marjoram_core::buffer_budget::BufferBudget;
 use marjoram_core::cache_updates::UpdateQueue;
@@ -36,7 +36,6 @@
 use marjoram_core::upstream::Registry;
 use tokio::sync::{Notify, SetOnce};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::counters::Counters;
 use super::fleet::Fleet;
@@ -227,12 +226,6 @@
         self.cut_off.borrow().iter().any(|name| name == service)
     }
 
-    /// How many rejections the upstreams of `service` can bear; `None` if it is not
-    /// brittle.
-    pub fn brittle(&self, service: &str) -> Option<MaxRejections> {
-        self.brittle.borrow().get(&xxh3_64(service.as_bytes()))?.in_force(self.now())
-    }
-
     /// Whether this host is cut off from all upstreams.
     pub fn is_cut_off_from_all(&self) -> bool {
         self.fleet.is_cut_off_from_all(&self.cut_off.borrow())
--- a/crates/router/src/proxy/slot_leases.rs
+++ b/crates/router/src/proxy/slot_leases.rs
@@ -111,8 +111,11 @@
 /// Whether requests for `service` wait until it is known if it is brittle, because all hosts have
 /// started together and others probe it.
 pub fn awaits_probe(site: &Site, service: &str) -> bool {
+    if !site.startup_query.is_probing(site.now()) {
+        return false;
+    }
     let key = xxh3_64(service.as_bytes());
-    if !site.startup_query.is_probing(site.now()) || site.startup_query.knows(key) {
+    if site.startup_query.knows(key) {
         return false;
     }
     let upstreams = site.fleet.service(service);
--- a/crates/router/src/slot_grants.rs
+++ b/crates/router/src/slot_grants.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use marjoram_core::brittle::MaxRejections;
-use marjoram_core::cache::Slot;
 use marjoram_core::place;
 use marjoram_core::quota::ledger::Sender;
 use marjoram_core::slot_leases::coordinator::{Coordinator, UpstreamSlots};
@@ -207,12 +206,11 @@
     let states = node.brittle.lock();
     let pool = node.pool.load();
     let slots = |engine: &Engine| {
-        let slot: Slot = engine.slot;
-        let state = states.get(&slot)?;
+        let state = states.get(&engine.slot)?;
         Some(UpstreamSlots {
             upstream: engine.key,
             slots: state.report.slots.max(1),
-            is_open: !engine.leaving && !node.is_down(slot),
+            is_open: !engine.leaving && !node.is_down(engine.slot),
         })
     };
     pool.engines.iter().filter_map(slots).collect()
