--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -237,6 +237,7 @@
         self.refused_versions = 0
         self.spoil = None  # called with (headers, answer bytes); the late extra answer, or None
         self.loaded = asyncio.Event()
+        self.state, self.arrivals, self.writers, self.stream_s = "ready", [], set(), 0.03
 
     async def start(self):
         port = free_port()
@@ -249,7 +250,7 @@
     def entry(self):
         """What it says of itself in the list of runners."""
         return {"service": self.service, "address": self.address, "zone": "hall-a",
-                "version": "v1", "slots": 64, "state": "ready", "coldLeftMs": 0, "stage": "both",
+                "version": "v1", "slots": 64, "state": self.state, "coldLeftMs": 0, "stage": "both",
                 "models": [{"name": self.model, "version": self.version, "adapters": []}],
                 "sequence": self.beats}
 
@@ -264,6 +265,21 @@
             await asyncio.sleep(max(0, self.next_beat - time.monotonic()))
             await self.beat()
 
+    async def drain(self):
+        """Reports that it is leaving; returns when the store has accepted that."""
+        self.state = "draining"
+        await self.beat()
+        return time.monotonic()
+
+    async def leave(self):
+        """Ends: its connections close, and its entry is removed."""
+        self.task.cancel()
+        self.server.close()
+        self.record.line(f"runner {self.id} has left, with {len(self.writers)} connections open")
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await self.store.put("keyed.servers", self.id, None)
+
     def note_state(self):
         self.history.append((time.monotonic(), self.version, self.busy, self.orders))
 
@@ -297,6 +313,7 @@
 
     async def connection(self, reader, writer):
         late = None
+        self.writers.add(writer)
         try:
             while True:
                 line, headers, body = await read_message(reader)
@@ -310,6 +327,7 @@
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def serve(self, method, target, headers, body, writer):
@@ -336,6 +354,7 @@
         note = (f"runner {self.id} gets {method} {target} Attempt-Id {attempt} "
                 f"Tenant {headers.get('tenant')} Expect-Version {sent_for} "
                 f"Cache-Salt {headers.get('cache-salt')}")
+        self.arrivals.append((time.monotonic(), attempt))
         refused = None
         if sent_for is not None and sent_for != str(self.version):
             refused = answer(421, b"", [*common, ("Instance-Id", self.id), ("Not-Executed", "1")])
@@ -361,7 +380,7 @@
             event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(self.stream_s / 6)
         writer.write(b"0\r\n\r\n")
         return None
 
