--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -399,6 +399,84 @@
         self.record.line(f"{note}: runs it{foreign}")
 
 
+class PlainRunner:
+    """A runner of a service without a model: a few slots, a short queue, a fixed time of work."""
+
+    HEARTBEAT_S = 1.2
+
+    def __init__(self, store, record, name, service, slots=6, queue=24, work_s=0.06):
+        self.store, self.record, self.id, self.service = store, record, name, service
+        self.slots, self.queue, self.work_s = slots, queue, work_s
+        self.places, self.waiting, self.running = asyncio.Semaphore(slots), 0, 0
+        self.beats, self.writers, self.served = 0, set(), 0
+
+    async def start(self):
+        port = free_port()
+        self.server = await asyncio.start_server(self.connection, "127.0.0.1", port)
+        self.address = f"127.0.0.1:{port}"
+        self.task = asyncio.create_task(self.keep_beating())
+
+    async def keep_beating(self):
+        while True:
+            self.beats += 1
+            entry = {"service": self.service, "address": self.address, "zone": "hall-a",
+                     "version": "v1", "slots": self.slots, "state": "ready", "coldLeftMs": 0,
+                     "sequence": self.beats}
+            await self.store.put("keyed.servers", self.id, entry)
+            self.last_beat = time.monotonic()
+            await asyncio.sleep(self.HEARTBEAT_S)
+
+    def crash(self):
+        """Ends at once, like a process that is killed, and sends nothing more."""
+        self.record.line(f"runner {self.id} crashes with {self.running} requests at work")
+        self.task.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        return asyncio.create_task(self.expire())
+
+    async def expire(self):
+        """The store removes its entry after three heartbeat intervals of silence."""
+        await asyncio.sleep(self.last_beat + 3 * self.HEARTBEAT_S - time.monotonic())
+        await self.store.put("keyed.servers", self.id, None)
+        self.record.line(f"the entry of runner {self.id} is removed")
+
+    async def connection(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                line, headers, _ = await read_message(reader)
+                _, target, _ = line.split(" ")
+                if headers.get("expect-instance", self.id) != self.id:
+                    writer.write(answer(421, b"", [("Instance-Id", self.id), ("Not-Executed", "1")]))
+                elif target == "/health":
+                    writer.write(answer(200, b"", [("Instance-Id", self.id)]))
+                else:
+                    writer.write(await self.work(headers))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def work(self, headers):
+        attempt = headers["attempt-id"]
+        if self.waiting >= self.queue:
+            return answer(503, b"", [("Attempt-Id", attempt), ("Not-Executed", "1")])
+        self.waiting += 1
+        async with self.places:
+            self.waiting -= 1
+            self.running += 1
+            try:
+                await asyncio.sleep(self.work_s)
+            finally:
+                self.running -= 1
+        self.served += 1
+        body = f"{attempt} of {self.id}".encode()
+        return answer(200, body, [("Attempt-Id", attempt), ("Response-Seal", f"{attempt}.{self.id}")])
+
+
 # Routers
 
 
@@ -556,6 +634,21 @@
             self.record.line(f"router {self.name} killed")
 
 
+async def get(router, attempt, path, key, deadline_ms=1500):
+    """Sends one GET as a client of the pages does, on a new connection; returns the status, and
+    whether the answer is a runner's."""
+    head = (f"GET {path} HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: {attempt}\r\n"
+            f"Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n\r\n")
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", router.front)
+        writer.write(head.encode())
+        line, headers, body = await asyncio.wait_for(read_message(reader), deadline_ms / 1e3)
+        writer.close()
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, TimeoutError) as error:
+        return type(error).__name__, False, b""
+    return int(line.split(" ")[1]), "response-seal" in headers, body
+
+
 async def send(router, record, attempt, path, key, model, parts, deadline_ms=5000, limit_s=8):
     """Sends one request as a client of the pages does; returns status, headers and body."""
     total = sum(int(part.split(":")[1]) for part in parts.split(","))
