--- /dev/null
+++ b/crates/router/tests/resource_limits.rs
@@ -0,0 +1,158 @@
+//! Guarantee: crowds of callers that do not behave end no router. Its process stays within the
+//! memory and descriptors of its host, and answers an ordinary request afterwards.
+
+#[path = "../../../platform/tests/support/alone.rs"]
+mod alone;
+#[path = "../../../platform/tests/support/crowd.rs"]
+mod crowd;
+#[path = "support/site.rs"]
+mod site;
+
+use std::io::{Result, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use alone::alone;
+use crowd::{Process, write_pieces};
+use site::{Site, completion, post, run, wait_for, wait_listening};
+use test_case::test_case;
+
+/// Memory of the smallest hosts, in megabytes.
+const MEMORY_MB: u64 = 88;
+
+/// Callers with bodies of the largest size that one may send, 200 KB for the prompt and 64 KiB
+/// beyond it.
+const SENDERS: usize = 400;
+const BODY_SIZE: usize = 250_000;
+
+/// Descriptors of a host.
+const FDS_OF_HOST: u64 = 4_100;
+
+/// Descriptors that are reserved for files; sockets and pipes share the others.
+const FILE_FDS: u64 = 200;
+
+/// Descriptors of a host with 400 for sockets, and connections beyond them.
+const FEW_FDS: u64 = 600;
+const TOO_MANY_CONNS: usize = 700;
+
+/// Default distance of the port for other routers from the port for callers.
+const PEER_OFFSET: u16 = 50;
+
+/// A site with one engine and one router, which has `fds` descriptors.
+fn start(fds: u64) -> Site {
+    let mut site = Site::start(1, 1, &[]);
+    site.kill("router0");
+    site.router_env = vec![("MARJORAM_MEMORY_MB", MEMORY_MB.to_string())];
+    site.router_fds = Some(fds);
+    site.start_router(0);
+    wait_listening(&site.routers[0]);
+    run(async move {
+        let offset = site.configure("kili-checks", "round-robin").await;
+        site.wait_config_applied(offset).await;
+        site.wait_ready(0).await;
+        site
+    })
+}
+
+/// Lets `count` callers send what `send` writes to `addr`, and checks the router.
+fn check(
+    mut site: Site,
+    addr: SocketAddr,
+    count: usize,
+    fds: u64,
+    send: impl Fn(&mut TcpStream) -> Result<()> + Send + Sync,
+) {
+    let front: SocketAddr = site.routers[0].parse().expect("an address");
+    let ports = [front.port(), addr.port()];
+    let process = Process { pid: site.pid("router0"), ports: &ports };
+    let (conns, peak) = crowd::gather(process, addr, count, |_, conn| send(conn));
+    println!("{peak:?}");
+    assert!(!site.has_exited("router0"), "the process has ended");
+    assert!(peak.memory_mb <= MEMORY_MB, "{peak:?}");
+    assert!(peak.sockets <= fds - FILE_FDS, "{peak:?}");
+    run(async move {
+        let url = format!("http://{front}/v1/completions");
+        let body = completion("kili-checks", 40, 2, false);
+        wait_for(|| async {
+            let asked = ntex::time::timeout(Duration::from_secs(2), post(&url, &body));
+            asked.await.ok().filter(|(status, _)| *status == 200)
+        })
+        .await;
+    });
+    drop(conns);
+}
+
+fn front(site: &Site) -> SocketAddr {
+    site.routers[0].parse().expect("an address")
+}
+
+/// The head of a completion whose body is delimited by `framing`.
+fn head(framing: &str) -> String {
+    format!("POST /v1/completions HTTP/1.1\r\nHost: h\r\n{framing}\r\n\r\n")
+}
+
+/// The body of a completion, [`BODY_SIZE`] bytes long.
+fn body() -> Vec<u8> {
+    let prompt = "x".repeat(190_000);
+    let mut text = format!(
+        r#"{{"workspace": "kili-checks", "max_tokens": 2, "stream": false, "prompt": "{prompt}"}}"#
+    );
+    text.extend(std::iter::repeat_n(' ', BODY_SIZE - text.len()));
+    text.into_bytes()
+}
+
+/// A completion whose body lacks its last `missing` bytes.
+fn request(missing: usize) -> Vec<u8> {
+    let body = body();
+    let head = head(&format!("Content-Length: {}", body.len()));
+    [head.as_bytes(), &body[..body.len() - missing]].concat()
+}
+
+#[test_case(1 << 20; "at once")]
+#[test_case(16 << 10; "in pieces")]
+fn completions_that_stop_a_byte_short_take_bounded_memory(piece: usize) {
+    let _alone = alone();
+    let site = start(FDS_OF_HOST);
+    let addr = front(&site);
+    let request = request(1);
+    check(site, addr, SENDERS, FDS_OF_HOST, |conn| write_pieces(conn, &request, piece));
+}
+
+#[test_case(60_000; "large")]
+#[test_case(64; "small")]
+fn chunked_completions_without_their_end_take_bounded_memory(size: usize) {
+    let _alone = alone();
+    let site = start(FDS_OF_HOST);
+    let addr = front(&site);
+    let chunks = format!("{size:x}\r\n{}\r\n", "x".repeat(size)).repeat(240_000 / size);
+    let request = head("Transfer-Encoding: chunked") + &chunks;
+    check(site, addr, SENDERS, FDS_OF_HOST, |conn| conn.write_all(request.as_bytes()));
+}
+
+#[test]
+fn whole_completions_take_bounded_memory() {
+    let _alone = alone();
+    let site = start(FDS_OF_HOST);
+    let addr = front(&site);
+    let request = request(0);
+    check(site, addr, SENDERS, FDS_OF_HOST, |conn| conn.write_all(&request));
+}
+
+#[test_case(""; "idle")]
+#[test_case("GET /healthz HTTP/1.1\r\n"; "unfinished heads")]
+fn connections_beyond_the_descriptors_of_a_router_leave_some_for_others(sent: &str) {
+    let _alone = alone();
+    let site = start(FEW_FDS);
+    let addr = front(&site);
+    check(site, addr, TOO_MANY_CONNS, FEW_FDS, |conn| conn.write_all(sent.as_bytes()));
+}
+
+#[test]
+fn connections_to_the_port_for_routers_leave_descriptors_for_others() {
+    let _alone = alone();
+    let site = start(FEW_FDS);
+    let addr = front(&site);
+    let addr = SocketAddr::new(addr.ip(), addr.port() + PEER_OFFSET);
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+    check(site, addr, TOO_MANY_CONNS, FEW_FDS, |conn| conn.write_all(preface));
+}
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -11,6 +11,7 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -19,6 +20,7 @@
 use marjoram_core::wire::{Appended, HostEntry, HostState, Role};
 use ntex::http::client::Client;
 use ports::{Block, PortRange, Ports};
+use rustix::process::{Resource, Rlimit, setrlimit};
 
 /// Timeout of every wait in these tests.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
@@ -39,6 +41,10 @@
     pub engine_args: Vec<String>,
     /// Host lists of routers that do not use the common one, by the router's number.
     pub own_host_lists: HashMap<usize, String>,
+    /// Environment of routers started from now on.
+    pub router_env: Vec<(&'static str, String)>,
+    /// Descriptors that routers started from now on can have; `None` for those of the test.
+    pub router_fds: Option<u64>,
     /// File that the log of routers started from now on is written to.
     pub router_log: Option<PathBuf>,
     _block: Block,
@@ -91,6 +97,8 @@
             engine_args: engine_args.iter().map(|s| s.to_string()).collect(),
             router_args: router_args.iter().map(|s| s.to_string()).collect(),
             own_host_lists: HashMap::new(),
+            router_env: Vec::new(),
+            router_fds: None,
             router_log: None,
             _block: block,
             children: Vec::new(),
@@ -134,6 +142,16 @@
         if let Some(path) = self.router_log.as_ref().filter(|_| program == router_bin()) {
             command.env("MARJORAM_LOG", "info").stderr(std::fs::File::create(path).unwrap());
         }
+        if program == router_bin() {
+            command.envs(self.router_env.iter().cloned());
+        }
+        if let Some(limit) = self.router_fds.filter(|_| program == router_bin()) {
+            let limit = Rlimit { current: Some(limit), maximum: Some(limit) };
+            // SAFETY: the closure makes a single system call between fork and exec.
+            unsafe {
+                command.pre_exec(move || Ok(setrlimit(Resource::Nofile, limit)?));
+            }
+        }
         let child = command.spawn().expect("process starts");
         self.children.push((name.to_string(), child));
     }
@@ -231,6 +249,12 @@
         matching.any(|(_, child)| matches!(child.try_wait(), Ok(Some(_))))
     }
 
+    /// Process id of process `name`.
+    pub fn pid(&self, name: &str) -> u32 {
+        let (_, child) = self.children.iter().find(|(n, _)| n == name).expect("known process");
+        child.id()
+    }
+
     /// Resident memory of process `name` in bytes.
     pub fn memory(&self, name: &str) -> u64 {
         let (_, child) = self.children.iter().find(|(n, _)| n == name).expect("known process");
