peer_budget: limits on the memory and connections of all peers together

Nothing uses them yet.

One table holds what each accepted connection takes and since when it has made no progress, without I/O. When a limit is reached it says who is given up: for memory the connection with the largest product of bytes and time without progress; if all move, the newest large request that is still being received, so that the older ones can be completed; for a connection the one without progress for the longest time. Requests in progress are never given up. A byte now and then is no progress. An eighth of the memory is reserved for small requests, and one request of the largest size always has room.

A model of random events checks the limits and that requests in progress are kept.

Bodies are kept in blocks (`blocks`, moved out of buffer_budget), so that they are not copied as they grow. The settings' `maxFds` is read.

--- a/crates/core/src/buffer_budget.rs
+++ b/crates/core/src/buffer_budget.rs
@@ -10,13 +10,10 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use bytes::BytesMut;
 use quick_error::quick_error;
 use slotmap::{SlotMap, new_key_type};
 
-/// Size of the blocks that hold a body, in bytes. A body in one piece would be copied as it
-/// grows, and briefly take twice its size.
-const BLOCK_SIZE: usize = 64 << 10;
+use crate::blocks::Blocks;
 
 new_key_type! {
     struct Key;
@@ -65,8 +62,8 @@
     size: usize,
     /// Number of bodies begun before this one.
     number: u64,
-    /// Its blocks while it is being read; `None` once it is complete or has been dropped.
-    blocks: Option<Vec<BytesMut>>,
+    /// Its bytes while it is being read; `None` once it is complete or has been dropped.
+    blocks: Option<Blocks>,
 }
 
 impl BufferBudget {
@@ -78,7 +75,7 @@
     /// Begins a body.
     pub fn begin(&self) -> Buffer {
         let mut table = self.table.borrow_mut();
-        let entry = Entry { size: 0, number: table.begun, blocks: Some(Vec::new()) };
+        let entry = Entry { size: 0, number: table.begun, blocks: Some(Blocks::default()) };
         table.begun += 1;
         Buffer { budget: self.clone(), key: table.bodies.insert(entry) }
     }
@@ -119,7 +116,7 @@
 
 impl Buffer {
     /// Appends `bytes`. Fails if the body has been dropped, for this or another one.
-    pub fn append(&mut self, mut bytes: &[u8]) -> Result<(), Exhausted> {
+    pub fn append(&mut self, bytes: &[u8]) -> Result<(), Exhausted> {
         let limit = self.budget.limit;
         let mut table = self.budget.table.borrow_mut();
         while table.is_reading(self.key) && table.used + bytes.len() > limit {
@@ -127,20 +124,9 @@
         }
         let Entry { size, blocks, .. } = &mut table.bodies[self.key];
         let blocks = blocks.as_mut().ok_or(Exhausted::Limit(limit))?;
-        let added = bytes.len();
-        *size += added;
-        while !bytes.is_empty() {
-            if blocks.last().is_none_or(|block| block.len() >= BLOCK_SIZE) {
-                // Most bodies fill only a part of the first block, which grows with them.
-                let capacity = if blocks.is_empty() { 0 } else { BLOCK_SIZE };
-                blocks.push(BytesMut::with_capacity(capacity));
-            }
-            let block = blocks.last_mut().expect("just added");
-            let (fits, rest) = bytes.split_at(bytes.len().min(BLOCK_SIZE - block.len()));
-            block.extend_from_slice(fits);
-            bytes = rest;
-        }
-        table.used += added;
+        blocks.append(bytes);
+        *size += bytes.len();
+        table.used += bytes.len();
         Ok(())
     }
 
@@ -169,7 +155,7 @@
 /// A complete body, which counts towards the budget until it is dropped.
 #[derive(Debug)]
 pub struct CompleteBody {
-    blocks: Vec<BytesMut>,
+    blocks: Blocks,
     buffer: Buffer,
 }
 
@@ -181,6 +167,11 @@
 
     /// Its bytes in order, in blocks.
     pub fn blocks(&self) -> impl Iterator<Item = &[u8]> {
-        self.blocks.iter().map(|block| &block[..])
+        self.blocks.iter()
+    }
+
+    /// Its bytes, which no longer count towards the budget.
+    pub fn into_blocks(self) -> Blocks {
+        self.blocks
     }
 }
--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -28,12 +28,17 @@
     /// caller and the target of the request; each is hashed with its length, so
     /// that bytes cannot move between them.
     pub fn new(parts: &[&str], body: &[u8]) -> Self {
+        Self::of_blocks(parts, [body])
+    }
+
+    /// The same for a body in blocks.
+    pub fn of_blocks<'a>(parts: &[&str], body: impl IntoIterator<Item = &'a [u8]>) -> Self {
         let mut hasher = Xxh3::new();
         for part in parts {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part.as_bytes());
         }
-        hasher.update(body);
+        body.into_iter().for_each(|block| hasher.update(block));
         Self(hasher.digest())
     }
 }
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -60,6 +60,34 @@
 /// The rest is for requests, streams and indices, and for fragmentation of the heap.
 const BUFFER_FRACTION: u64 = 6;
 
+/// Fraction of the memory for all connections of peers: their buffers, their requests, and the
+/// complete answers that they have not received.
+const PEER_FRACTION: u64 = 5;
+
+/// Descriptors that are reserved for files.
+const FILE_FDS: u64 = 200;
+
+/// Fractions of the sockets for connections of callers, to the status ports and from other hosts.
+/// Each request of a caller may need a connection to an upstream, so callers leave more than that
+/// many for connections to others.
+const CALLER_FRACTION: usize = 3;
+const STATUS_FRACTION: usize = 8;
+const PEER_HOST_FRACTION: usize = 8;
+
+/// Bytes that the socket of an accepted connection may receive before they are read, and the
+/// fraction of the memory for those of all callers.
+pub const RECEIVE_BUFFER: usize = 32 << 10;
+const RECEIVE_FRACTION: usize = 4;
+
+/// Most connections that may wait to be accepted on a port, and the fraction of the memory for the
+/// bytes that they may receive.
+const MAX_BACKLOG: usize = 1_024;
+const BACKLOG_FRACTION: usize = 8;
+
+/// Fraction of the sockets for tunnels, which have two each: one of those from other hosts, and
+/// one to an upstream.
+const TUNNEL_FRACTION: usize = 16;
+
 /// Resources that the process on a host may use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Capacity {
@@ -69,6 +97,8 @@
     pub link: LinkSpeed,
     /// Memory, in bytes; a process that exceeds it is killed.
     pub memory: u64,
+    /// Descriptors that the process may have open.
+    pub fds: u64,
 }
 
 impl Capacity {
@@ -81,6 +111,43 @@
     pub fn buffered_bytes(self) -> usize {
         (self.memory / BUFFER_FRACTION) as usize
     }
+
+    /// The bytes that all connections of peers may use together.
+    pub fn peer_bytes(self) -> usize {
+        (self.memory / PEER_FRACTION) as usize
+    }
+
+    /// The sockets that the process may have open.
+    fn sockets(self) -> usize {
+        self.fds.saturating_sub(FILE_FDS) as usize
+    }
+
+    /// Connections that callers may have together.
+    pub fn caller_conns(self) -> usize {
+        let by_memory = self.memory as usize / RECEIVE_FRACTION / RECEIVE_BUFFER;
+        (self.sockets() / CALLER_FRACTION).min(by_memory).max(1)
+    }
+
+    /// Connections that may wait to be accepted on a port.
+    pub fn accept_backlog(self) -> u32 {
+        let by_memory = self.memory as usize / BACKLOG_FRACTION / RECEIVE_BUFFER;
+        by_memory.clamp(1, MAX_BACKLOG) as u32
+    }
+
+    /// Connections to all status ports together.
+    pub fn status_conns(self) -> usize {
+        (self.sockets() / STATUS_FRACTION).max(1)
+    }
+
+    /// Connections that other hosts may have together.
+    pub fn peer_conns(self) -> usize {
+        (self.sockets() / PEER_HOST_FRACTION).max(1)
+    }
+
+    /// Tunnels that may be served at the same time.
+    pub fn tunnels(self) -> usize {
+        self.sockets() / TUNNEL_FRACTION
+    }
 }
 
 /// Connection settings for the platform's store.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -69,6 +69,9 @@
 //!   outcome.
 //! - [`buffer_budget`]: a limit on the bytes of answers that are buffered at the same
 //!   time.
+//! - [`peer_budget`]: limits on the memory and the connections that a process has for all
+//!   peers together.
+//! - [`blocks`]: bytes kept in blocks of bounded size.
 //! - [`stop`]: which requests are still accepted during shutdown.
 //! - [`switches`]: turns individual mechanisms of the routing decisions off.
 //! - [`events`]: splits a stream of server-sent events into complete events.
@@ -76,6 +79,7 @@
 pub mod admission;
 pub mod announce;
 pub mod backlog;
+pub mod blocks;
 pub mod brittle;
 pub mod broadcast;
 pub mod budget;
@@ -109,6 +113,7 @@
 pub mod params;
 pub mod part_directory;
 pub mod part_index;
+pub mod peer_budget;
 pub mod place;
 pub mod plain;
 pub mod poison;
