Callers share a budget of memory and connections

What callers saw: a router ended, out of memory, when many of them sent bodies of legal size at once and stopped short, or when thousands of connections were idle; beyond the descriptors nobody could connect.

Cause: each body, head and idle connection was limited by itself. A whole body was kept twice more for each send. An idle connection kept a read buffer of 16 KB and the state of a whole exchange. What a socket receives before it is read had no limit but the kernel's.

One that is given up while its request is received gets 503 with Retry-After: it has not run. Idle ones are closed, an answer that its caller does not read is cut. All sends of a request share one body, which is not copied. Buffers are freed while a connection is idle, and the exchange is allocated once a request is whole. After 128 pieces of a body other tasks run: one-byte chunks delayed others' requests.

--- a/crates/router/src/conn.rs
+++ b/crates/router/src/conn.rs
@@ -8,8 +8,11 @@
 
 use bytes::BytesMut;
 use marjoram_core::correlation::ConnId;
+use marjoram_core::host::RECEIVE_BUFFER;
+use marjoram_core::peer_budget::{Exhausted, Holding, Stage};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::Instant;
 
 /// Space in the buffer, in bytes, before each read.
 const READ_SIZE: usize = 16 << 10;
@@ -65,6 +68,10 @@
     pub relayed: bool,
     /// Requests that have been sent on it to an upstream.
     pub requests: u64,
+    /// What the process holds for the peer, of a connection that it has accepted.
+    holding: Option<Holding>,
+    /// Bytes that the process keeps for the peer beside `buf`.
+    kept: usize,
 }
 
 impl Conn {
@@ -79,9 +86,17 @@
             written: false,
             relayed: false,
             requests: 0,
+            holding: None,
+            kept: 0,
         }
     }
 
+    /// Wraps an accepted connection whose peer shares a budget with others. Reads and writes
+    /// fail once it has been given up.
+    pub fn accepted(stream: TcpStream, holding: Holding) -> Self {
+        Self { holding: Some(holding), ..Self::new(stream) }
+    }
+
     /// Wraps a connection that another host relays.
     pub fn relayed(stream: TcpStream) -> Self {
         Self { relayed: true, ..Self::new(stream) }
@@ -101,21 +116,98 @@
         self.stream.peer_addr().ok()
     }
 
+    /// The connection is used for `stage` from now on.
+    pub fn enter(&self, stage: Stage) {
+        if let Some(holding) = &self.holding {
+            holding.enter(stage, Instant::now().into_std());
+        }
+    }
+
+    /// Sets the bytes that the process keeps for the peer beside `buf`. Fails if there is no
+    /// room for them.
+    pub fn keep(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        let before = std::mem::replace(&mut self.kept, bytes);
+        self.account().inspect_err(|_| self.kept = before)
+    }
+
+    /// The bytes that the process keeps for the peer beside `buf`.
+    pub fn kept(&self) -> usize {
+        self.kept
+    }
+
+    /// Frees `buf` if it is empty.
+    pub fn free_buffer(&mut self) {
+        if self.buf.is_empty() {
+            self.buf = BytesMut::new();
+        }
+    }
+
+    /// Why the connection has been given up for others, if it has.
+    pub fn given_up(&self) -> Option<Exhausted> {
+        self.holding.as_ref().and_then(Holding::given_up)
+    }
+
+    /// Frees what is held for the peer, which gets one more answer.
+    pub fn begin_close(&mut self) {
+        self.buf = BytesMut::new();
+        self.kept = 0;
+        if let Some(holding) = &self.holding {
+            holding.close(Instant::now().into_std());
+        }
+    }
+
+    /// Counts what is held for the peer.
+    fn account(&self) -> Result<(), Exhausted> {
+        match &self.holding {
+            Some(holding) => {
+                holding.resize(self.buf.capacity() + self.kept, Instant::now().into_std())
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// The same, with the bytes that the socket may receive while nothing is read.
+    fn account_unread(&self) -> Result<(), Exhausted> {
+        match &self.holding {
+            Some(holding) => {
+                let held = self.buf.capacity() + self.kept + RECEIVE_BUFFER;
+                holding.resize(held, Instant::now().into_std())
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Reads more bytes; 0 when the peer has closed its side.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        self.buf.reserve(READ_SIZE);
-        let read = self.stream.read_buf(&mut self.buf).await?;
+        let (stream, buf) = (&mut self.stream, &mut self.buf);
+        let read = async {
+            if buf.capacity() == 0 {
+                // Connections without a request need no buffer.
+                stream.readable().await?;
+            }
+            buf.reserve(READ_SIZE);
+            stream.read_buf(buf).await
+        };
+        let read = or_given_up(self.holding.as_ref(), read).await?;
         self.read_closed |= read == 0;
+        self.record_progress(read);
+        self.account().map_err(io::Error::other)?;
         Ok(read)
     }
 
+    fn record_progress(&self, bytes: usize) {
+        if let Some(holding) = &self.holding {
+            holding.record_progress(bytes, Instant::now().into_std());
+        }
+    }
+
     /// Reads the bytes that have arrived, without waiting, until `limit` are buffered.
     pub fn read_available(&mut self, limit: usize) -> io::Result<()> {
         while self.buf.len() < limit && !self.read_closed {
             self.buf.reserve(READ_SIZE);
             match self.stream.try_read_buf(&mut self.buf) {
                 Ok(0) => self.read_closed = true,
-                Ok(_) => {}
+                Ok(_) => self.account().map_err(io::Error::other)?,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(e) => return Err(e),
             }
@@ -126,7 +218,17 @@
     /// Writes all of `bytes`.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.written = true;
-        self.stream.write_all(bytes).await
+        let mut unsent = bytes;
+        while !unsent.is_empty() {
+            let write = self.stream.write(unsent);
+            let written = or_given_up(self.holding.as_ref(), write).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            self.record_progress(written);
+            unsent = &unsent[written..];
+        }
+        Ok(())
     }
 
     /// Writes `unsent` until all is written, or the peer answers or closes first, and advances it
@@ -165,10 +267,13 @@
 
     /// Waits until the peer has closed the connection, and returns how. Bytes that it
     /// sends meanwhile are buffered, up to `limit`; then reading stops, and a close is
-    /// no longer noticed.
+    /// no longer noticed. What the socket may receive then counts as held.
     pub async fn wait_until_closed(&mut self, limit: usize) -> PeerEnd {
         loop {
             if self.buf.len() >= limit {
+                if let Err(exhausted) = self.account_unread() {
+                    return PeerEnd::Failed(io::Error::other(exhausted));
+                }
                 return std::future::pending().await;
             }
             match self.fill().await {
@@ -194,14 +299,18 @@
         if self.stream.shutdown().await.is_err() {
             return;
         }
-        let drain = async {
+        self.buf = BytesMut::new();
+        let (holding, stream) = (self.holding.as_ref(), &self.stream);
+        let drain = or_given_up(holding, async {
             loop {
-                self.buf.clear();
-                if !matches!(self.fill().await, Ok(n) if n > 0) {
-                    return;
+                stream.readable().await?;
+                if discard(stream)? == 0 {
+                    return Ok(());
                 }
+                tokio::task::yield_now().await;
             }
-        };
+        });
+        // An error ends the connection like the time-out.
         let _ = tokio::time::timeout(limit, drain).await;
     }
 
@@ -217,6 +326,28 @@
     }
 }
 
+/// The result of `io`, or an error once `holding` is given up.
+async fn or_given_up<T>(
+    holding: Option<&Holding>,
+    io: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    let Some(holding) = holding else { return io.await };
+    tokio::select! {
+        biased;
+        exhausted = holding.wait_given_up() => Err(io::Error::other(exhausted)),
+        result = io => result,
+    }
+}
+
+/// Drops bytes that have arrived; 0 when the peer has closed its side.
+fn discard(stream: &TcpStream) -> io::Result<usize> {
+    let mut scratch = [0; READ_SIZE];
+    match stream.try_read(&mut scratch) {
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(1),
+        read => read,
+    }
+}
+
 /// Sets whether `stream` is closed with a reset, also by the kernel when the process is killed.
 pub fn reset_on_close(stream: &TcpStream, reset: bool) {
     let linger = reset.then_some(Duration::ZERO);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -23,6 +23,7 @@
 mod job;
 mod lease_tasks;
 mod link;
+mod listen;
 mod log;
 mod node;
 mod options;
--- a/crates/router/src/proxy.rs
+++ b/crates/router/src/proxy.rs
@@ -23,6 +23,7 @@
 mod logs;
 mod notices;
 mod options;
+mod peer_limits;
 mod peers;
 mod poison;
 mod pool;
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -2,10 +2,12 @@
 
 use std::cell::RefCell;
 use std::io;
+use std::iter;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use marjoram_core::blocks::Blocks;
 use marjoram_core::buffer_budget::{BufferBudget, CompleteBody};
 use marjoram_core::correlation::{self, Answered, ConnId, SentOn};
 use marjoram_core::exchange::ResponseMetadata;
@@ -97,6 +99,44 @@
     }
 }
 
+/// Longest body that is sent together with the head, in bytes.
+const SMALL_BODY: usize = 8 << 10;
+
+/// A request as it is sent.
+#[derive(Debug)]
+pub struct Encoded {
+    /// Its head.
+    pub head: Bytes,
+    /// Its body, which all sends of the request share.
+    pub body: Rc<Blocks>,
+}
+
+impl Encoded {
+    /// The parts that are sent one after another, the last one first.
+    fn parts<'a>(&'a self, joined: &'a mut Vec<u8>) -> Vec<&'a [u8]> {
+        if self.body.len() <= SMALL_BODY {
+            joined.extend_from_slice(&self.head);
+            self.body.iter().for_each(|block| joined.extend_from_slice(block));
+            return vec![joined];
+        }
+        let mut parts: Vec<&[u8]> = iter::once(&self.head[..]).chain(self.body.iter()).collect();
+        parts.reverse();
+        parts
+    }
+}
+
+/// Sends the `unsent` parts until all are sent, or the upstream answers or closes first.
+async fn send_parts(conn: &mut Conn, unsent: &mut Vec<&[u8]>) -> io::Result<()> {
+    while let Some(part) = unsent.last_mut() {
+        conn.send(part).await?;
+        if !part.is_empty() {
+            return Ok(());
+        }
+        unsent.pop();
+    }
+    Ok(())
+}
+
 /// One send of a caller's attempt.
 pub struct Outgoing<'a> {
     /// The request's method.
@@ -104,7 +144,7 @@
     /// The id of the attempt.
     pub attempt: Option<&'a str>,
     /// The encoded request.
-    pub request: &'a Bytes,
+    pub request: &'a Encoded,
     /// The connections of the attempt's former sends; that of this one is added.
     pub sent_on: &'a RefCell<SentOn>,
 }
@@ -158,11 +198,12 @@
     pooled.conn().requests += 1;
     let conn_use = pooled.conn_use();
     sent_on.borrow_mut().record(conn_use.conn);
-    let mut unsent: &[u8] = request;
+    let mut joined = Vec::new();
+    let mut unsent = request.parts(&mut joined);
     for _ in 0..=MAX_STRAY_ANSWERS {
         // The answer may already have been received, and the upstream may read no further.
         if pooled.conn().buf.is_empty() {
-            pooled.conn().send(&mut unsent).await.map_err(|e| io_failure("send", e))?;
+            send_parts(pooled.conn(), &mut unsent).await.map_err(|e| io_failure("send", e))?;
         }
         pooled.sent = unsent.is_empty();
         let head = answer::read_head(pooled.conn())
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -1,16 +1,19 @@
 //! Callers' connections: reads requests and writes answers, one after another.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
+use marjoram_core::blocks::Blocks;
 use marjoram_core::catalog::Limits;
 use marjoram_core::in_progress::InProgressRequest;
+use marjoram_core::peer_budget::{Exhausted, Stage};
 use marjoram_platform::headers;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use super::counters;
 use super::http1::{self, BadMessage, Body, Framing, Piece, RequestHead, ResponseWriter};
+use super::peer_limits::{self, GivenUp};
 use super::refusal::Refusal;
 use super::request::{Exchange, Request};
 use super::response::{self, Close, Outcome};
@@ -23,6 +26,10 @@
 /// Time-out for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Pieces of a body after which other tasks run first: small chunks, received together, would
+/// delay their requests.
+const PIECES_A_TURN: u32 = 128;
+
 /// Pause after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,14 +43,21 @@
 /// Accepts callers until the process stops.
 pub async fn serve(site: Rc<Site>, listener: TcpListener) {
     loop {
+        if site.peer_limits.callers.is_full() {
+            // Connections that have been given up are closed first.
+            tokio::task::yield_now().await;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = site.stop.notified() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                ntex::rt::spawn(connection(site.clone(), Conn::new(stream)));
-            }
+            Ok((stream, _)) => match site.peer_limits.callers.accept(Instant::now()) {
+                Ok(holding) => {
+                    ntex::rt::spawn(connection(site.clone(), Conn::accepted(stream, holding)));
+                }
+                Err(why) => refuse_connection(&site, &stream, why),
+            },
             Err(error) => {
                 tracing::warn!(target: "callers", %error, "accept failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -52,6 +66,15 @@
     }
 }
 
+/// Refuses a connection that there is no room for. Nothing of it has been read.
+fn refuse_connection(site: &Site, stream: &TcpStream, why: Exhausted) {
+    site.report_given_up(GivenUp::CallerConn, why);
+    let refusal = Refusal::not_run("too many connections", peer_limits::retry_after());
+    if let Err(error) = stream.try_write(&encode(&refusal, true)) {
+        tracing::debug!(target: "callers", %error, "refusal of a connection not sent");
+    }
+}
+
 /// What to do with a connection after a request.
 enum Next {
     /// Read the next request.
@@ -66,11 +89,16 @@
 /// Serves the requests of one connection until it closes.
 async fn connection(site: Rc<Site>, mut conn: Conn) {
     loop {
+        begin_wait(&mut conn);
         if !wait_for_bytes(&site, &mut conn).await {
+            if let Some(why) = conn.given_up() {
+                site.report_given_up(GivenUp::IdleCaller, why);
+            }
             return;
         }
         let limits = limits(&site);
         let progress = site.handled.begin();
+        conn.enter(Stage::Receiving);
         let next = serve_request(&site, &mut conn, limits, &progress).await;
         progress.end();
         match next {
@@ -85,6 +113,14 @@
     }
 }
 
+/// Frees what the last request took. Bytes that have been read ahead stay.
+fn begin_wait(conn: &mut Conn) {
+    conn.free_buffer();
+    conn.enter(Stage::Idle);
+    // Err: the connection has been given up, which the next read reports.
+    let _ = conn.keep(0);
+}
+
 /// The limits on callers' requests in force.
 fn limits(site: &Site) -> Limits {
     site.catalog.load().as_ref().map_or_else(Limits::default, |c| c.limits)
@@ -114,8 +150,11 @@
     progress: &InProgressRequest,
 ) -> Next {
     let started = site.now();
-    let read = tokio::time::timeout(limits.head_time, read_head(conn, limits.head));
-    let head = match read.await {
+    let read = tokio::time::timeout(limits.head_time, read_head(conn, limits.head)).await;
+    if let Some(why) = conn.given_up() {
+        return refuse_given_up(site, conn, why).await;
+    }
+    let head = match read {
         Ok(Ok(Some(head))) => head,
         Ok(Ok(None)) => return Next::Close,
         Ok(Err(BadMessage::TooLong(_))) => {
@@ -136,8 +175,11 @@
     if expects && conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
         return Next::Close;
     }
-    let body = match tokio::time::timeout(BODY_TIMEOUT, read_body(conn, framing, limits.body)).await
-    {
+    let read = tokio::time::timeout(BODY_TIMEOUT, read_body(conn, framing, limits.body)).await;
+    if let Some(why) = conn.given_up() {
+        return refuse_given_up(site, conn, why).await;
+    }
+    let body = match read {
         Ok(Ok(Some(body))) => body,
         Ok(Ok(None)) => return refuse_malformed(site, conn, 413, "body too long").await,
         Ok(Err(BadMessage::CutOff)) => return Next::Close,
@@ -147,8 +189,11 @@
     let asked = headers::request_metadata(|name| head.headers.get(name));
     progress.identify(asked.attempt.as_deref().unwrap_or("-"));
     let close = Close::new(head.headers.closes(head.minor), limits);
-    let request = Request { head, body, started, asked };
-    answer(site, conn, request, close).await
+    conn.enter(Stage::InProgress);
+    conn.free_buffer();
+    let request = Request { head, body: Rc::new(body), started, asked };
+    // On the heap, so that connections without a whole request take little memory.
+    Box::pin(answer(site, conn, request, close)).await
 }
 
 /// Sends the request to an upstream and the answer to the caller.
@@ -295,6 +340,18 @@
     }
 }
 
+/// Refuses a request whose connection was given up for others before it was complete.
+async fn refuse_given_up(site: &Site, conn: &mut Conn, why: Exhausted) -> Next {
+    site.report_given_up(GivenUp::Request, why);
+    conn.begin_close();
+    let refusal =
+        Refusal::not_run("too much is held for other callers", peer_limits::retry_after());
+    match conn.write(&encode(&refusal, true)).await {
+        Ok(()) => Next::Linger,
+        Err(_) => Next::Close,
+    }
+}
+
 /// Reads the head of a request; `None` when the caller has closed the connection.
 async fn read_head(conn: &mut Conn, limit: usize) -> Result<Option<RequestHead>, BadMessage> {
     loop {
@@ -324,14 +381,19 @@
     conn: &mut Conn,
     framing: Framing,
     limit: usize,
-) -> Result<Option<Bytes>, BadMessage> {
+) -> Result<Option<Blocks>, BadMessage> {
     let mut body = Body::from(framing);
-    let mut whole = BytesMut::new();
+    let mut whole = Blocks::default();
+    let mut pieces = 0;
     loop {
         match body.next(&mut conn.buf, conn.read_closed)? {
-            Piece::End => return Ok(Some(whole.freeze())),
-            Piece::Data(data) => whole.extend_from_slice(&data),
+            Piece::End => {
+                conn.keep(whole.len()).map_err(|_| BadMessage::CutOff)?;
+                return Ok(Some(whole));
+            }
+            Piece::Data(data) => whole.append(&data),
             Piece::More => {
+                conn.keep(whole.len()).map_err(|_| BadMessage::CutOff)?;
                 if conn.fill().await.is_err() {
                     return Err(BadMessage::CutOff);
                 }
@@ -340,5 +402,9 @@
         if whole.len() > limit {
             return Ok(None);
         }
+        pieces += 1;
+        if pieces % PIECES_A_TURN == 0 {
+            tokio::task::yield_now().await;
+        }
     }
 }
--- a/crates/router/src/proxy/http1.rs
+++ b/crates/router/src/proxy/http1.rs
@@ -255,12 +255,18 @@
     }
 
     /// Ends the head and adds `body`.
-    pub fn finish(mut self, body: Option<&[u8]>) -> Bytes {
-        if let Some(body) = body {
-            self.header("content-length", body.len().to_string().as_bytes());
+    pub fn finish(self, body: Option<&[u8]>) -> Bytes {
+        let mut bytes = BytesMut::from(self.finish_head(body.map(<[u8]>::len)));
+        bytes.extend_from_slice(body.unwrap_or_default());
+        bytes.freeze()
+    }
+
+    /// Ends the head; a body of `size` bytes follows, if any.
+    pub fn finish_head(mut self, size: Option<usize>) -> Bytes {
+        if let Some(size) = size {
+            self.header("content-length", size.to_string().as_bytes());
         }
         self.0.extend_from_slice(b"\r\n");
-        self.0.extend_from_slice(body.unwrap_or_default());
         self.0.freeze()
     }
 }
--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use marjoram_core::blocks::Blocks;
 use marjoram_core::buffer_budget::CompleteBody;
 use marjoram_core::catalog::{Catalog, Kind, Route, Workspace};
 use marjoram_core::correlation::SentOn;
@@ -60,7 +60,7 @@
     /// Its head.
     pub head: RequestHead,
     /// Its body.
-    pub body: Bytes,
+    pub body: Rc<Blocks>,
     /// When its first byte was received.
     pub started: Duration,
     /// The parameters in its headers.
@@ -164,7 +164,7 @@
         let caller = workspace.as_ref().map_or("", |w| &w.name);
         let head = &request.head;
         let address = [caller, &head.method, host, &head.target];
-        let fingerprint = Fingerprint::new(&address, &request.body);
+        let fingerprint = Fingerprint::of_blocks(&address, request.body.iter());
         let shared = request.asked.prompt.iter().flat_map(|p| p.shared_parts());
         Ok(Self {
             fingerprint,
--- a/crates/router/src/proxy/request/send.rs
+++ b/crates/router/src/proxy/request/send.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use marjoram_core::buffer_budget::CompleteBody;
 use marjoram_core::exchange::{Envelope, Part};
 use marjoram_core::part_index::CacheId;
@@ -12,7 +11,7 @@
 use super::choose::Chosen;
 use super::takeover::HeadOutcome;
 use super::{Answer, Exchange};
-use crate::proxy::attempt::{self, StartedAnswer};
+use crate::proxy::attempt::{self, Encoded, StartedAnswer};
 use crate::proxy::backlog::Claim;
 use crate::proxy::failure::Failure;
 use crate::proxy::fleet::Flight;
@@ -74,8 +73,8 @@
     }
 
     /// The request as it is sent: the caller's end-to-end headers, with the router's
-    /// own replaced by those of `envelope`, and the body.
-    fn encode(&self, envelope: &Envelope) -> Bytes {
+    /// own replaced by those of `envelope`, and the body, which is not copied.
+    fn encode(&self, envelope: &Envelope) -> Encoded {
         let head = &self.request.head;
         let mut writer = RequestWriter::new(&head.method, &head.target);
         for (name, value) in head.headers.end_to_end() {
@@ -86,7 +85,8 @@
         headers::write_envelope(envelope, |name, value| writer.header(name, value.as_bytes()));
         let bodyless =
             self.request.body.is_empty() && matches!(head.method.as_str(), "GET" | "HEAD");
-        writer.finish((!bodyless).then_some(&self.request.body))
+        let body = self.request.body.clone();
+        Encoded { head: writer.finish_head((!bodyless).then_some(body.len())), body }
     }
 
     /// Sends the request once, to the upstream chosen, and waits for the head of
--- a/crates/router/src/proxy/response.rs
+++ b/crates/router/src/proxy/response.rs
@@ -78,7 +78,7 @@
     };
     match answer {
         Err(refusal) => Outcome::Refused(refusal),
-        Ok(Answer::Failed(opened, body)) => forward_error(site, caller, opened, &body, close).await,
+        Ok(Answer::Failed(opened, body)) => forward_error(site, caller, opened, body, close).await,
         Ok(Answer::Open(opened, flight)) if exchange.route.kind.streams() && is_stream(&opened) => {
             Stream::new(site, exchange, close).relay(caller, opened, flight).await
         }
@@ -202,7 +202,7 @@
                 _ if self.begun => return Outcome::Cut(format!("{failure}; not resumed")),
                 Err(refusal) => return Outcome::Refused(refusal),
                 Ok(Answer::Failed(opened, body)) => {
-                    return forward_error(self.site, caller, opened, &body, self.close).await;
+                    return forward_error(self.site, caller, opened, body, self.close).await;
                 }
                 Ok(Answer::Open(..)) => {
                     return Outcome::Refused(Refusal::with_status(502, "no stream came"));
--- a/crates/router/src/proxy/response/buffered.rs
+++ b/crates/router/src/proxy/response/buffered.rs
@@ -4,12 +4,14 @@
 
 use bytes::BytesMut;
 use marjoram_core::buffer_budget::CompleteBody;
+use marjoram_core::peer_budget::Stage;
 
 use super::{Close, Outcome, READ_AHEAD, head};
 use crate::conn::Conn;
 use crate::proxy::attempt::StartedAnswer;
 use crate::proxy::failure::Failure;
 use crate::proxy::fleet::Flight;
+use crate::proxy::peer_limits::GivenUp;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::{Answer, Exchange};
 use crate::proxy::site::Site;
@@ -19,7 +21,7 @@
     site: &Site,
     caller: &mut Conn,
     opened: StartedAnswer,
-    body: &CompleteBody,
+    body: CompleteBody,
     close: &mut Close,
 ) -> Outcome {
     let status = opened.head.status;
@@ -33,22 +35,39 @@
     }
     let head = close.finish(head(&opened), site, caller).finish_head(body.size());
     opened.finish(site.now());
-    Outcome::written(status, write_answer(caller, head, body).await)
+    write_answer(site, caller, head, body, status).await
 }
 
-/// Writes an answer: its head, and the body in blocks.
+/// Writes an answer: its head, and the body in blocks, which are freed one by one.
 async fn write_answer(
+    site: &Site,
     caller: &mut Conn,
     mut head: BytesMut,
-    body: &CompleteBody,
-) -> io::Result<()> {
-    let mut blocks = body.blocks();
-    head.extend_from_slice(blocks.next().unwrap_or_default());
-    caller.write(&head).await?;
-    for block in blocks {
-        caller.write(block).await?;
+    body: CompleteBody,
+    status: u16,
+) -> Outcome {
+    if let Err(why) = caller.keep(caller.kept() + body.size()) {
+        site.report_given_up(GivenUp::Answer, why);
+        return Outcome::Refused(Refusal::with_status(502, "no memory for the answer"));
+    }
+    caller.enter(Stage::Sending);
+    let written = async {
+        let mut blocks = body.into_blocks().into_iter();
+        let first = blocks.next().unwrap_or_default();
+        head.extend_from_slice(&first);
+        caller.write(&head).await?;
+        for block in blocks {
+            caller.write(&block).await?;
+            let kept = caller.kept().saturating_sub(block.len());
+            caller.keep(kept).map_err(io::Error::other)?;
+        }
+        Ok(())
+    };
+    let written = written.await;
+    if let Some(why) = caller.given_up() {
+        site.report_given_up(GivenUp::Answer, why);
     }
-    Ok(())
+    Outcome::written(status, written)
 }
 
 /// Forwards an answer after its body has been received completely, so that the
@@ -86,7 +105,7 @@
                 opened.finish(site.now());
                 flight.end();
                 drop(flight);
-                return Outcome::written(status, write_answer(caller, head, &body).await);
+                return write_answer(site, caller, head, body, status).await;
             }
             Ok(Err(failure @ Failure::NoMemory(_))) => {
                 site.counters.count("answer.no_memory");
@@ -104,7 +123,7 @@
                 match again {
                     Err(refusal) => return Outcome::Refused(refusal),
                     Ok(Answer::Failed(opened, body)) => {
-                        return forward_error(site, caller, opened, &body, close).await;
+                        return forward_error(site, caller, opened, body, close).await;
                     }
                     Ok(Answer::Open(next, next_flight)) => (opened, flight) = (next, next_flight),
                 }
--- a/crates/router/src/proxy/run.rs
+++ b/crates/router/src/proxy/run.rs
@@ -7,7 +7,6 @@
 
 use marjoram_core::stop::Stop;
 use marjoram_platform::settings;
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::leadership::{self, Leadership};
@@ -19,9 +18,7 @@
     reach, slot_leases, state_transfer,
 };
 use crate::error::Error;
-
-/// New connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
+use crate::listen::listen;
 
 /// Time between checks of the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
@@ -57,13 +54,14 @@
         first_start = host.first_start, "starting");
     let site = Site::new(host, options.policy, options.without);
     let listening = site.settings.load_full();
-    let callers_listener = listen(listening.callers)?;
+    let backlog = listening.capacity.accept_backlog();
+    let callers_listener = listen(listening.callers, backlog)?;
     let mut status_listeners = Vec::new();
     for addr in [listening.ready, listening.directory].into_iter().flatten() {
-        status_listeners.push(listen(addr)?);
+        status_listeners.push(listen(addr, backlog)?);
     }
     let metrics = SocketAddr::new(listening.ip, options.metrics_port);
-    match listen(metrics) {
+    match listen(metrics, backlog) {
         Ok(listener) => status_listeners.push(listener),
         // Requests are served without metrics too; the state dump is also
         // available on the other listeners.
@@ -83,7 +81,7 @@
     ntex::rt::spawn(rate_limits::learn(site.clone()));
     ntex::rt::spawn(backlog::run(site.clone()));
     ntex::rt::spawn(slot_leases::run(site.clone()));
-    let state_listener = listen(site.peers.record.peers)?;
+    let state_listener = listen(site.peers.record.peers, backlog)?;
     ntex::rt::spawn(state_transfer::serve(site.clone(), state_listener));
     ntex::rt::spawn(reach::run(site.clone()));
     let leadership = leadership::start(&site);
@@ -93,15 +91,6 @@
     Ok(())
 }
 
-fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
-    let bind = |e| Error::Bind(addr.to_string(), e);
-    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-    let socket = socket.map_err(bind)?;
-    socket.set_reuseaddr(true).map_err(bind)?;
-    socket.bind(addr).map_err(bind)?;
-    socket.listen(BACKLOG).map_err(bind)
-}
-
 async fn wait_for_stop() -> Result<(), Error> {
     let watch = |kind| signal(kind).map_err(|e| Error::Bind("signals".into(), e));
     let (mut term, mut int) = (watch(SignalKind::terminate())?, watch(SignalKind::interrupt())?);
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -28,6 +28,7 @@
 use marjoram_core::host::HostSettings;
 use marjoram_core::in_progress::InProgress;
 use marjoram_core::leadership::CandidateStatus;
+use marjoram_core::peer_budget::Exhausted;
 use marjoram_core::policy::PolicyName;
 use marjoram_core::rollout::AnnouncedVersions;
 use marjoram_core::stop::Stop;
@@ -40,6 +41,7 @@
 use super::counters::Counters;
 use super::fleet::Fleet;
 use super::hosts::Peers;
+use super::peer_limits::{self, GivenUp, PeerLimits};
 use super::relays::Relays;
 use super::stores::Stores;
 use super::traffic::Traffic;
@@ -133,6 +135,8 @@
     pub rollout_check: Notify,
     /// Requests in progress.
     pub handled: InProgress,
+    /// Limits what is held for callers, other hosts and readers of the status.
+    pub peer_limits: PeerLimits,
     /// Limits the answers that are read whole at the same time.
     pub buffers: BufferBudget,
     budgets: RefCell<HashMap<String, Budget>>,
@@ -151,7 +155,8 @@
     pub fn new(settings: HostSettings, policy: PolicyName, switches: Switches) -> Rc<Self> {
         let traffic = Rc::new(Traffic::default());
         let peers = Peers::new(&settings, traffic.clone());
-        let buffers = BufferBudget::new(settings.capacity.buffered_bytes());
+        let capacity = peer_limits::within_system_limit(settings.capacity);
+        let buffers = BufferBudget::new(capacity.buffered_bytes());
         Rc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             policy,
@@ -192,6 +197,7 @@
             store_recovered: Notify::new(),
             rollout_check: Notify::new(),
             handled: InProgress::new(report_lost),
+            peer_limits: PeerLimits::new(capacity),
             buffers,
             budgets: RefCell::default(),
             coordinated: RefCell::default(),
@@ -221,6 +227,11 @@
         }
     }
 
+    /// Counts and logs what was given up for other peers.
+    pub fn report_given_up(&self, what: GivenUp, why: Exhausted) {
+        self.peer_limits.report(&self.counters, what, why, self.now());
+    }
+
     /// Whether this host is cut off from the upstreams of `service`.
     pub fn is_cut_off(&self, service: &str) -> bool {
         self.cut_off.borrow().iter().any(|name| name == service)
@@ -285,6 +296,7 @@
     pub fn set_catalog(&self, catalog: Catalog) {
         let services = Coordination::services(&catalog).into_iter();
         *self.coordinated.borrow_mut() = services.map(|(name, s)| (name, Rc::new(s))).collect();
+        self.peer_limits.allow_request(catalog.limits.head + catalog.limits.body);
         self.catalog.store(Some(Arc::new(catalog)));
     }
 
