Connections to the status ports share a limit

Idle connections, unfinished heads and answers that are not read on the ports for readiness, addresses and metrics took all descriptors: 594 sockets where 400 are for sockets; no caller could connect then. A failed accept there was tried again at once, without a pause.

They have an eighth of the sockets, and what they hold counts towards the budget of all peers.

--- a/crates/router/src/proxy/entry.rs
+++ b/crates/router/src/proxy/entry.rs
@@ -4,8 +4,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use marjoram_core::peer_budget::Stage;
 use marjoram_core::reach;
 use marjoram_platform::entry::{self, HostQuery};
 use tokio::net::TcpListener;
@@ -13,6 +14,7 @@
 
 use super::fleet::Upstream;
 use super::http1::{self, ResponseWriter};
+use super::peer_limits::GivenUp;
 use super::site::Site;
 use super::{backlog, quota, rate_limits};
 use crate::clock;
@@ -28,6 +30,9 @@
 /// some callers use it three times as long.
 const ANSWER_TTL: Duration = Duration::from_secs(2);
 
+/// Pause after a failed accept, most likely for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
 
@@ -37,50 +42,80 @@
 /// Answers requests on `listener` until the process stops.
 pub async fn serve(site: Rc<Site>, listener: TcpListener, dropped: ErrorCounter) {
     loop {
+        if site.peer_limits.status.is_full() {
+            tokio::task::yield_now().await;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = site.stop.notified() => return,
         };
-        if let Ok((stream, _)) = accepted {
-            ntex::rt::spawn(connection(site.clone(), Conn::new(stream), dropped.clone()));
+        match accepted {
+            Ok((stream, _)) => match site.peer_limits.status.accept(Instant::now()) {
+                Ok(holding) => {
+                    let conn = Conn::accepted(stream, holding);
+                    ntex::rt::spawn(serve_connection(site.clone(), conn, dropped.clone()));
+                }
+                Err(why) => site.report_given_up(GivenUp::Status, why),
+            },
+            Err(error) => {
+                tracing::warn!(target: "callers", %error, "accept failed on a status port");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
 
-/// Answers the requests of one connection.
-async fn connection(site: Rc<Site>, mut conn: Conn, dropped: ErrorCounter) {
+/// Serves a connection until it ends or is given up.
+async fn serve_connection(site: Rc<Site>, mut conn: Conn, dropped: ErrorCounter) {
+    let lingers = connection(&site, &mut conn, dropped).await;
+    match conn.given_up() {
+        Some(why) => site.report_given_up(GivenUp::Status, why),
+        None if lingers => conn.linger(Duration::from_millis(200)).await,
+        None => {}
+    }
+}
+
+/// Answers the requests of one connection. Returns whether it is to be closed after the last
+/// answer has been received.
+async fn connection(site: &Site, conn: &mut Conn, dropped: ErrorCounter) -> bool {
     loop {
         let head = match http1::request_head(&mut conn.buf, HEAD_LIMIT) {
             Ok(Some(head)) => head,
             Ok(None) => match tokio::time::timeout(IDLE_TIMEOUT, conn.fill()).await {
                 Ok(Ok(read)) if read > 0 => continue,
-                _ => return,
+                _ => return false,
             },
-            Err(_) => return,
+            Err(_) => return false,
         };
         let bytes = match (entry::parse_query(&head.target), head.target.as_str()) {
             (HostQuery::Ready, _) => {
                 let status = if site.is_ready() { 200 } else { 503 };
                 ResponseWriter::new(status).finish(b"")
             }
-            (HostQuery::Addresses(_), _) => addresses(&site),
+            (HostQuery::Addresses(_), _) => addresses(site),
             (HostQuery::Unknown, METRICS) => {
                 let mut writer = ResponseWriter::new(200);
                 writer.header("content-type", b"text/plain");
-                writer.finish(metrics(&site, &dropped).as_bytes())
+                writer.finish(metrics(site, &dropped).as_bytes())
             }
             (HostQuery::Unknown, STATE) => {
                 let mut writer = ResponseWriter::new(200);
                 writer.header("content-type", b"application/json");
-                writer.finish(state(&site).to_string().as_bytes())
+                writer.finish(state(site).to_string().as_bytes())
             }
             _ => ResponseWriter::new(404).finish(b""),
         };
-        if conn.write(&bytes).await.is_err() {
-            return;
+        conn.enter(Stage::Sending);
+        if conn.keep(bytes.len()).is_err() || conn.write(&bytes).await.is_err() {
+            return false;
         }
         if head.headers.closes(head.minor) {
-            return conn.linger(Duration::from_millis(200)).await;
+            return true;
+        }
+        conn.free_buffer();
+        conn.enter(Stage::Idle);
+        if conn.keep(0).is_err() {
+            return false;
         }
     }
 }
@@ -102,6 +137,10 @@
         ("services_cut_off", site.cut_off.borrow().len() as u64),
         ("links_lost", count(|u, _| u.link.borrow().is_lost())),
         ("tunnels", u64::from(site.tunnels.count())),
+        ("caller_connections", site.peer_limits.callers.conns() as u64),
+        ("status_connections", site.peer_limits.status.conns() as u64),
+        ("host_connections", site.peer_limits.hosts.conns() as u64),
+        ("peer_bytes", site.peer_limits.budget.used() as u64),
         ("upstreams", site.fleet.all().len() as u64),
         ("upstreams_paused", count(|u, now| u.health.borrow().is_paused(now))),
         ("upstreams_unreachable", count(|u, now| u.health.borrow().is_unreachable(now))),
