Own interface: requests of all callers share a budget

400 callers with bodies of 250 KB took 114 to 168 MB, whichever way they sent them, on a host of 88 MB: the server library collected each body before the router saw it, without a limit for all and without a time-out, and the body was kept beside the parsed prompt.

The router reads bodies itself, in blocks, counted in peer_budget (a fifth of the new `--memory-mb`, 256 by default): 503 with Retry-After and not_run for those given up, 408 after 10 s. A request in progress counts three times its body, as parsed and encoded. The body is freed once it is parsed. At most a third of the sockets and a quarter of the memory are for callers' connections; sockets receive 32 KB before they are read.

--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use marjoram_core::peer_budget::Exhausted;
 use marjoram_core::wire::{ErrorBody, ErrorDetail};
 use ntex::http::StatusCode;
 use ntex::http::client::error::{ConnectError, SendRequestError};
@@ -11,6 +12,9 @@
 /// are told to retry later at most, so that they do not all return at once.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// When a caller should retry whose request was refused for those of others.
+const EXHAUSTED_RETRY: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// A failure while serving one request or running the node.
     #[derive(Debug)]
@@ -40,6 +44,14 @@
         TooLarge(peer: String, size: usize, limit: usize) {
             display("parse request from {peer}: prompt of {size} bytes is over the limit of {limit}")
         }
+        /// The requests of all callers together use up the memory or the connections.
+        Exhausted(peer: String, why: Exhausted) {
+            display("read request from {peer}: {why}")
+        }
+        /// The body of a request has not arrived in time.
+        Slow(peer: String, limit: Duration) {
+            display("read request from {peer}: not complete in {limit:?}")
+        }
         /// The workspace is not configured.
         UnknownWorkspace(peer: String, workspace: String) {
             display("route request from {peer}: workspace {workspace:?} is not configured")
@@ -133,12 +145,14 @@
         match self {
             Self::Parse(..) => StatusCode::BAD_REQUEST,
             Self::TooLarge(..) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Slow(..) => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownWorkspace(..) => StatusCode::NOT_FOUND,
             Self::NoEngine(..)
             | Self::BackedOff(..)
             | Self::Full(..)
             | Self::Quarantined(..)
             | Self::Late(..)
+            | Self::Exhausted(..)
             | Self::NoService(..)
             | Self::Draining
             | Self::NotConfigured
@@ -165,6 +179,9 @@
         match self {
             Self::Late(_, wait, limit) => Some(wait.saturating_sub(*limit)),
             Self::Quarantined(_, left) => Some(*left),
+            Self::Exhausted(..) => {
+                Some(EXHAUSTED_RETRY.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
+            }
             Self::BackedOff(_, left) => {
                 Some(left.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
             }
@@ -185,6 +202,7 @@
             Self::Bind(addr, _) => ("bind", addr.clone()),
             Self::Settings(path, _) => ("settings", path.clone()),
             Self::Parse(peer, _) | Self::TooLarge(peer, ..) => ("parse", peer.clone()),
+            Self::Exhausted(peer, _) | Self::Slow(peer, _) => ("read", peer.clone()),
             Self::UnknownWorkspace(peer, _) => ("route", peer.clone()),
             Self::NoEngine(_)
             | Self::BackedOff(..)
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -33,6 +33,7 @@
 mod poison;
 mod proxy;
 mod quarantine;
+mod request_limits;
 mod serve;
 mod slot_grants;
 mod startup;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -31,6 +31,7 @@
 use crate::options::Settings;
 use crate::peer_links::PeerLinks;
 use crate::quarantine::Poison;
+use crate::request_limits::RequestLimits;
 use crate::upstream_links::UpstreamLinks;
 
 /// Retries allowed, in thousandths of the requests.
@@ -117,6 +118,8 @@
     /// Attempts that failed before the engine accepted the request, which then moved to
     /// another engine.
     pub retried: AtomicU64,
+    /// Requests refused because those of all callers use up the memory or the connections.
+    pub exhausted: AtomicU64,
     /// Requests refused because the first token was not expected in time.
     pub late: AtomicU64,
     /// Retries not made because the retry budget was used up.
@@ -199,6 +202,8 @@
     pub contender: Mutex<Contender>,
     /// Connections to other routers.
     pub links: PeerLinks,
+    /// What is held for callers and other routers.
+    pub request_limits: RequestLimits,
     started: Instant,
     next_id: AtomicU64,
 }
@@ -211,6 +216,7 @@
         let nonce: u64 = rand::random();
         let members = Members::new(settings.advertise.clone(), start_incarnation());
         let owner = format!("{}/{nonce:016x}", settings.advertise);
+        let request_limits = RequestLimits::new(&settings, settings.body_limit());
         let contender = Contender::new(owner, settings.lease_ttl);
         Self {
             settings,
@@ -244,6 +250,7 @@
             entries: ArcSwap::default(),
             contender: Mutex::new(contender),
             links: PeerLinks::default(),
+            request_limits,
             started: Instant::now(),
             next_id: AtomicU64::new(nonce << ID_BITS),
         }
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -49,10 +49,22 @@
     pub max_wait: Duration,
     /// Worker threads serving callers.
     pub workers: usize,
+    /// Memory of this host, in megabytes.
+    pub memory_mb: u64,
     /// Write logs as JSON.
     pub json_logs: bool,
 }
 
+/// Bytes that a request body may have beyond the prompt limit.
+const BODY_SLACK: usize = 64 << 10;
+
+impl Settings {
+    /// Largest body of a request, in bytes.
+    pub fn body_limit(&self) -> usize {
+        self.max_prompt + BODY_SLACK
+    }
+}
+
 /// Action that the command line requests.
 #[derive(Debug)]
 pub enum Parsed {
@@ -100,6 +112,7 @@
         "expected ms until the first token above which a request is refused [10000]",
         "MS",
     );
+    opts.optopt("", "memory-mb", "memory of this host in MB [256]", "MB");
     opts.optopt("", "workers", "threads serving callers [2]", "N");
     opts.optopt("", "log-format", "text or json [text]", "FORMAT");
     let m = opts.parse(args).map_err(|e| Error::Usage(e.to_string()))?;
@@ -136,6 +149,7 @@
         stream_idle: Duration::from_millis(at_least(&m, "stream-idle-ms", 3_000, 100)?),
         max_wait: Duration::from_millis(at_least(&m, "max-wait-ms", 10_000, 1)?),
         workers: at_least(&m, "workers", 2, 1)?,
+        memory_mb: at_least(&m, "memory-mb", 256, 16)?,
         json_logs,
     })))
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -22,6 +22,7 @@
 use std::time::{Duration, Instant};
 
 use marjoram_core::members::Status;
+use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, types};
 
 use crate::at_most_once;
@@ -33,14 +34,12 @@
 use crate::options::Settings;
 use crate::peer;
 use crate::poison;
+use crate::request_limits::HeldRequest;
 use crate::slot_grants;
 use crate::startup;
 
 type Shared = types::State<Arc<Node>>;
 
-/// Bytes that a request body may have beyond the prompt limit.
-const BODY_SLACK: usize = 64 << 10;
-
 /// Longest wait for requests in flight after the drain period.
 const DRAIN_LIMIT: Duration = Duration::from_secs(30);
 
@@ -50,8 +49,10 @@
     let workers = settings.workers;
     let node = Arc::new(Node::new(settings));
     let link = peer::link_addr(&node, &listen.to_string())?;
-    let links =
-        tokio::net::TcpListener::bind(link).await.map_err(|e| Error::Bind(link.to_string(), e))?;
+    let backlog = node.request_limits.backlog;
+    let links = crate::listen::listen(link, backlog)?;
+    let callers = crate::listen::listen(listen, backlog)?.into_std();
+    let callers = callers.map_err(|e| Error::Bind(listen.to_string(), e))?;
     ntex::rt::spawn(peers::serve(node.clone(), links));
     ntex::rt::spawn(follow::config(node.clone()));
     ntex::rt::spawn(follow::hosts(node.clone()));
@@ -63,11 +64,10 @@
     ntex::rt::spawn(at_most_once::follow(node.clone()));
     ntex::rt::spawn(poison::follow(node.clone()));
     let shared = node.clone();
-    let body_limit = node.settings.max_prompt + BODY_SLACK;
+    let conns = (node.request_limits.conns / workers).max(1);
     let server = web::HttpServer::new(move || {
         web::App::new()
             .state(shared.clone())
-            .state(web::types::PayloadConfig::new(body_limit))
             .route("/v1/completions", web::post().to(complete::complete))
             .route("/v1/services/{name}", web::post().to(service::call_service))
             .route("/v1/route", web::get().to(route::route))
@@ -75,9 +75,10 @@
             .route("/healthz", web::get().to(state::health))
     })
     .workers(workers)
+    .maxconn(conns)
     .disable_signals()
     .shutdown_timeout(ntex::time::Seconds(30))
-    .bind(listen)
+    .listen(callers)
     .map_err(|e| Error::Bind(listen.to_string(), e))?
     .run();
     tracing::info!(target: "serve", "serve: listening on {listen} in {}.", node.settings.dc);
@@ -112,6 +113,19 @@
     server.stop(true).await;
 }
 
+/// Reads the body of a request; counts and logs one that is refused for others.
+async fn read_body(
+    node: &Node,
+    payload: types::Payload,
+    peer: &str,
+) -> Result<(Bytes, HeldRequest), Error> {
+    let read = node.request_limits.read(payload, node.settings.body_limit(), peer).await;
+    if let Err(Error::Exhausted(..)) = &read {
+        node.counters.exhausted.fetch_add(1, Ordering::Relaxed);
+    }
+    read
+}
+
 fn reply_error(error: &Error) -> HttpResponse {
     let mut builder = HttpResponse::build(error.status());
     if let Some(wait) = error.retry_after() {
--- a/crates/router/src/serve/complete.rs
+++ b/crates/router/src/serve/complete.rs
@@ -9,10 +9,11 @@
 use marjoram_core::ids::WorkspaceId;
 use marjoram_core::wire::{Chunk, Completion, CompletionRequest};
 use ntex::util::Bytes;
+use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::serving::Serving;
-use super::{Shared, reply_error};
+use super::{Shared, read_body, reply_error};
 use crate::error::Error;
 use crate::forward::{self, ChunkSink, LIMIT_STEP};
 use crate::job::Job;
@@ -26,11 +27,17 @@
 
 type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
 
-pub async fn complete(node: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
+pub async fn complete(node: Shared, request: HttpRequest, payload: Payload) -> HttpResponse {
     let node: Arc<Node> = node.get_ref().clone();
     let mut serving = Serving::new(node.clone(), request.peer_addr());
     node.counters.requests.fetch_add(1, Ordering::Relaxed);
-    let accepted = accept(&node, &serving, &body).await;
+    let accepted = match read_body(&node, payload, &serving.peer).await {
+        Ok((body, held)) => {
+            serving.hold(held);
+            accept(&node, &serving, body).await
+        }
+        Err(error) => Err(error),
+    };
     serving.set_answered();
     match accepted {
         Ok(Accepted::Answer(answer)) => HttpResponse::Ok().json(&answer),
@@ -55,13 +62,13 @@
     Stream(mpsc::Receiver<Result<Bytes, std::io::Error>>),
 }
 
-async fn accept(node: &Arc<Node>, serving: &Serving, body: &[u8]) -> Result<Accepted, Error> {
+async fn accept(node: &Arc<Node>, serving: &Serving, body: Bytes) -> Result<Accepted, Error> {
     let (id, peer) = (serving.id, serving.peer.as_str());
     if node.draining.load(Ordering::Acquire) {
         return Err(Error::Draining);
     }
     let request: CompletionRequest =
-        serde_json::from_slice(body).map_err(|e| Error::Parse(peer.into(), e.to_string()))?;
+        serde_json::from_slice(&body).map_err(|e| Error::Parse(peer.into(), e.to_string()))?;
     if request.prompt.len() > node.settings.max_prompt {
         return Err(Error::TooLarge(peer.into(), request.prompt.len(), node.settings.max_prompt));
     }
@@ -79,7 +86,8 @@
         .ok_or_else(|| Error::UnknownWorkspace(peer.into(), workspace.to_string()))?;
     let streamed = request.stream;
     node.budget.earn();
-    let fingerprint = Fingerprint::new(&[&workspace.to_string(), PATH], body);
+    let fingerprint = Fingerprint::new(&[&workspace.to_string(), PATH], &body);
+    drop(body);
     let mut job = Job::new(id, workspace, request, routing, node.settings.max_wait)
         .with_fingerprint(fingerprint);
     let accepted = forward::open(node, &mut job).await?;
--- a/crates/router/src/serve/service.rs
+++ b/crates/router/src/serve/service.rs
@@ -10,7 +10,7 @@
 use rand::seq::SliceRandom;
 
 use super::serving::{Count, Serving};
-use super::{Shared, reply_error};
+use super::{Shared, read_body, reply_error};
 use crate::at_most_once;
 use crate::error::Error;
 use crate::node::Node;
@@ -24,13 +24,19 @@
     node: Shared,
     name: types::Path<String>,
     request: HttpRequest,
-    body: Bytes,
+    payload: types::Payload,
 ) -> HttpResponse {
     let node: Arc<Node> = node.get_ref().clone();
     let mut serving = Serving::new(node.clone(), request.peer_addr());
     let reply = match node.draining.load(Ordering::Acquire) {
         true => at_most_once::Reply::Refused(Error::Draining),
-        false => call(&node, name.into_inner(), &request, body).await,
+        false => match read_body(&node, payload, &serving.peer).await {
+            Ok((body, held)) => {
+                serving.hold(held);
+                call(&node, name.into_inner(), &request, body).await
+            }
+            Err(error) => at_most_once::Reply::Refused(error),
+        },
     };
     serving.set_answered();
     match reply {
--- a/crates/router/src/serve/serving.rs
+++ b/crates/router/src/serve/serving.rs
@@ -7,6 +7,7 @@
 use marjoram_core::ids::RequestId;
 
 use crate::node::Node;
+use crate::request_limits::HeldRequest;
 
 /// Counts one task that serves a request until dropped. A stop waits for it.
 pub struct Count(Arc<Node>);
@@ -32,13 +33,20 @@
     /// Address of the caller.
     pub peer: String,
     answered: bool,
+    /// What is held for it.
+    held: Option<HeldRequest>,
 }
 
 impl Serving {
     pub fn new(node: Arc<Node>, peer: Option<std::net::SocketAddr>) -> Self {
         let id = RequestId(node.request_id());
         let peer = peer.map_or_else(|| "caller".into(), |addr| addr.to_string());
-        Self { count: Count::new(node), id, peer, answered: false }
+        Self { count: Count::new(node), id, peer, answered: false, held: None }
+    }
+
+    /// Keeps `held` as long as the request is served.
+    pub fn hold(&mut self, held: HeldRequest) {
+        self.held = Some(held);
     }
 
     /// Records that the request has its answer or refusal.
