Connections, calls and tunnels of other hosts share limits

Anyone who reaches the port for other hosts could end a process: 60 connections with an unfinished call each took 296 MB (a call may have 64 MB, any number of them at once, with windows of 4 MiB), 700 idle ones or 700 tunnels all descriptors (594 sockets, 400 for sockets).

Such connections have an eighth of the sockets and count towards the budget of all peers, with calls while they are read and answers until they are sent, which now follows the flow control of the reader. Tunnels have a sixteenth of the sockets, 512 at most as before.

--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -169,7 +169,7 @@
             cut_off: RefCell::default(),
             brittle: RefCell::default(),
             slots: SlotLeases::default(),
-            tunnels: Tunnels::default(),
+            tunnels: Tunnels::new(capacity.tunnels()),
             announced_weights: RefCell::default(),
             stores: Stores::default(),
             cache_updates: RefCell::default(),
--- a/crates/router/src/proxy/state_transfer.rs
+++ b/crates/router/src/proxy/state_transfer.rs
@@ -19,6 +19,7 @@
 
 use super::follow;
 use super::hosts::{HostRecord, StateVersions};
+use super::peer_limits::GivenUp;
 use super::poison;
 use super::site::Site;
 use crate::control_connects::CONTROL_CONNECTS;
@@ -51,6 +52,9 @@
 /// tunnels that they open.
 pub async fn serve(site: Rc<Site>, listener: TcpListener) {
     let knowledge = knowledge(site.clone());
+    let port = site.peer_limits.hosts.clone();
+    let reporter = site.clone();
+    let report = move |why| reporter.report_given_up(GivenUp::Host, why);
     let tunnel = move |stream| {
         let site = site.clone();
         async move {
@@ -58,7 +62,7 @@
             tunnel::serve(&site.tunnels, stream, connect).await
         }
     };
-    link::serve(listener, knowledge, tunnel).await;
+    link::serve(listener, port, report, knowledge, tunnel).await;
 }
 
 /// Connects to the upstream with the key `key` for another host.
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use marjoram_core::peer_budget::Exhausted;
 use tokio::net::TcpListener;
 
 use crate::node::Node;
@@ -12,6 +13,8 @@
 /// Serves other routers on `listener`, forever.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     let callee = node.clone();
+    let port = node.request_limits.routers.clone();
+    let report = |why: Exhausted| tracing::debug!(target: "link", "link closed for others: {why}.");
     let answer = move |bytes: &[u8]| {
         let answer = match wire::decode(bytes)? {
             Call::Ping(updates) => Answer::Pong(gossip::answer(&callee, updates)),
@@ -26,7 +29,7 @@
         };
         wire::encode(&answer)
     };
-    let tunnels = Tunnels::default();
+    let tunnels = Tunnels::new(node.request_limits.tunnels);
     let tunnel = move |stream| {
         let (node, tunnels) = (node.clone(), tunnels.clone());
         async move {
@@ -34,5 +37,5 @@
             tunnel::serve(&tunnels, stream, connect).await
         }
     };
-    link::serve(listener, answer, tunnel).await;
+    link::serve(listener, port, report, answer, tunnel).await;
 }
--- a/crates/router/src/tunnel.rs
+++ b/crates/router/src/tunnel.rs
@@ -39,8 +39,8 @@
 /// waits for it, so that this host can still be told of the failure.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Tunnels that a host serves at once; each takes two descriptors and 16 KB.
-const MAX_TUNNELS: u32 = 512;
+/// Most tunnels that a host serves at once; each takes two descriptors and 16 KB.
+const MAX_TUNNELS: usize = 512;
 
 /// Bytes read at once.
 const BUFFER_SIZE: usize = 8 << 10;
@@ -86,23 +86,31 @@
 }
 
 /// Number of tunnels that a host serves.
-#[derive(Debug, Clone, Default)]
-pub struct Tunnels(Rc<Cell<u32>>);
+#[derive(Debug, Clone)]
+pub struct Tunnels {
+    count: Rc<Cell<u32>>,
+    limit: usize,
+}
 
 impl Tunnels {
+    /// None yet, and at most `limit` at once.
+    pub fn new(limit: usize) -> Self {
+        Self { count: Rc::default(), limit: limit.min(MAX_TUNNELS) }
+    }
+
     /// The number at this moment.
     pub fn count(&self) -> u32 {
-        self.0.get()
+        self.count.get()
     }
 
     /// Whether no further tunnel is served.
     pub fn is_full(&self) -> bool {
-        self.count() > MAX_TUNNELS
+        self.count() as usize > self.limit
     }
 
     /// Counts one more until the result is dropped.
     fn enter(&self) -> Entered {
-        self.0.set(self.0.get() + 1);
+        self.count.set(self.count.get() + 1);
         Entered(self.clone())
     }
 }
@@ -112,7 +120,7 @@
 
 impl Drop for Entered {
     fn drop(&mut self) {
-        let count = &self.0.0;
+        let count = &self.0.count;
         count.set(count.get().saturating_sub(1));
     }
 }
