--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -30,6 +30,9 @@
 /// delay their requests.
 const PIECES_A_TURN: u32 = 128;
 
+/// Bytes that a request in progress takes in addition to its head and body.
+const EXCHANGE_SIZE: usize = 16 << 10;
+
 /// Pause after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -40,6 +43,11 @@
 /// has left: closed sockets answer keep-alive probes, too.
 const HALF_CLOSED: &str = "caller closed its sending side";
 
+/// Most bytes that are held for one request within `limits`.
+pub fn max_size(limits: &Limits) -> usize {
+    EXCHANGE_SIZE + 3 * limits.head + limits.body
+}
+
 /// Accepts callers until the process stops.
 pub async fn serve(site: Rc<Site>, listener: TcpListener) {
     loop {
@@ -189,8 +197,12 @@
     let asked = headers::request_metadata(|name| head.headers.get(name));
     progress.identify(asked.attempt.as_deref().unwrap_or("-"));
     let close = Close::new(head.headers.closes(head.minor), limits);
-    conn.enter(Stage::InProgress);
     conn.free_buffer();
+    // The head is kept as parsed, and as sent.
+    if let Err(why) = conn.keep(EXCHANGE_SIZE + 2 * head.size() + body.len()) {
+        return refuse_given_up(site, conn, why).await;
+    }
+    conn.enter(Stage::InProgress);
     let request = Request { head, body: Rc::new(body), started, asked };
     // On the heap, so that connections without a whole request take little memory.
     Box::pin(answer(site, conn, request, close)).await
--- a/crates/router/src/proxy/http1.rs
+++ b/crates/router/src/proxy/http1.rs
@@ -49,6 +49,12 @@
         self.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
     }
 
+    /// The bytes of all names and values, and of what refers to them.
+    fn size(&self) -> usize {
+        let bytes: usize = self.0.iter().map(|(name, value)| name.len() + value.len()).sum();
+        bytes + self.0.len() * size_of::<(Bytes, Bytes)>()
+    }
+
     /// All headers whose values are text.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
         self.0.iter().filter_map(|(name, value)| {
@@ -112,6 +118,13 @@
     pub headers: Headers,
 }
 
+impl RequestHead {
+    /// Its bytes, about.
+    pub fn size(&self) -> usize {
+        self.method.len() + self.target.len() + self.headers.size()
+    }
+}
+
 /// The head of an answer.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
--- a/crates/router/src/proxy/site.rs
+++ b/crates/router/src/proxy/site.rs
@@ -38,6 +38,7 @@
 use tokio::sync::{Notify, SetOnce};
 use tokio::time::Instant;
 
+use super::callers;
 use super::counters::Counters;
 use super::fleet::Fleet;
 use super::hosts::Peers;
@@ -296,7 +297,7 @@
     pub fn set_catalog(&self, catalog: Catalog) {
         let services = Coordination::services(&catalog).into_iter();
         *self.coordinated.borrow_mut() = services.map(|(name, s)| (name, Rc::new(s))).collect();
-        self.peer_limits.allow_request(catalog.limits.head + catalog.limits.body);
+        self.peer_limits.allow_request(callers::max_size(&catalog.limits));
         self.catalog.store(Some(Arc::new(catalog)));
     }
 
--- a/crates/router/tests/resource_limits.rs
+++ b/crates/router/tests/resource_limits.rs
@@ -64,7 +64,7 @@
 ) {
     let front: SocketAddr = site.routers[0].parse().expect("an address");
     let ports = [front.port(), addr.port()];
-    let process = Process { pid: site.pid("router0"), ports: &ports };
+    let process = Process { pid: site.pid("router0"), ports: &ports, upstreams: &[] };
     let (conns, peak) = crowd::gather(process, addr, count, |_, conn| send(conn));
     println!("{peak:?}");
     assert!(!site.has_exited("router0"), "the process has ended");
