Sockets to upstreams and of tunnels receive 32 KB before they are read

A caller that stops reading stops the reading of its upstream too. What the upstream's socket may then receive was limited by the kernel alone, which raises it to several MB for a connection that was read quickly before. Connections to the store keep the system's buffers.

--- a/crates/router/src/conn.rs
+++ b/crates/router/src/conn.rs
@@ -104,11 +104,15 @@
 
     /// Connects to `addr` within `limit`; a time-out is `TimedOut`.
     pub async fn connect(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        match tokio::time::timeout(limit, socket.connect(addr)).await {
-            Ok(stream) => Ok(Self::new(stream?)),
-            Err(_) => Err(io::ErrorKind::TimedOut.into()),
-        }
+        connect(new_socket(addr)?, addr, limit).await
+    }
+
+    /// Like [`Conn::connect`], to a peer whose answers are passed on to others: the socket receives
+    /// [`RECEIVE_BUFFER`] bytes at most while they do not read.
+    pub async fn connect_upstream(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let socket = new_socket(addr)?;
+        limit_receive_buffer(&socket);
+        connect(socket, addr, limit).await
     }
 
     /// The address of the other side.
@@ -326,6 +330,27 @@
     }
 }
 
+/// A socket for connections to `addr`.
+pub fn new_socket(addr: SocketAddr) -> io::Result<TcpSocket> {
+    if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }
+}
+
+/// Limits what `socket`, and those accepted on it, receive before they are read. The kernel
+/// doubles the value for its own use.
+pub fn limit_receive_buffer(socket: &TcpSocket) {
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER as u32) {
+        tracing::debug!(target: "conn", option = "receive buffer", %error,
+            "failed to set socket option");
+    }
+}
+
+async fn connect(socket: TcpSocket, addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
+    match tokio::time::timeout(limit, socket.connect(addr)).await {
+        Ok(stream) => Ok(Conn::new(stream?)),
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
 /// The result of `io`, or an error once `holding` is given up.
 async fn or_given_up<T>(
     holding: Option<&Holding>,
--- a/crates/router/src/paths.rs
+++ b/crates/router/src/paths.rs
@@ -163,7 +163,7 @@
 }
 
 async fn direct(addr: SocketAddr) -> Ended {
-    let result = Conn::connect(addr, CONNECT_TIMEOUT).await;
+    let result = Conn::connect_upstream(addr, CONNECT_TIMEOUT).await;
     (None, result.map_err(OpenError::Upstream))
 }
 
--- a/crates/router/src/tunnel.rs
+++ b/crates/router/src/tunnel.rs
@@ -129,7 +129,7 @@
 /// `host`, within `limit`.
 pub async fn open(host: SocketAddr, upstream: u64, limit: Duration) -> Result<Conn, OpenError> {
     let opened = async {
-        let mut stream = Conn::connect(host, limit).await?.into_stream();
+        let mut stream = Conn::connect_upstream(host, limit).await?.into_stream();
         let mut request = vec![MAGIC];
         request.extend(encode(&Request { upstream })?);
         stream.write_all(&request).await?;
@@ -178,7 +178,7 @@
 /// Connects to the upstream at `addr` over this host's own link. `others` returns
 /// addresses of other upstreams, which are tried if the connect fails.
 pub async fn connect(addr: SocketAddr, others: impl FnOnce() -> Vec<SocketAddr>) -> Connected {
-    let mut connecting = pin!(Conn::connect(addr, CONNECT_TIMEOUT));
+    let mut connecting = pin!(Conn::connect_upstream(addr, CONNECT_TIMEOUT));
     let (result, link_works) = match tokio::time::timeout(HEDGE_DELAY, &mut connecting).await {
         Ok(Ok(conn)) => (Ok(conn), true),
         Ok(failed) => (failed, control_connects::reaches_any(others()).await),
