--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -112,7 +112,7 @@
         "expected ms until the first token above which a request is refused [10000]",
         "MS",
     );
-    opts.optopt("", "memory-mb", "memory of this host in MB [256]", "MB");
+    opts.optopt("", "memory-mb", "memory of this host in MB [128]", "MB");
     opts.optopt("", "workers", "threads serving callers [2]", "N");
     opts.optopt("", "log-format", "text or json [text]", "FORMAT");
     let m = opts.parse(args).map_err(|e| Error::Usage(e.to_string()))?;
@@ -149,7 +149,7 @@
         stream_idle: Duration::from_millis(at_least(&m, "stream-idle-ms", 3_000, 100)?),
         max_wait: Duration::from_millis(at_least(&m, "max-wait-ms", 10_000, 1)?),
         workers: at_least(&m, "workers", 2, 1)?,
-        memory_mb: at_least(&m, "memory-mb", 256, 16)?,
+        memory_mb: at_least(&m, "memory-mb", 128, 16)?,
         json_logs,
     })))
 }
