Callers: reading of requests in a module of its own

Code moved, names: the fraction and the connections of other hosts are not called those of peers, which are all who connect. The reason in a refusal says what is used up.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -72,7 +72,7 @@
 /// many for connections to others.
 const CALLER_FRACTION: usize = 3;
 const STATUS_FRACTION: usize = 8;
-const PEER_HOST_FRACTION: usize = 8;
+const HOST_FRACTION: usize = 8;
 
 /// Bytes that the socket of an accepted connection may receive before they are read, and the
 /// fraction of the memory for those of all callers.
@@ -140,8 +140,8 @@
     }
 
     /// Connections that other hosts may have together.
-    pub fn peer_conns(self) -> usize {
-        (self.sockets() / PEER_HOST_FRACTION).max(1)
+    pub fn host_conns(self) -> usize {
+        (self.sockets() / HOST_FRACTION).max(1)
     }
 
     /// Tunnels that may be served at the same time.
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -1,10 +1,13 @@
 //! Callers' connections: reads requests and writes answers, one after another.
 
+mod receive;
+
+pub use receive::max_size;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use marjoram_core::blocks::Blocks;
 use marjoram_core::catalog::Limits;
 use marjoram_core::in_progress::InProgressRequest;
 use marjoram_core::peer_budget::{Exhausted, Stage};
@@ -12,13 +15,14 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::counters;
-use super::http1::{self, BadMessage, Body, Framing, Piece, RequestHead, ResponseWriter};
+use super::http1::{self, BadMessage, Framing, ResponseWriter};
 use super::peer_limits::{self, GivenUp};
 use super::refusal::Refusal;
 use super::request::{Exchange, Request};
 use super::response::{self, Close, Outcome};
 use super::site::Site;
 use crate::conn::Conn;
+use receive::{check, held_size, read_body, read_head};
 
 /// How long a connection with unread bytes is kept open after its last answer.
 const LINGER: Duration = Duration::from_secs(1);
@@ -26,13 +30,6 @@
 /// Time-out for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Pieces of a body after which other tasks run first: small chunks, received together, would
-/// delay their requests.
-const PIECES_A_TURN: u32 = 128;
-
-/// Bytes that a request in progress takes in addition to its head and body.
-const EXCHANGE_SIZE: usize = 16 << 10;
-
 /// Pause after a failed accept, most likely for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -43,11 +40,6 @@
 /// has left: closed sockets answer keep-alive probes, too.
 const HALF_CLOSED: &str = "caller closed its sending side";
 
-/// Most bytes that are held for one request within `limits`.
-pub fn max_size(limits: &Limits) -> usize {
-    EXCHANGE_SIZE + 3 * limits.head + limits.body
-}
-
 /// Accepts callers until the process stops.
 pub async fn serve(site: Rc<Site>, listener: TcpListener) {
     loop {
@@ -198,8 +190,7 @@
     progress.identify(asked.attempt.as_deref().unwrap_or("-"));
     let close = Close::new(head.headers.closes(head.minor), limits);
     conn.free_buffer();
-    // The head is kept as parsed, and as sent.
-    if let Err(why) = conn.keep(EXCHANGE_SIZE + 2 * head.size() + body.len()) {
+    if let Err(why) = conn.keep(held_size(&head, &body)) {
         return refuse_given_up(site, conn, why).await;
     }
     conn.enter(Stage::InProgress);
@@ -356,67 +347,12 @@
 async fn refuse_given_up(site: &Site, conn: &mut Conn, why: Exhausted) -> Next {
     site.report_given_up(GivenUp::Request, why);
     conn.begin_close();
-    let refusal =
-        Refusal::not_run("too much is held for other callers", peer_limits::retry_after());
+    let refusal = Refusal::not_run(
+        "requests of all callers use up the memory or the connections",
+        peer_limits::retry_after(),
+    );
     match conn.write(&encode(&refusal, true)).await {
         Ok(()) => Next::Linger,
         Err(_) => Next::Close,
     }
 }
-
-/// Reads the head of a request; `None` when the caller has closed the connection.
-async fn read_head(conn: &mut Conn, limit: usize) -> Result<Option<RequestHead>, BadMessage> {
-    loop {
-        if let Some(head) = http1::request_head(&mut conn.buf, limit)? {
-            return Ok(Some(head));
-        }
-        match conn.fill().await {
-            Ok(0) | Err(_) => return Ok(None),
-            Ok(_) => {}
-        }
-    }
-}
-
-/// Checks the head of a request; returns how its body is delimited.
-fn check(head: &RequestHead) -> Result<Framing, &'static str> {
-    let hosts = head.headers.all("host").count();
-    match http1::request_framing(head) {
-        Err(_) => Err("malformed length"),
-        Ok(_) if !head.target.starts_with('/') => Err("target is no path"),
-        Ok(_) if hosts != 1 => Err("not one host"),
-        Ok(framing) => Ok(framing),
-    }
-}
-
-/// Reads a body; `None` when it is longer than `limit`.
-async fn read_body(
-    conn: &mut Conn,
-    framing: Framing,
-    limit: usize,
-) -> Result<Option<Blocks>, BadMessage> {
-    let mut body = Body::from(framing);
-    let mut whole = Blocks::default();
-    let mut pieces = 0;
-    loop {
-        match body.next(&mut conn.buf, conn.read_closed)? {
-            Piece::End => {
-                conn.keep(whole.len()).map_err(|_| BadMessage::CutOff)?;
-                return Ok(Some(whole));
-            }
-            Piece::Data(data) => whole.append(&data),
-            Piece::More => {
-                conn.keep(whole.len()).map_err(|_| BadMessage::CutOff)?;
-                if conn.fill().await.is_err() {
-                    return Err(BadMessage::CutOff);
-                }
-            }
-        }
-        if whole.len() > limit {
-            return Ok(None);
-        }
-        pieces += 1;
-        if pieces % PIECES_A_TURN == 0 {
-            tokio::task::yield_now().await;
-        }
-    }
-}
--- a/crates/router/src/proxy/peer_limits.rs
+++ b/crates/router/src/proxy/peer_limits.rs
@@ -73,7 +73,7 @@
         Self {
             callers: budget.port(capacity.caller_conns()),
             status: budget.port(capacity.status_conns()),
-            hosts: budget.port(capacity.peer_conns()),
+            hosts: budget.port(capacity.host_conns()),
             budget,
             memory,
             logged: Cell::default(),
--- a/crates/router/src/request_limits.rs
+++ b/crates/router/src/request_limits.rs
@@ -52,7 +52,7 @@
         budget.set_limit(capacity.peer_bytes(), COPIES * body_limit);
         Self {
             requests: budget.port(capacity.caller_conns()),
-            routers: budget.port(capacity.peer_conns()),
+            routers: budget.port(capacity.host_conns()),
             conns: capacity.caller_conns().min(memory as usize / CONN_FRACTION / CONN_BUFFERS),
             backlog: capacity.accept_backlog(),
             tunnels: capacity.tunnels(),
