Answers with an invalid status are not passed on

Seen: a caller got an answer with the status 000 that an upstream in trouble had sent.

Cause: the parser of heads takes any three digits for a status, and nothing checked them after it. 000 is no server error and no success, so it went the way of a 4xx: passed on as it came, with its seal. Status 101 likewise: it was kept from the interim answers, and passed on as if a caller had asked to switch protocols; the router never forwards such a request.

Ruled out: the seal (000 was sealed in the tests), interim answers (100 to 199 but 101 are skipped), the store's and the upstreams' other answers (they go through the same parser; a status that is not 200 was an error there).

Change: response_head rejects a status outside 100 to 599, read_head a switch of protocols. Both are invalid answers like a malformed head.

Why it works: all HTTP answers of the proxy, of upstreams, engines' control ports and the store, are read by these two functions.

--- a/crates/router/src/proxy/answer.rs
+++ b/crates/router/src/proxy/answer.rs
@@ -14,7 +14,8 @@
 /// Most interim answers before a head.
 const MAX_INTERIM_ANSWERS: usize = 64;
 
-/// Status 101, after which the connection is no longer used for HTTP.
+/// Status 101, after which the connection is no longer used for HTTP. The router requests no such
+/// switch.
 const SWITCHING: u16 = 101;
 
 quick_error! {
@@ -35,6 +36,10 @@
         Closed {
             display("connection closed")
         }
+        /// The peer switches to another protocol.
+        Switching {
+            display("switches protocols without a request for it")
+        }
         /// The peer has sent too many interim answers.
         TooManyInterim {
             display("more than {MAX_INTERIM_ANSWERS} interim answers")
@@ -47,7 +52,8 @@
     let mut interim = 0;
     loop {
         match http1::response_head(&mut conn.buf, HEAD_LIMIT)? {
-            Some(head) if (100..200).contains(&head.status) && head.status != SWITCHING => {
+            Some(head) if head.status == SWITCHING => return Err(ReadError::Switching),
+            Some(head) if (100..200).contains(&head.status) => {
                 interim += 1;
                 if interim > MAX_INTERIM_ANSWERS {
                     return Err(ReadError::TooManyInterim);
--- a/crates/router/src/proxy/http1.rs
+++ b/crates/router/src/proxy/http1.rs
@@ -9,12 +9,17 @@
 
 pub use body::{Body, Piece};
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, Bytes, BytesMut};
 use quick_error::quick_error;
 
 /// Largest number of headers of a message.
 const MAX_HEADERS: usize = 96;
 
+/// Statuses that an answer can have (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 quick_error! {
     /// Why bytes are not a valid message.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +32,10 @@
         Malformed(why: &'static str) {
             display("malformed: {why}")
         }
+        /// The status of an answer is in no class of statuses.
+        InvalidStatus(status: u16) {
+            display("invalid status {status:03}")
+        }
         /// The connection was closed before the end of the message.
         CutOff {
             display("cut off before its end")
@@ -181,6 +190,9 @@
         httparse::Status::Partial => Ok(None),
         httparse::Status::Complete(len) => {
             let status = response.code.unwrap_or_default();
+            if !STATUSES.contains(&status) {
+                return Err(BadMessage::InvalidStatus(status));
+            }
             let minor = response.version.unwrap_or_default();
             let headers = copy_headers(response.headers);
             buf.advance(len);
