Tunnels: an upload that is reset does not end an answer in order

Seen (reported of other systems of this kind, reproduced here): an upstream answers a long upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is still being written. The caller gets that part as a complete answer.

Cause: the kernel reports a reset once. A host that relays a connection both writes the upload and reads the answer; if its write got the error, its read of the rest ended like a close. The tunnel ignores failed writes, since an upstream may answer a request before it has read it, so it closed its side in order, and the host of the caller took the answer for complete. A connection that times out while it is written to ended the same way.

Ruled out: direct connections (the same cases passed: Conn::send writes no more once a byte of the answer has been read, and a failed write ends the attempt), answers with a length or chunks (their end is in them).

Change: a failed write is remembered. Unless the upstream had closed its side before (the error is then a broken pipe), the end of its bytes is not taken for a close, and the other host's side is reset.

Why it works: the state that the read can no longer report is kept where it was reported.

--- a/crates/router/src/tunnel.rs
+++ b/crates/router/src/tunnel.rs
@@ -198,14 +198,18 @@
     Closed,
     /// The source failed.
     SourceFailed,
-    /// The sink accepts no more bytes.
-    SinkFailed,
+    /// The sink accepts no more bytes. The error is `BrokenPipe` if its peer had closed its side
+    /// before it reset the connection.
+    SinkFailed(io::Error),
 }
 
 /// Passes bytes on in both directions until one side closes. `host` is reset unless the bytes that
 /// it got are all of the upstream's.
 async fn splice(mut host: TcpStream, mut upstream: TcpStream) {
     conn::reset_on_close(&host, true);
+    // The kernel reports a reset once: after a failed write, the end of the bytes received before
+    // it looks like a close.
+    let is_reset = Cell::new(false);
     let intact = {
         let (mut from_host, mut to_host) = host.split();
         let (mut from_upstream, mut to_upstream) = upstream.split();
@@ -213,14 +217,19 @@
             match pump(&mut from_host, &mut to_upstream).await {
                 // An upstream may answer a long request before it has read all of
                 // it, and then reads no further.
-                End::SinkFailed => std::future::pending().await,
+                End::SinkFailed(error) => {
+                    is_reset.set(error.kind() != io::ErrorKind::BrokenPipe);
+                    std::future::pending().await
+                }
                 End::Closed | End::SourceFailed => {}
             }
         };
         tokio::select! {
             // The other host has left: its request ends with the connection.
             () = requests => true,
-            end = pump(&mut from_upstream, &mut to_host) => matches!(end, End::Closed),
+            end = pump(&mut from_upstream, &mut to_host) => {
+                matches!(end, End::Closed) && !is_reset.get()
+            }
         }
     };
     if intact {
@@ -235,8 +244,10 @@
     loop {
         match source.read(&mut buffer).await {
             Ok(0) => return End::Closed,
-            Ok(read) if sink.write_all(&buffer[..read]).await.is_err() => return End::SinkFailed,
-            Ok(_) => {}
+            Ok(read) => match sink.write_all(&buffer[..read]).await {
+                Ok(()) => {}
+                Err(error) => return End::SinkFailed(error),
+            },
             Err(_) => return End::SourceFailed,
         }
     }
