Own interface: answers of plain services are passed on whole or not at all

Found by reading, with the same cause as the status 000 at the proxy: what a library accepts as an answer was passed on without a check of its own.

Seen in a test: callers got the statuses 600 and 999; an empty body with 200 where the service had sent one without a length and with "identity", or offered another protocol after the length; and the chunks of an HTTP/1.0 answer with their sizes in the body. With a key, such an answer was recorded and replayed.

Cause: the HTTP client library accepts statuses up to 999, takes an HTTP/1.1 answer without a length for one without a body, drops the length of an answer that offers to switch to a websocket, and ignores chunks in HTTP/1.0. has_complete_head looked only for the names of the headers.

Ruled out: 000, 099 and 101, invalid names of headers, two lengths, bodies cut short of a length or inside a chunk, resets, also of HTTP/1.0 answers without a length (the library reports them): all passed.

Change: at_most_once::answer checks the status, the coding with the version, and the size of the body against the stated length.

Why it works: each way in which the client can find the end of a body is named; all others are errors, and the outcome of the call is unknown (502).

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -2,6 +2,7 @@
 //! independent of the wire format, which adapters define.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
 use crate::conditions::StatedConditions;
 use crate::upstream::UpstreamId;
 
+/// Statuses that an answer can have (RFC 9110, section 15).
+pub const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Id of a part of a prompt.
 ///
 /// ```
--- a/crates/router/src/at_most_once.rs
+++ b/crates/router/src/at_most_once.rs
@@ -12,15 +12,14 @@
 //! - 409 `not_run: false` when another claim holds the key and no outcome
 //!   is known yet: the call may have run, so it must not be sent again.
 
+mod answer;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use marjoram_core::claims::{Answer, ClaimRecord, Decision};
 use marjoram_core::ids::RequestId;
 use marjoram_core::wire::IDEMPOTENCY_KEY;
-use ntex::http::client::ClientResponse;
-use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use ntex::http::{StatusCode, Version};
 use ntex::util::Bytes;
 
 use crate::clock;
@@ -86,32 +85,14 @@
             None => upstream_client::client(node).post(&url),
         };
         let request = request.timeout(SERVICE_TIMEOUT);
-        let mut response = match request.send_body(self.body.clone()).await {
+        let response = match request.send_body(self.body.clone()).await {
             Ok(response) => response,
             Err(e) if error::is_unsent(&e) => {
                 return Err(Error::Connect(service.to_string(), e.to_string()));
             }
             Err(e) => return Err(failed("send", e.to_string())),
         };
-        if !has_complete_head(&response) {
-            let why = format!("status {} without a length", response.status());
-            return Err(failed("answer", why));
-        }
-        let kind = response.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
-        let (status, kind) = (response.status().as_u16(), kind.map(str::to_owned));
-        let body = response.body().await.map_err(|e| failed("answer", e.to_string()))?;
-        Ok(Answer { status, kind, body: body.to_vec() })
-    }
-}
-
-/// Whether the head is that of an answer with a known length. The HTTP client also returns
-/// interim answers, and takes the body of an answer that ends with its connection for empty.
-fn has_complete_head(response: &ClientResponse) -> bool {
-    let has = |name| response.headers().contains_key(name);
-    match response.status() {
-        status if status.is_informational() => false,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => true,
-        _ => response.version() < Version::HTTP_11 || has(CONTENT_LENGTH) || has(TRANSFER_ENCODING),
+        answer::read(response).await.map_err(|why| failed("answer", why))
     }
 }
 
--- a/crates/router/src/proxy/http1.rs
+++ b/crates/router/src/proxy/http1.rs
@@ -9,17 +9,13 @@
 
 pub use body::{Body, Piece};
 
-use std::ops::RangeInclusive;
-
 use bytes::{Buf, Bytes, BytesMut};
+use marjoram_core::exchange::STATUSES;
 use quick_error::quick_error;
 
 /// Largest number of headers of a message.
 const MAX_HEADERS: usize = 96;
 
-/// Statuses that an answer can have (RFC 9110, section 15).
-const STATUSES: RangeInclusive<u16> = 100..=599;
-
 quick_error! {
     /// Why bytes are not a valid message.
     #[derive(Debug, Clone, PartialEq, Eq)]
