Own interface: odd entries of the host list are skipped

Reported of other systems: one odd entry among those of the upstreams ended the machines that read the list, or kept them from following it.

Seen in a test: with one entry of an unknown role or state, with missing fields, with a number or nested arrays in place of text, or null, routers followed the host list no more, and one that started got no engine.

Cause: the list was parsed as a whole, so that one entry failed all. The failure was logged at the level of debugging only.

Ruled out: deep nesting and large numbers in unknown fields (skipped by the parser without recursion). An entry whose address has no valid port was listed and its engine asked in vain; with a wrong address a router was called down.

Change: entries are kept as raw text (the raw_value feature of serde_json) and parsed one by one; those without an address or a field are skipped, with one warning for each version of the list.

Why it works: an entry is no longer parsed together with others.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod engines;
+mod host_list;
 mod hosts;
 
 use std::time::Duration;
--- a/crates/router/src/follow/hosts.rs
+++ b/crates/router/src/follow/hosts.rs
@@ -10,6 +10,7 @@
 use ntex::http::client::Client;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::host_list::ReceivedList;
 use super::read_json;
 use crate::node::{Engine, Node, Pool, Upstream};
 
@@ -26,9 +27,10 @@
     loop {
         let known = version.map(|v: u64| format!("?version={v}")).unwrap_or_default();
         let url = format!("http://{}/v1/hosts{known}", node.settings.host_list);
-        match read_json::<HostList>(&client, &url, ANSWER_TIMEOUT).await {
+        match read_json::<ReceivedList>(&client, &url, ANSWER_TIMEOUT).await {
             Ok(None) => {}
-            Ok(Some(list)) => {
+            Ok(Some(received)) => {
+                let list = HostList::from(received);
                 version = Some(list.version);
                 node.pool.store(Arc::new(pool(&node, &list, &mut slots)));
                 node.refresh_entries();
