Stops: a request counts as received once it is whole

Reported of other systems: in a planned stop, requests that came late in the grace period were taken and passed on, and cut at its end.

Seen in a test: a request whose head arrived 2.4 s after the signal and whose last byte 2.4 s later was sent to an upstream that needs 1.5 s, and answered 502 at the end of the grace period: it had run, and its caller got no result.

Cause: whether a stopping host accepts a request was decided by the time of its first byte, before the body had been awaited.

Evidence: a_request_whose_body_arrives_late_in_a_stop_is_refused_as_not_ executed: 502 where 503 is wanted on the code before, one run at the upstream. Ruled out by the tests that stand: late whole requests (refused as not run), those in progress at the end (answered), connections with several requests. Own interface, by reading: completions are checked once their body is read; calls to services are checked before, but the process waits for them.

Change: the decision uses the present time and what is left of the request's time limit.

Result: 503 with Retry-After, not run. 28 of 28 tests of kept connections and of stops pass.

Why it works: a request that is accepted after the first seconds can complete within its time limit before the process ends.

--- a/crates/router/src/proxy/request.rs
+++ b/crates/router/src/proxy/request.rs
@@ -156,7 +156,9 @@
         };
         site.count_request(&service);
         let limit = request.asked.deadline.map_or(route.timeout, |d| d.min(route.timeout));
-        if site.stopping.get().is_some_and(|stop| !stop.accepts(request.started, limit)) {
+        let (now, expires) = (site.now(), request.started + limit);
+        let left = expires.saturating_sub(now);
+        if site.stopping.get().is_some_and(|stop| !stop.accepts(now, left)) {
             return Err(Refusal::not_run("stopping", RETRY_MIN));
         }
         let charge = workspace.as_ref().map(|w| quota::admit(site, w, &request.asked));
@@ -170,7 +172,7 @@
             fingerprint,
             parts: shared.map(|part| part.id).collect(),
             site: site.clone(),
-            expires: request.started + limit,
+            expires,
             request,
             catalog,
             route,
