A success whose seal is not passed on is dropped

Found in the search for the cause of the status 000 elsewhere: what the head of an answer says was believed before it was checked that callers get it.

Seen in a test: an upstream named its seal among the options of the connection (Connection: Response-Seal). The answer counted as sealed, and its caller got a 200 without the seal.

Cause: headers that the options of the connection name are not passed on, but were read like the others.

Change: what an answer says about its send (seal, attempt, not run, upstream, weights) is read from headers that are passed on.

Why it works: the check reads what the caller will get. An answer that says not run in such a header counts as one that may have run.

--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -212,7 +212,8 @@
         let framing = http1::response_framing(method, &head)
             .map_err(|e| Failure::InvalidAnswer("answer head", e.to_string()))?;
         let stated = headers::stated_conditions(head.status, head.headers.raw());
-        let mark = headers::response_metadata(head.status, stated, |name| head.headers.get(name));
+        let get = |name: &str| head.headers.get_end_to_end(name);
+        let mark = headers::response_metadata(head.status, stated, get);
         let mut body = Body::from(framing);
         let answered = correlation::answered(attempt, mark.attempt.as_deref(), conn_use.requests);
         let is_own = answered == Answered::LastSend;
--- a/crates/router/src/proxy/http1.rs
+++ b/crates/router/src/proxy/http1.rs
@@ -49,6 +49,17 @@
         self.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value)
     }
 
+    /// The same, `None` if the header is not to be passed on.
+    pub fn get_end_to_end(&self, name: &str) -> Option<&str> {
+        let is_listed = self.listed().any(|listed| listed.eq_ignore_ascii_case(name));
+        if is_listed { None } else { self.get(name) }
+    }
+
+    /// The options of the connection, among them headers that are not to be passed on.
+    fn listed(&self) -> impl Iterator<Item = &str> {
+        self.all("connection").flat_map(|v| v.split(',')).map(str::trim)
+    }
+
     /// The values of all headers called `name`.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
@@ -76,8 +87,7 @@
 
     /// The end-to-end headers, unchanged: those that are not hop-by-hop.
     pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        let listed: Vec<&str> =
-            self.all("connection").flat_map(|v| v.split(',')).map(str::trim).collect();
+        let listed: Vec<&str> = self.listed().collect();
         self.0.iter().filter_map(move |(name, value)| {
             let name = std::str::from_utf8(name).ok()?;
             let hop = HOP_BY_HOP.iter().chain(&listed).any(|h| h.eq_ignore_ascii_case(name));
@@ -87,7 +97,7 @@
 
     /// Whether the connection closes after this message.
     pub fn closes(&self, minor: u8) -> bool {
-        let mut options = self.all("connection").flat_map(|v| v.split(',')).map(str::trim);
+        let mut options = self.listed();
         match minor {
             0 => !options.any(|o| o.eq_ignore_ascii_case("keep-alive")),
             _ => options.any(|o| o.eq_ignore_ascii_case("close")),
