Own interface: the router accepts callers' connections itself

Idle connections were not closed for new ones.

Cause: the accept thread of the HTTP server library goes on accepting until its workers have reported that they are full, however many connections that are, and the library keeps each connection until its own time-outs.

Each is counted in peer_budget; for one beyond the limit, the one without a request in progress that has made no progress for the longest time is closed. Accepting waits for descriptors that are being closed, 16 at most beyond the limit. If all have requests in progress, the new one gets 503 with Retry-After, unread.

Why it works: no descriptor is accepted before there is room for it, and what is closed is decided by the one table that the other ports use.

--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -12,6 +12,7 @@
 mod backoffs;
 mod brittle;
 mod brittle_engines;
+mod caller_conns;
 mod clock;
 mod conn;
 mod control_connects;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -120,6 +120,10 @@
     pub retried: AtomicU64,
     /// Requests refused because those of all callers use up the memory or the connections.
     pub exhausted: AtomicU64,
+    /// Connections refused because all others have requests in progress.
+    pub conns_refused: AtomicU64,
+    /// Connections without a request in progress that were closed for others.
+    pub idle_closed: AtomicU64,
     /// Requests refused because the first token was not expected in time.
     pub late: AtomicU64,
     /// Retries not made because the retry budget was used up.
--- a/crates/router/src/request_limits.rs
+++ b/crates/router/src/request_limits.rs
@@ -1,5 +1,6 @@
 //! Limits on what the own interface holds for callers and other routers together.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use marjoram_core::blocks::Blocks;
@@ -10,6 +11,7 @@
 use ntex::web::types::Payload;
 use rustix::process::{Resource, getrlimit};
 
+use crate::caller_conns::{CallerConns, RequestOnConn};
 use crate::error::Error;
 use crate::options::Settings;
 
@@ -34,8 +36,8 @@
     requests: Port,
     /// Connections of other routers.
     pub routers: Port,
-    /// Connections that callers may have.
-    pub conns: usize,
+    /// Connections of callers.
+    pub callers: Arc<CallerConns>,
     /// Connections that may wait to be accepted on a port.
     pub backlog: u32,
     /// Tunnels that may be served at the same time.
@@ -48,24 +50,27 @@
         let fds = getrlimit(Resource::Nofile).current.unwrap_or(UNLIMITED_FDS);
         let memory = settings.memory_mb * 1_000_000;
         let capacity = Capacity { cores: 1.0, link: LinkSpeed(1_000.0), memory, fds };
+        let by_memory = memory as usize / CONN_FRACTION / CONN_BUFFERS;
+        let conns = capacity.caller_conns().min(by_memory).max(1);
         let budget = PeerBudget::new(capacity.peer_bytes());
         budget.set_limit(capacity.peer_bytes(), COPIES * body_limit);
         Self {
             requests: budget.port(capacity.caller_conns()),
             routers: budget.port(capacity.host_conns()),
-            conns: capacity.caller_conns().min(memory as usize / CONN_FRACTION / CONN_BUFFERS),
+            callers: Arc::new(CallerConns::new(budget.port(conns), conns)),
             backlog: capacity.accept_backlog(),
             tunnels: capacity.tunnels(),
         }
     }
 
-    /// Reads the body of a request from `peer`, at most `limit` bytes. The request counts as held
-    /// until the result is dropped.
+    /// Reads the body of a request from `peer`, at most `limit` bytes, which arrives on `conn`. The
+    /// request counts as held until the result is dropped.
     pub async fn read(
         &self,
         mut payload: Payload,
         limit: usize,
         peer: &str,
+        conn: Option<&RequestOnConn>,
     ) -> Result<(Bytes, HeldRequest), Error> {
         let exhausted = |why: Exhausted| Error::Exhausted(peer.into(), why);
         let now = Instant::now();
@@ -89,6 +94,9 @@
                 return Err(Error::TooLarge(peer.into(), size, limit));
             }
             held.resize(size, bytes.len()).map_err(exhausted)?;
+            if let Some(conn) = conn {
+                conn.record_progress(bytes.len());
+            }
             body.append(&bytes);
         }
         held.0.enter(Stage::InProgress, Instant::now());
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -10,6 +10,7 @@
 //! routers, new completions get 503 with `Retry-After`, requests in flight
 //! are completed, and the server stops after the drain period.
 
+mod callers;
 mod complete;
 mod peers;
 mod route;
@@ -23,7 +24,8 @@
 
 use marjoram_core::members::Status;
 use ntex::util::Bytes;
-use ntex::web::{self, HttpResponse, types};
+use ntex::web::{HttpResponse, types};
+use ntex_server::{Server, WorkerPool};
 
 use crate::at_most_once;
 use crate::error::Error;
@@ -37,12 +39,17 @@
 use crate::request_limits::HeldRequest;
 use crate::slot_grants;
 use crate::startup;
+use callers::{Accepted, Workers};
+use serving::Serving;
 
 type Shared = types::State<Arc<Node>>;
 
 /// Longest wait for requests in flight after the drain period.
 const DRAIN_LIMIT: Duration = Duration::from_secs(30);
 
+/// Longest wait for connections to close after that.
+const STOP_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(30);
+
 /// Runs a node until it has drained after SIGTERM or SIGINT.
 pub async fn run(settings: Settings) -> Result<(), Error> {
     let listen = settings.listen;
@@ -51,8 +58,7 @@
     let link = peer::link_addr(&node, &listen.to_string())?;
     let backlog = node.request_limits.backlog;
     let links = crate::listen::listen(link, backlog)?;
-    let callers = crate::listen::listen(listen, backlog)?.into_std();
-    let callers = callers.map_err(|e| Error::Bind(listen.to_string(), e))?;
+    let callers = crate::listen::listen(listen, backlog)?;
     ntex::rt::spawn(peers::serve(node.clone(), links));
     ntex::rt::spawn(follow::config(node.clone()));
     ntex::rt::spawn(follow::hosts(node.clone()));
@@ -63,30 +69,19 @@
     ntex::rt::spawn(slot_grants::run(node.clone()));
     ntex::rt::spawn(at_most_once::follow(node.clone()));
     ntex::rt::spawn(poison::follow(node.clone()));
-    let shared = node.clone();
-    let conns = (node.request_limits.conns / workers).max(1);
-    let server = web::HttpServer::new(move || {
-        web::App::new()
-            .state(shared.clone())
-            .route("/v1/completions", web::post().to(complete::complete))
-            .route("/v1/services/{name}", web::post().to(service::call_service))
-            .route("/v1/route", web::get().to(route::route))
-            .route("/debug/state", web::get().to(state::state))
-            .route("/healthz", web::get().to(state::health))
-    })
-    .workers(workers)
-    .maxconn(conns)
-    .disable_signals()
-    .shutdown_timeout(ntex::time::Seconds(30))
-    .listen(callers)
-    .map_err(|e| Error::Bind(listen.to_string(), e))?
-    .run();
+    let serving = Workers::new(node.clone());
+    let server = WorkerPool::new()
+        .workers(workers)
+        .disable_signals()
+        .shutdown_timeout(STOP_TIMEOUT)
+        .run(serving.clone());
+    ntex::rt::spawn(serving.accept(callers, server.clone()));
     tracing::info!(target: "serve", "serve: listening on {listen} in {}.", node.settings.dc);
     ntex::rt::spawn(drain_on_signal(node, server.clone()));
     server.await.map_err(|e| Error::Bind(listen.to_string(), e))
 }
 
-async fn drain_on_signal(node: Arc<Node>, server: ntex::server::Server) {
+async fn drain_on_signal(node: Arc<Node>, server: Server<Accepted>) {
     use tokio::signal::unix::{SignalKind, signal};
     let (Ok(mut term), Ok(mut int)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
@@ -113,13 +108,14 @@
     server.stop(true).await;
 }
 
-/// Reads the body of a request; counts and logs one that is refused for others.
+/// Reads the body of a request; counts one that is refused for others.
 async fn read_body(
     node: &Node,
     payload: types::Payload,
-    peer: &str,
+    serving: &Serving,
 ) -> Result<(Bytes, HeldRequest), Error> {
-    let read = node.request_limits.read(payload, node.settings.body_limit(), peer).await;
+    let limit = node.settings.body_limit();
+    let read = node.request_limits.read(payload, limit, &serving.peer, serving.conn()).await;
     if let Err(Error::Exhausted(..)) = &read {
         node.counters.exhausted.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/router/src/serve/complete.rs
+++ b/crates/router/src/serve/complete.rs
@@ -31,7 +31,7 @@
     let node: Arc<Node> = node.get_ref().clone();
     let mut serving = Serving::new(node.clone(), request.peer_addr());
     node.counters.requests.fetch_add(1, Ordering::Relaxed);
-    let accepted = match read_body(&node, payload, &serving.peer).await {
+    let accepted = match read_body(&node, payload, &serving).await {
         Ok((body, held)) => {
             serving.hold(held);
             accept(&node, &serving, body).await
--- a/crates/router/src/serve/service.rs
+++ b/crates/router/src/serve/service.rs
@@ -30,7 +30,7 @@
     let mut serving = Serving::new(node.clone(), request.peer_addr());
     let reply = match node.draining.load(Ordering::Acquire) {
         true => at_most_once::Reply::Refused(Error::Draining),
-        false => match read_body(&node, payload, &serving.peer).await {
+        false => match read_body(&node, payload, &serving).await {
             Ok((body, held)) => {
                 serving.hold(held);
                 call(&node, name.into_inner(), &request, body).await
--- a/crates/router/src/serve/serving.rs
+++ b/crates/router/src/serve/serving.rs
@@ -6,6 +6,7 @@
 
 use marjoram_core::ids::RequestId;
 
+use crate::caller_conns::RequestOnConn;
 use crate::node::Node;
 use crate::request_limits::HeldRequest;
 
@@ -35,18 +36,29 @@
     answered: bool,
     /// What is held for it.
     held: Option<HeldRequest>,
+    /// Its use of the caller's connection.
+    conn: Option<RequestOnConn>,
 }
 
 impl Serving {
     pub fn new(node: Arc<Node>, peer: Option<std::net::SocketAddr>) -> Self {
         let id = RequestId(node.request_id());
+        let conn = peer.and_then(|addr| node.request_limits.callers.begin_request(addr));
         let peer = peer.map_or_else(|| "caller".into(), |addr| addr.to_string());
-        Self { count: Count::new(node), id, peer, answered: false, held: None }
+        Self { count: Count::new(node), id, peer, answered: false, held: None, conn }
+    }
+
+    /// Its use of the caller's connection, if that is still open.
+    pub fn conn(&self) -> Option<&RequestOnConn> {
+        self.conn.as_ref()
     }
 
     /// Keeps `held` as long as the request is served.
     pub fn hold(&mut self, held: HeldRequest) {
         self.held = Some(held);
+        if let Some(conn) = &self.conn {
+            conn.set_received();
+        }
     }
 
     /// Records that the request has its answer or refusal.
--- a/crates/router/tests/resource_limits.rs
+++ b/crates/router/tests/resource_limits.rs
@@ -8,7 +8,7 @@
 #[path = "support/site.rs"]
 mod site;
 
-use std::io::{Result, Write};
+use std::io::{Read, Result, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -40,7 +40,12 @@
 
 /// A site with one engine and one router, which has `fds` descriptors.
 fn start(fds: u64) -> Site {
-    let mut site = Site::start(1, 1, &[]);
+    start_with(fds, &[])
+}
+
+/// Like [`start`], with the additional arguments `engine_args` of the engine.
+fn start_with(fds: u64, engine_args: &[&str]) -> Site {
+    let mut site = Site::start(1, 1, engine_args);
     site.kill("router0");
     site.router_env = vec![("MARJORAM_MEMORY_MB", MEMORY_MB.to_string())];
     site.router_fds = Some(fds);
@@ -54,14 +59,14 @@
     })
 }
 
-/// Lets `count` callers send what `send` writes to `addr`, and checks the router.
+/// Lets `count` callers send what `send` writes to `addr`, and checks the router, which still runs.
 fn check(
     mut site: Site,
     addr: SocketAddr,
     count: usize,
     fds: u64,
     send: impl Fn(&mut TcpStream) -> Result<()> + Send + Sync,
-) {
+) -> Site {
     let front: SocketAddr = site.routers[0].parse().expect("an address");
     let ports = [front.port(), addr.port()];
     let process = Process { pid: site.pid("router0"), ports: &ports, upstreams: &[] };
@@ -80,6 +85,7 @@
         .await;
     });
     drop(conns);
+    site
 }
 
 fn front(site: &Site) -> SocketAddr {
@@ -147,6 +153,27 @@
     check(site, addr, TOO_MANY_CONNS, FEW_FDS, |conn| conn.write_all(sent.as_bytes()));
 }
 
+/// Tokens of a stream that takes longer than a crowd gathers, and the time for each.
+const TOKENS: u32 = 60;
+const TOKEN_MS: &str = "50";
+
+#[test]
+fn a_stream_in_progress_is_kept_for_its_caller_beside_idle_connections() {
+    let _alone = alone();
+    let site = start_with(FEW_FDS, &["--decode-ms", TOKEN_MS]);
+    let addr = front(&site);
+    let body = completion("kili-checks", 40, TOKENS, true);
+    let head = head(&format!("Content-Length: {}", body.len()));
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.write_all((head + &body).as_bytes()).unwrap();
+    let mut text = vec![0; 16];
+    stream.read_exact(&mut text).unwrap();
+    let _site = check(site, addr, TOO_MANY_CONNS, FEW_FDS, |_| Ok(()));
+    stream.read_to_end(&mut text).unwrap();
+    let text = String::from_utf8_lossy(&text);
+    assert!(text.contains("[DONE]"), "{text}");
+}
+
 #[test]
 fn connections_to_the_port_for_routers_leave_descriptors_for_others() {
     let _alone = alone();
