Callers' connections: their limit is stated once; odd_hosts: the answer has a function

CallerConns took a port and, again, the limit that the port was made with; it makes its port itself. The stand-in of odd_hosts wrote its answer in a closure inside the accept loop.

No behaviour, bound or assertion changes.

--- a/crates/router/src/caller_conns.rs
+++ b/crates/router/src/caller_conns.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use marjoram_core::peer_budget::{Exhausted, Holding, Port, Stage};
+use marjoram_core::peer_budget::{Exhausted, Holding, PeerBudget, Port, Stage};
 use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore};
 
 /// Connections that may be closing beyond those counted: they are closed by other threads.
@@ -29,10 +29,10 @@
 }
 
 impl CallerConns {
-    /// At most the `limit` connections of `port`.
-    pub fn new(port: Port, limit: usize) -> Self {
+    /// At most `limit` connections, which share `budget`.
+    pub fn new(budget: &PeerBudget, limit: usize) -> Self {
         let permits = Arc::new(Semaphore::new(limit + MAX_CLOSING));
-        Self { port, open: Mutex::default(), permits }
+        Self { port: budget.port(limit), open: Mutex::default(), permits }
     }
 
     /// Waits until another connection can be accepted.
--- a/crates/router/src/request_limits.rs
+++ b/crates/router/src/request_limits.rs
@@ -57,7 +57,7 @@
         Self {
             requests: budget.port(capacity.caller_conns()),
             routers: budget.port(capacity.host_conns()),
-            callers: Arc::new(CallerConns::new(budget.port(conns), conns)),
+            callers: Arc::new(CallerConns::new(&budget, conns)),
             backlog: capacity.accept_backlog(),
             tunnels: capacity.tunnels(),
         }
--- a/crates/router/tests/odd_hosts.rs
+++ b/crates/router/tests/odd_hosts.rs
@@ -29,23 +29,25 @@
     let addr = listener.local_addr().unwrap().to_string();
     let hosts = hosts.to_string();
     std::thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let answer = || -> Result<()> {
-                if stream.read(&mut [0; 4 << 10])? == 0 {
-                    return Ok(());
-                }
-                let list = list(&hosts)?.replacen("\"hosts\":[", &format!("\"hosts\":[{odd},"), 1);
-                let length = list.len();
-                write!(stream, "HTTP/1.1 200 OK\r\nconnection: close\r\n")?;
-                write!(stream, "content-length: {length}\r\n\r\n{list}")
-            };
+        for stream in listener.incoming().flatten() {
             // Fails if a router that is killed has asked.
-            let _ = { answer }();
+            let _ = answer(stream, &hosts, &odd);
         }
     });
     addr
 }
 
+/// Answers a request for the list with that at `hosts`, and the entry `odd` before the others.
+fn answer(mut stream: TcpStream, hosts: &str, odd: &str) -> Result<()> {
+    if stream.read(&mut [0; 4 << 10])? == 0 {
+        return Ok(());
+    }
+    let list = list(hosts)?.replacen("\"hosts\":[", &format!("\"hosts\":[{odd},"), 1);
+    let length = list.len();
+    write!(stream, "HTTP/1.1 200 OK\r\nconnection: close\r\n")?;
+    write!(stream, "content-length: {length}\r\n\r\n{list}")
+}
+
 #[test_case(r#"{"addr":"127.0.0.1:9","role":"engine","state":"live","dc":"dc1","more":NESTED}"#; "a deeply nested field")]
 #[test_case(r#"{"addr":"127.0.0.1:9","role":"engine","state":"live","dc":NESTED}"#; "a deeply nested data centre")]
 #[test_case(r#"{"addr":"127.0.0.1:9","role":"engine","state":"live","dc":"dc1","more":1e400}"#; "a number too large")]
