Hosts that could not relay are asked after the others

Callers saw: 503 for all requests to a service at a host that had lost its links to it, for as long as the last host with a link was stopping (2.5 s).

Cause: three hosts at most are asked to relay a connection, those that take callers before those that stop. A host without callers, or one that has used one link of four, does not know that it is cut off. Three of those took all places at each connect, so that the one host with a link was never asked.

Ruled out: that the stopping host refuses new tunnels: the test with one host opens them in the stop.

Change: a host records which others could not relay a connection to a service (core::reach::FailedRelays), and asks them after all others for two seconds.

Why it works: the first connect shows which hosts have no link, whatever they say of themselves; the next one, most often that of the same request to another upstream, asks the rest.

--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -16,7 +16,12 @@
 //! links to half of a service's upstreams is cut off from the service and says so in its
 //! heartbeats: it is not asked to relay, its reports on these upstreams are not sent,
 //! and callers are named other hosts if enough of them are left.
+//! A host that does not use its links does not notice that they are lost, and one that
+//! uses a few of them may not count as cut off. What it says of itself is therefore no
+//! proof: a host that could not relay is asked after the others for a while.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Delay after which a connect is also tried over the next path, in parallel.
@@ -115,6 +120,35 @@
     }
 }
 
+/// How long a host that could not relay a connection is asked after the others.
+const FAILED_RELAY_TTL: Duration = Duration::from_secs(2);
+
+/// Other hosts that could not relay a connection recently, by service.
+///
+/// ```
+/// use std::time::Duration;
+/// use marjoram_core::reach::FailedRelays;
+/// let (mut failed, host, ms) = (FailedRelays::default(), ([127, 0, 0, 1], 80).into(), Duration::from_millis);
+/// failed.record(host, 7, ms(100));
+/// assert!(failed.contains(host, 7, ms(2_000)) && !failed.contains(host, 8, ms(2_000)));
+/// assert!(!failed.contains(host, 7, ms(2_100)));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct FailedRelays(HashMap<(SocketAddr, u64), Duration>);
+
+impl FailedRelays {
+    /// Records that `host` could not relay a connection to an upstream of `service`.
+    pub fn record(&mut self, host: SocketAddr, service: u64, now: Duration) {
+        self.0.retain(|_, at| now < *at + FAILED_RELAY_TTL);
+        self.0.insert((host, service), now);
+    }
+
+    /// Whether `host` could not relay a connection to an upstream of `service` recently.
+    pub fn contains(&self, host: SocketAddr, service: u64, now: Duration) -> bool {
+        self.0.get(&(host, service)).is_some_and(|at| now < *at + FAILED_RELAY_TTL)
+    }
+}
+
 /// Whether a host is cut off from a service: it has lost `lost` of its links to the
 /// service's `upstreams` upstreams.
 ///
--- a/crates/router/src/paths.rs
+++ b/crates/router/src/paths.rs
@@ -44,13 +44,15 @@
 struct Connects {
     direct: Connect,
     relayed: Vec<Connect>,
+    /// Hosts that answered that they cannot relay, or did not answer.
+    failed_relays: Vec<SocketAddr>,
     /// Why the last one failed.
     error: io::Error,
 }
 
 /// The end of one connect: `None` for the direct one, else the number of the relayed
-/// one.
-type Ended = (Option<usize>, Result<Conn, OpenError>);
+/// one and the host that was asked.
+type Ended = (Option<(usize, SocketAddr)>, Result<Conn, OpenError>);
 
 impl Connects {
     fn conclude(&self, more: bool) -> Conclusion {
@@ -79,12 +81,13 @@
             }
             Err(OpenError::Host(why)) => {
                 tracing::debug!(target: "tunnel", why, "no tunnel");
+                self.failed_relays.extend(which.map(|(_, host)| host));
                 (Connect::Unavailable, None)
             }
         };
         match which {
             None => self.direct = outcome,
-            Some(number) => self.relayed[number] = outcome,
+            Some((number, _)) => self.relayed[number] = outcome,
         }
         conn
     }
@@ -103,18 +106,25 @@
     pub hosts: Vec<SocketAddr>,
 }
 
+/// What connects to one upstream have shown.
+#[derive(Debug)]
+pub struct Outcome {
+    pub conclusion: Conclusion,
+    /// Hosts that could not relay a connection.
+    pub failed_relays: Vec<SocketAddr>,
+    pub result: Result<Conn, ConnectError>,
+}
+
 /// Connects over `paths` within [`CONNECT_TIMEOUT`], and concludes what the connects
 /// show. `others` returns addresses of other upstreams (see [`reaches_any`]), for the
 /// case that no other host can tell whether the upstream is down.
-pub async fn connect(
-    paths: Paths,
-    others: impl FnOnce() -> Vec<SocketAddr>,
-) -> (Conclusion, Result<Conn, ConnectError>) {
+pub async fn connect(paths: Paths, others: impl FnOnce() -> Vec<SocketAddr>) -> Outcome {
     let mut hosts = paths.hosts.into_iter();
     let mut running = FuturesUnordered::new();
     let mut connects = Connects {
         direct: Connect::NotTried,
         relayed: Vec::new(),
+        failed_relays: Vec::new(),
         error: io::ErrorKind::HostUnreachable.into(),
     };
     if paths.path != Path::Relayed {
@@ -159,7 +169,7 @@
         (None, Conclusion::UpstreamDown) => Err(ConnectError::Down(connects.error)),
         (None, _) => Err(ConnectError::NoPath),
     };
-    (conclusion, result)
+    Outcome { conclusion, failed_relays: connects.failed_relays, result }
 }
 
 async fn direct(addr: SocketAddr) -> Ended {
@@ -168,5 +178,5 @@
 }
 
 async fn relayed(number: usize, host: SocketAddr, upstream: u64) -> Ended {
-    (Some(number), tunnel::open(host, upstream, CONNECT_TIMEOUT).await)
+    (Some((number, host)), tunnel::open(host, upstream, CONNECT_TIMEOUT).await)
 }
--- a/crates/router/src/proxy/hosts.rs
+++ b/crates/router/src/proxy/hosts.rs
@@ -22,6 +22,7 @@
 use marjoram_core::pace::LinkSpeed;
 use marjoram_core::place;
 use marjoram_core::quota::ledger::Hosts;
+use marjoram_core::reach::FailedRelays;
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -76,6 +77,7 @@
     /// This host's own record.
     pub record: HostRecord,
     known: RefCell<HashMap<String, Peer>>,
+    failed_relays: RefCell<FailedRelays>,
     socket: RefCell<Option<Rc<UdpSocket>>>,
     /// The time of the last heartbeat round.
     pub now: Cell<Duration>,
@@ -96,6 +98,7 @@
             name: settings.name.clone(),
             record,
             known: RefCell::default(),
+            failed_relays: RefCell::default(),
             socket: RefCell::default(),
             now: Cell::default(),
             next_target: Cell::default(),
--- a/crates/router/src/proxy/reach.rs
+++ b/crates/router/src/proxy/reach.rs
@@ -10,7 +10,7 @@
 use super::site::Site;
 use crate::conn::Conn;
 use crate::control_connects::CONTROL_CONNECTS;
-use crate::paths::{self, CONNECT_TIMEOUT, ConnectError, Paths};
+use crate::paths::{self, CONNECT_TIMEOUT, ConnectError, Outcome, Paths};
 
 /// Time between two checks for upstreams and lost links that are to be tried by this
 /// host itself, without a request.
@@ -26,8 +26,9 @@
         hosts: site.peers.relays(upstream, MAX_RELAYS),
     };
     let others = || site.fleet.others(upstream, CONTROL_CONNECTS);
-    let (conclusion, result) = paths::connect(paths, others).await;
+    let Outcome { conclusion, failed_relays, result } = paths::connect(paths, others).await;
     apply(site, upstream, conclusion);
+    site.peers.record_failed_relays(upstream, failed_relays);
     if result.as_ref().is_ok_and(|conn| conn.relayed) {
         site.counters.count("upstream.relayed_connects");
     }
--- a/crates/router/src/upstream_client.rs
+++ b/crates/router/src/upstream_client.rs
@@ -23,7 +23,7 @@
 use crate::conn::Conn;
 use crate::control_connects::CONTROL_CONNECTS;
 use crate::node::{Node, Upstream};
-use crate::paths::{self, ConnectError, Paths};
+use crate::paths::{self, ConnectError, Outcome, Paths};
 use crate::peer;
 use crate::tunnel::{self, Answer, Connected, Tunnels};
 
@@ -70,7 +70,7 @@
         path: links.begin_connect(addr, node.uptime()),
         hosts: relays(node),
     };
-    let (conclusion, result) = paths::connect(paths, || others(node, addr)).await;
+    let Outcome { conclusion, result, .. } = paths::connect(paths, || others(node, addr)).await;
     links.apply(addr, conclusion, node.uptime());
     if let Some(relay) = result.as_ref().ok().filter(|conn| conn.relayed).and_then(Conn::peer) {
         links.record_relay(relay);
