Own interface: answers count until their callers have taken them

Callers saw: nothing yet. Callers that ask for long answers of plain services and do not read them took more memory than a host of 88 MB has.

Cause: an answer of up to 256 KiB was collected by the HTTP client library, copied, and handed to the HTTP server library whole, which keeps what the caller does not read. No limit held for all of them.

Ruled out: that one end is enough.

Change: answers over 16 KB are read once a sixth of the memory has room for them (at_most_once::answer::AnswerMemory), for 10 s at most. A complete answer, also a completion's, is sent in pieces, and its caller's connection counts for the rest in peer_budget (serve::answer_body).

Why it works: reading waits, as the service's bytes stay in its socket with their small buffer; a caller that does not take an answer stalls, and its connection is closed when another one needs the room. Answers under 16 KB never wait, so that a slow service with long ones delays no others.

The stand-in services of this file and of broken_answers are used through Site::use_service; a listener on the port of the former service outlived its site and met the next one.

--- a/crates/router/src/at_most_once.rs
+++ b/crates/router/src/at_most_once.rs
@@ -12,7 +12,7 @@
 //! - 409 `not_run: false` when another claim holds the key and no outcome
 //!   is known yet: the call may have run, so it must not be sent again.
 
-mod answer;
+pub mod answer;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +22,8 @@
 use marjoram_core::wire::IDEMPOTENCY_KEY;
 use ntex::util::Bytes;
 
+use answer::Received;
+
 use crate::clock;
 use crate::error::{self, Error};
 use crate::log::{self, Log};
@@ -29,7 +31,7 @@
 use crate::request_limits::HeldRequest;
 use crate::upstream_client;
 
-/// Time-out of the service's answer.
+/// Time-outs of the head of the service's answer, and of its body.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Age of a claim from which the router neither sends nor abandons the call: a claim must
 /// be acted on, or abandoned, well before the log service drops it (see
@@ -61,7 +63,7 @@
 impl Call {
     /// Sends the call to the first instance that accepts the connection; one that
     /// refuses the connection has not received the call.
-    async fn send(&self, node: &Arc<Node>, key: Option<&str>) -> Result<Answer, Error> {
+    async fn send(&self, node: &Arc<Node>, key: Option<&str>) -> Result<Received, Error> {
         let mut refused = Error::NoService(self.path.clone());
         for service in &self.services {
             match self.send_to(node, service, key).await {
@@ -77,7 +79,7 @@
         node: &Arc<Node>,
         service: &str,
         key: Option<&str>,
-    ) -> Result<Answer, Error> {
+    ) -> Result<Received, Error> {
         let failed = |step, why| Error::Engine(step, service.to_string(), why);
         let url = format!("http://{service}/v1/{}", self.path);
         let request = match key {
@@ -95,14 +97,17 @@
             }
             Err(e) => return Err(failed("send", e.to_string())),
         };
-        answer::read(response).await.map_err(|why| failed("answer", why))
+        let read = answer::read(response, &node.request_limits.answers);
+        let read = tokio::time::timeout(SERVICE_TIMEOUT, read).await;
+        let read = read.unwrap_or_else(|_| Err(format!("not complete in {SERVICE_TIMEOUT:?}")));
+        read.map_err(|why| failed("answer", why))
     }
 }
 
 /// Sends `call` once, without any claim.
 pub async fn call_plain(node: &Arc<Node>, call: Call) -> Reply {
     match call.send(node, None).await {
-        Ok(answer) => Reply::Answer(answer, false),
+        Ok(received) => Reply::Answer(received.answer, false),
         Err(error) => Reply::Refused(error),
     }
 }
@@ -116,9 +121,9 @@
     let error = match claim_key(node, &log, &claim, key, &owner).await {
         Ok(Decision::Send) if clock::now() < claim_started + CLAIM_MAX_AGE => {
             match call.send(node, Some(key)).await {
-                Ok(answer) => {
-                    record(&log, key, &owner, &answer).await;
-                    return Reply::Answer(answer, false);
+                Ok(received) => {
+                    record(&log, key, &owner, &received.answer).await;
+                    return Reply::Answer(received.answer, false);
                 }
                 Err(error @ Error::Engine(..)) => return Reply::Refused(error),
                 Err(error) => error,
--- a/crates/router/src/caller_conns.rs
+++ b/crates/router/src/caller_conns.rs
@@ -109,12 +109,31 @@
     pub fn set_received(&self) {
         self.0.holding.enter(Stage::InProgress, Instant::now());
     }
+
+    /// Records that a complete answer of `size` bytes is sent. Fails if there is no room for it:
+    /// the connection is closed.
+    pub fn begin_answer(&self, size: usize) -> Result<(), Exhausted> {
+        let now = Instant::now();
+        self.0.holding.enter(Stage::Sending, now);
+        self.0.holding.resize(size, now)
+    }
+
+    /// Records that `bytes` more bytes of the answer have been sent, and `left` have not. Fails if
+    /// the connection has been given up.
+    pub fn record_sent(&self, bytes: usize, left: usize) -> Result<(), Exhausted> {
+        let now = Instant::now();
+        self.0.holding.record_progress(bytes, now);
+        self.0.holding.resize(left, now)
+    }
 }
 
 impl Drop for RequestOnConn {
     fn drop(&mut self) {
         if self.0.requests.fetch_sub(1, Ordering::AcqRel) == 1 {
-            self.0.holding.enter(Stage::Idle, Instant::now());
+            let now = Instant::now();
+            self.0.holding.enter(Stage::Idle, now);
+            // Err: the connection has been given up, and counts for nothing.
+            let _ = self.0.holding.resize(0, now);
         }
     }
 }
--- a/crates/router/src/request_limits.rs
+++ b/crates/router/src/request_limits.rs
@@ -11,6 +11,7 @@
 use ntex::web::types::Payload;
 use rustix::process::{Resource, getrlimit};
 
+use crate::at_most_once::answer::AnswerMemory;
 use crate::caller_conns::{CallerConns, RequestOnConn};
 use crate::error::Error;
 use crate::options::Settings;
@@ -38,6 +39,8 @@
     pub routers: Port,
     /// Connections of callers.
     pub callers: Arc<CallerConns>,
+    /// Answers of plain services.
+    pub answers: AnswerMemory,
     /// Connections that may wait to be accepted on a port.
     pub backlog: u32,
     /// Tunnels that may be served at the same time.
@@ -58,6 +61,7 @@
             requests: budget.port(capacity.caller_conns()),
             routers: budget.port(capacity.host_conns()),
             callers: Arc::new(CallerConns::new(&budget, conns)),
+            answers: AnswerMemory::new(capacity.buffered_bytes()),
             backlog: capacity.accept_backlog(),
             tunnels: capacity.tunnels(),
         }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -10,6 +10,7 @@
 //! routers, new completions get 503 with `Retry-After`, requests in flight
 //! are completed, and the server stops after the drain period.
 
+mod answer_body;
 mod callers;
 mod complete;
 mod peers;
--- a/crates/router/src/serve/complete.rs
+++ b/crates/router/src/serve/complete.rs
@@ -26,6 +26,7 @@
 const MAX_TEXT_SIZE: usize = 16 << 20;
 
 type Sender = mpsc::Sender<Result<Bytes, std::io::Error>>;
+type Receiver = mpsc::Receiver<Result<Bytes, std::io::Error>>;
 
 pub async fn complete(node: Shared, request: HttpRequest, payload: Payload) -> HttpResponse {
     let node: Arc<Node> = node.get_ref().clone();
@@ -39,27 +40,40 @@
         Err(error) => Err(error),
     };
     serving.set_answered();
-    match accepted {
-        Ok(Accepted::Answer(answer)) => HttpResponse::Ok().json(&answer),
-        Ok(Accepted::Stream(chunks)) => {
-            // Kept until the server has read the whole stream or dropped it.
-            let body = chunks.inspect(move |_| {
-                let _ = &serving;
-            });
-            HttpResponse::Ok().content_type("text/event-stream").streaming(body)
-        }
-        Err(error) => {
-            node.counters.failed.fetch_add(1, Ordering::Relaxed);
-            tracing::info!(target: "serve", "serve: request {} from {} failed: {error}.", serving.id, serving.peer);
-            reply_error(&error)
-        }
-    }
+    let (id, peer) = (serving.id, serving.peer.clone());
+    let answered = match accepted {
+        Ok(Accepted::Answer(answer)) => respond(&mut serving, &answer),
+        Ok(Accepted::Stream(chunks)) => Ok(respond_streamed(serving, chunks)),
+        Err(error) => Err(error),
+    };
+    answered.unwrap_or_else(|error| {
+        node.counters.failed.fetch_add(1, Ordering::Relaxed);
+        tracing::info!(target: "serve", "serve: request {id} from {peer} failed: {error}.");
+        reply_error(&error)
+    })
+}
+
+/// The response with a complete answer.
+fn respond(serving: &mut Serving, answer: &Completion) -> Result<HttpResponse, Error> {
+    let json = serde_json::to_vec(answer)
+        .map_err(|e| Error::Engine("encode answer", answer.engine.clone(), e.to_string()))?;
+    let body = serving.answer_body(json.into())?;
+    Ok(HttpResponse::Ok().content_type("application/json").body(body))
+}
+
+/// The response with an answer that is streamed. `serving` is kept until the server has read the
+/// whole stream or dropped it.
+fn respond_streamed(serving: Serving, chunks: Receiver) -> HttpResponse {
+    let body = chunks.inspect(move |_| {
+        let _ = &serving;
+    });
+    HttpResponse::Ok().content_type("text/event-stream").streaming(body)
 }
 
 /// The answer to an accepted request.
 enum Accepted {
     Answer(Completion),
-    Stream(mpsc::Receiver<Result<Bytes, std::io::Error>>),
+    Stream(Receiver),
 }
 
 async fn accept(node: &Arc<Node>, serving: &Serving, body: Bytes) -> Result<Accepted, Error> {
--- a/crates/router/src/serve/service.rs
+++ b/crates/router/src/serve/service.rs
@@ -5,6 +5,7 @@
 
 use marjoram_core::wire::IDEMPOTENCY_KEY;
 use ntex::http::StatusCode;
+use ntex::http::body::Body;
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse, types};
 use rand::seq::SliceRandom;
@@ -40,19 +41,26 @@
         },
     };
     serving.set_answered();
-    match reply {
+    let answered = match reply {
         at_most_once::Reply::Answer(answer, replayed) => {
-            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-            HttpResponse::build(status)
-                .content_type(answer.kind.as_deref().unwrap_or("application/octet-stream"))
-                .header("idempotent-replayed", if replayed { "true" } else { "false" })
-                .body(answer.body)
+            let body = serving.answer_body(answer.body.into());
+            body.map(|body| respond(answer.status, answer.kind.as_deref(), replayed, body))
         }
-        at_most_once::Reply::Refused(error) => {
-            tracing::info!(target: "serve", "serve: service call {} from {} failed: {error}.", serving.id, serving.peer);
-            reply_error(&error)
-        }
-    }
+        at_most_once::Reply::Refused(error) => Err(error),
+    };
+    answered.unwrap_or_else(|error| {
+        tracing::info!(target: "serve", "serve: service call {} from {} failed: {error}.", serving.id, serving.peer);
+        reply_error(&error)
+    })
+}
+
+/// The response with a service's answer, of the content type `kind`.
+fn respond(status: u16, kind: Option<&str>, replayed: bool, body: Body) -> HttpResponse {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    HttpResponse::build(status)
+        .content_type(kind.unwrap_or("application/octet-stream"))
+        .header("idempotent-replayed", if replayed { "true" } else { "false" })
+        .body(body)
 }
 
 async fn call(
--- a/crates/router/src/serve/serving.rs
+++ b/crates/router/src/serve/serving.rs
@@ -5,8 +5,12 @@
 use std::sync::atomic::Ordering;
 
 use marjoram_core::ids::RequestId;
+use ntex::http::body::Body;
+use ntex::util::Bytes;
 
+use super::answer_body::answer_body;
 use crate::caller_conns::RequestOnConn;
+use crate::error::Error;
 use crate::node::Node;
 use crate::request_limits::HeldRequest;
 
@@ -70,6 +74,14 @@
     pub fn set_answered(&mut self) {
         self.answered = true;
     }
+
+    /// The body `bytes` of its complete answer, which counts until the caller has taken it. Fails if
+    /// the caller's connection is closed for others.
+    pub fn answer_body(&mut self, bytes: Bytes) -> Result<Body, Error> {
+        self.held = None;
+        let body = answer_body(bytes, self.conn.take());
+        body.map_err(|why| Error::Engine("send answer", self.peer.clone(), why.to_string()))
+    }
 }
 
 impl Drop for Serving {
--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -9,8 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use marjoram_core::wire::{HostState, Role};
-use site::{Site, host, post, put_host, run, state, wait_for};
+use site::{Site, post, run};
 use test_case::test_case;
 
 /// How a service ends its connection after its answer.
@@ -68,13 +67,7 @@
     let addr = start_service(&answer);
     let site = Site::start(1, 1, &[]);
     run(async move {
-        put_host(&site.hosts, &host(&site.service, Role::Service, HostState::Leaving)).await;
-        put_host(&site.hosts, &host(&addr, Role::Service, HostState::Live)).await;
-        wait_for(|| async {
-            let dump = state(&site.routers[0]).await?;
-            (dump["services"] == serde_json::json!([addr])).then_some(())
-        })
-        .await;
+        site.use_service(&addr).await;
         (site, answer)
     })
 }
--- a/crates/router/tests/resource_limits.rs
+++ b/crates/router/tests/resource_limits.rs
@@ -44,6 +44,23 @@
     start_with(fds, &[])
 }
 
+/// Like [`start`], with a service that serves each of its connections by `serve`.
+fn start_with_service(serve: impl Fn(TcpStream) -> Result<()> + Clone + Send + 'static) -> Site {
+    let listener = TcpListener::bind(("127.0.0.1", site::port())).unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for conn in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(conn));
+        }
+    });
+    let site = start(FDS_OF_HOST);
+    run(async move {
+        site.use_service(&addr).await;
+        site
+    })
+}
+
 /// Like [`start`], with the additional arguments `engine_args` of the engine.
 fn start_with(fds: u64, engine_args: &[&str]) -> Site {
     let mut site = Site::start(1, 1, engine_args);
@@ -153,10 +170,11 @@
 #[test]
 fn calls_with_a_key_whose_callers_have_left_take_bounded_memory() {
     let _alone = alone();
-    let mut site = start(FDS_OF_HOST);
-    site.kill("service");
-    let silent = TcpListener::bind(&site.service).unwrap();
-    std::thread::spawn(move || silent.incoming().collect::<Vec<_>>());
+    let site = start_with_service(|_silent| {
+        loop {
+            std::thread::park();
+        }
+    });
     let addr = front(&site);
     let (body, numbers) = (vec![b'x'; BODY_SIZE], AtomicUsize::new(0));
     let call = |conn: &mut TcpStream| {
@@ -178,6 +196,42 @@
     });
 }
 
+/// Calls that a caller sends together, the length of the answer to each, and the time in which the
+/// router gets them.
+const CALLS_TOGETHER: usize = 16;
+const ANSWER_SIZE: usize = 250_000;
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// Answers each call on `conn`, which has an empty body.
+fn answer_calls(mut conn: TcpStream) -> Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_SIZE}\r\n\r\n");
+    let answer = [head.as_bytes(), &[b'y'; ANSWER_SIZE]].concat();
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            conn.read_exact(&mut byte)?;
+            head.extend(byte);
+        }
+        conn.write_all(&answer)?;
+    }
+}
+
+#[test]
+fn answers_of_services_that_are_not_read_take_bounded_memory() {
+    let _alone = alone();
+    let site = start_with_service(answer_calls);
+    let addr = front(&site);
+    let call = "POST /v1/services/long HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    let calls = call.repeat(CALLS_TOGETHER);
+    check(site, addr, SENDERS, FDS_OF_HOST, |conn| {
+        rustix::net::sockopt::set_socket_recv_buffer_size(&*conn, 4 << 10)?;
+        conn.write_all(calls.as_bytes())?;
+        std::thread::sleep(ANSWER_TIME);
+        Ok(())
+    });
+}
+
 #[test_case(""; "idle")]
 #[test_case("GET /healthz HTTP/1.1\r\n"; "unfinished heads")]
 fn connections_beyond_the_descriptors_of_a_router_leave_some_for_others(sent: &str) {
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -182,6 +182,17 @@
         wait_listening(&addr);
     }
 
+    /// Replaces the service by the one at `addr` in the host list, and waits until router 0 uses it.
+    pub async fn use_service(&self, addr: &str) {
+        put_host(&self.hosts, &host(&self.service, Role::Service, HostState::Leaving)).await;
+        put_host(&self.hosts, &host(addr, Role::Service, HostState::Live)).await;
+        wait_for(|| async {
+            let dump = state(&self.routers[0]).await?;
+            (dump["services"] == serde_json::json!([addr])).then_some(())
+        })
+        .await;
+    }
+
     /// Starts a second service, not in the host list yet, and returns its address.
     pub fn start_second_service(&mut self) -> String {
         let first: SocketAddr = self.service.parse().expect("ip:port");
