Own interface: texts that are collected share a limit

Callers saw: nothing yet. Callers of long completions in one response took more memory than the host has.

Cause: the text of a completion that is answered in one response was limited to 16 MB for itself, and not together with others.

Ruled out: that the limit on the number of chunks helps: it is the caller's max_tokens.

Change: texts over 16 KB share the memory for answers of plain services, a sixth of the host's (answer_memory::AnswerMemory). One that finds none ends with 502 as one over its own limit does.

Why it works: what is reserved grows with each chunk before the chunk is kept. Texts do not wait for memory, since all that share it may be growing; short ones need none.

--- a/crates/router/src/at_most_once.rs
+++ b/crates/router/src/at_most_once.rs
@@ -12,7 +12,7 @@
 //! - 409 `not_run: false` when another claim holds the key and no outcome
 //!   is known yet: the call may have run, so it must not be sent again.
 
-pub mod answer;
+mod answer;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/router/src/at_most_once/answer.rs
+++ b/crates/router/src/at_most_once/answer.rs
@@ -7,49 +7,19 @@
 //! in HTTP/1.0 and the length of an answer that offers another protocol. It also returns interim
 //! answers and statuses of no class.
 
-use std::sync::Arc;
-
 use futures::StreamExt;
 use marjoram_core::claims::Answer;
 use marjoram_core::exchange::STATUSES;
 use ntex::http::client::ClientResponse;
 use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TRANSFER_ENCODING};
 use ntex::http::{StatusCode, Version};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-
-/// Longest body of an answer, in bytes.
-pub const MAX_SIZE: usize = 256 << 10;
-
-/// Longest body for which no memory is reserved, in bytes.
-const SMALL_SIZE: usize = 16 << 10;
-
-/// Bytes by which memory is reserved.
-const UNIT: usize = 1 << 10;
-
-/// The memory for answers that are read or recorded at the same time.
-#[derive(Debug)]
-pub struct AnswerMemory(Arc<Semaphore>);
 
-impl AnswerMemory {
-    /// At most `limit` bytes, or one answer of [`MAX_SIZE`].
-    pub fn new(limit: usize) -> Self {
-        Self(Arc::new(Semaphore::new(limit.max(MAX_SIZE) / UNIT)))
-    }
-
-    /// Waits until there is memory for an answer of `size` bytes, at most [`MAX_SIZE`].
-    async fn reserve(&self, size: usize) -> Option<OwnedSemaphorePermit> {
-        if size <= SMALL_SIZE {
-            return None;
-        }
-        // Err: the semaphore is closed, which it never is.
-        self.0.clone().acquire_many_owned(size.div_ceil(UNIT) as u32).await.ok()
-    }
-}
+use crate::answer_memory::{AnswerMemory, MAX_ANSWER_SIZE, ReservedMemory};
 
 /// An answer that has been read, for which memory is reserved until it is dropped.
 pub struct Received {
     pub answer: Answer,
-    _memory: Option<OwnedSemaphorePermit>,
+    _memory: ReservedMemory,
 }
 
 /// The end of a body as the head states it.
@@ -72,17 +42,17 @@
     let kind = header(&response, CONTENT_TYPE).map(str::to_owned);
     let (stated, reserved) = match end {
         End::Length(length) => (Some(length), length),
-        End::Checked => (None, MAX_SIZE),
+        End::Checked => (None, MAX_ANSWER_SIZE),
     };
-    if reserved > MAX_SIZE {
-        return Err(format!("{reserved} bytes where {MAX_SIZE} are allowed"));
+    if reserved > MAX_ANSWER_SIZE {
+        return Err(format!("{reserved} bytes where {MAX_ANSWER_SIZE} are allowed"));
     }
     let reserved = memory.reserve(reserved).await;
     let mut body = Vec::with_capacity(stated.unwrap_or_default());
     while let Some(bytes) = response.next().await {
         let bytes = bytes.map_err(|e| e.to_string())?;
-        if body.len() + bytes.len() > MAX_SIZE {
-            return Err(format!("more than {MAX_SIZE} bytes"));
+        if body.len() + bytes.len() > MAX_ANSWER_SIZE {
+            return Err(format!("more than {MAX_ANSWER_SIZE} bytes"));
         }
         body.extend_from_slice(&bytes);
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,6 +8,7 @@
 // The futures of ntex's client nest deeper than the default limit in release builds.
 #![recursion_limit = "256"]
 
+mod answer_memory;
 mod at_most_once;
 mod backoffs;
 mod brittle;
--- a/crates/router/src/request_limits.rs
+++ b/crates/router/src/request_limits.rs
@@ -11,7 +11,7 @@
 use ntex::web::types::Payload;
 use rustix::process::{Resource, getrlimit};
 
-use crate::at_most_once::answer::AnswerMemory;
+use crate::answer_memory::AnswerMemory;
 use crate::caller_conns::{CallerConns, RequestOnConn};
 use crate::error::Error;
 use crate::options::Settings;
@@ -39,7 +39,7 @@
     pub routers: Port,
     /// Connections of callers.
     pub callers: Arc<CallerConns>,
-    /// Answers of plain services.
+    /// Answers that are collected.
     pub answers: AnswerMemory,
     /// Connections that may wait to be accepted on a port.
     pub backlog: u32,
--- a/crates/router/src/serve/complete.rs
+++ b/crates/router/src/serve/complete.rs
@@ -14,6 +14,7 @@
 
 use super::serving::Serving;
 use super::{Shared, read_body, reply_error};
+use crate::answer_memory::{AnswerMemory, ReservedMemory};
 use crate::error::Error;
 use crate::forward::{self, ChunkSink, LIMIT_STEP};
 use crate::job::Job;
@@ -42,7 +43,7 @@
     serving.set_answered();
     let (id, peer) = (serving.id, serving.peer.clone());
     let answered = match accepted {
-        Ok(Accepted::Answer(answer)) => respond(&mut serving, &answer),
+        Ok(Accepted::Answer(answer, _reserved)) => respond(&mut serving, &answer),
         Ok(Accepted::Stream(chunks)) => Ok(respond_streamed(serving, chunks)),
         Err(error) => Err(error),
     };
@@ -72,7 +73,8 @@
 
 /// The answer to an accepted request.
 enum Accepted {
-    Answer(Completion),
+    /// The whole text, and the memory reserved for it.
+    Answer(Completion, ReservedMemory),
     Stream(Receiver),
 }
 
@@ -112,10 +114,12 @@
             Ok(Accepted::Stream(rx))
         }
         false => {
-            let mut collected = CollectedAnswer(String::new(), accepted.engine.addr.clone());
+            let engine = accepted.engine.addr.clone();
+            let mut collected = CollectedAnswer::new(&node.request_limits.answers);
             let usage = forward::pump(node, &mut job, accepted, &mut collected).await?;
             node.counters.answered.fetch_add(1, Ordering::Relaxed);
-            Ok(Accepted::Answer(Completion { id, text: collected.0, usage, engine: collected.1 }))
+            let CollectedAnswer { text, reserved, .. } = collected;
+            Ok(Accepted::Answer(Completion { id, text, usage, engine }, reserved))
         }
     }
 }
@@ -151,17 +155,30 @@
     }
 }
 
-/// Collects the answer's text; the second field is the engine that first accepted the
-/// request.
-struct CollectedAnswer(String, String);
+/// Collects the answer's text.
+struct CollectedAnswer<'a> {
+    text: String,
+    memory: &'a AnswerMemory,
+    reserved: ReservedMemory,
+}
 
-impl ChunkSink for CollectedAnswer {
+impl<'a> CollectedAnswer<'a> {
+    fn new(memory: &'a AnswerMemory) -> Self {
+        Self { text: String::new(), memory, reserved: ReservedMemory::default() }
+    }
+}
+
+impl ChunkSink for CollectedAnswer<'_> {
     async fn chunk(&mut self, chunk: &Chunk, addr: &str) -> Result<(), Error> {
-        if self.0.len() + chunk.text.len() > MAX_TEXT_SIZE {
-            let why = format!("more than {MAX_TEXT_SIZE} bytes of text");
-            return Err(Error::Engine(LIMIT_STEP, addr.into(), why));
+        let size = self.text.len() + chunk.text.len();
+        let refused = |why| Err(Error::Engine(LIMIT_STEP, addr.into(), why));
+        if size > MAX_TEXT_SIZE {
+            return refused(format!("more than {MAX_TEXT_SIZE} bytes of text"));
+        }
+        if !self.memory.grow(&mut self.reserved, size) {
+            return refused(format!("no memory for {size} bytes of text beside other answers"));
         }
-        self.0.push_str(&chunk.text);
+        self.text.push_str(&chunk.text);
         Ok(())
     }
 
--- a/crates/router/tests/endless_answers.rs
+++ b/crates/router/tests/endless_answers.rs
@@ -147,6 +147,38 @@
     assert_bounded(site(Role::Engine, &addr), "/v1/completions", body);
 }
 
+/// Callers whose answers are collected at the same time.
+const CALLERS: usize = 24;
+
+#[test]
+fn texts_that_are_collected_at_the_same_time_take_bounded_memory() {
+    let chunk =
+        format!("data: {{\"id\":{{id}},\"seq\":{{seq}},\"text\":\"{}\"}}\n\n", "t".repeat(2_000));
+    let addr = serve_endless("/v1/completions", EVENT_STREAM, chunk.leak());
+    let site = site(Role::Engine, &addr);
+    run(async move {
+        let before = site.memory("router0");
+        let url = format!("http://{}/v1/completions", site.routers[0]);
+        let ask = |_| {
+            let (url, body) = (url.clone(), completion("kili-checks", 8, 1_000_000, false));
+            ntex::rt::spawn(async move { post(&url, &body).await })
+        };
+        let requests: Vec<_> = (0..CALLERS).map(ask).collect();
+        let (begun, mut peak) = (Instant::now(), 0);
+        while requests.iter().any(|r| !r.is_finished()) && begun.elapsed() < ANSWER_TIME {
+            peak = peak.max(site.memory("router0"));
+            ntex::time::sleep(Duration::from_millis(20)).await;
+        }
+        let growth = peak.saturating_sub(before);
+        println!("{} MiB more", growth >> 20);
+        assert!(growth < MAX_GROWTH, "{} MiB more", growth >> 20);
+        put_host(&site.hosts, &host(&addr, Role::Engine, HostState::Leaving)).await;
+        put_host(&site.hosts, &host(&site.engines[0], Role::Engine, HostState::Live)).await;
+        let body = completion("kili-checks", 8, 2, false);
+        wait_for(|| async { (post(&url, &body).await.0 == 200).then_some(()) }).await;
+    });
+}
+
 #[test_case(ENDLESS_BODY, "xxxxxxxxxxxxxxxx" ; "a body")]
 #[test_case("HTTP/1.1 200 OK\r\nx-header: ", "xxxxxxxxxxxxxxxx" ; "a line of the head")]
 #[test_case("", "HTTP/1.1 100 Continue\r\n\r\n" ; "interim heads")]
