Own interface: refusals under limits are logged, and spread their retries

Operators saw: no log line when callers were refused or closed for others, except at the debug level; callers refused with a connection were told to return after 1 s, those refused with a request after 2 s, each time all together.

Cause: the connection's refusal had a header of its own; the spread of 0.5 s beyond 1 s was lost in rounding up.

Change: both take core::peer_budget::retry_after, as the proxy does: 0.5 to 1.5 s, which is 1 or 2 s in the header. LogLimit counts events and admits one line a second, for the proxy's limits as well.

Why it works: callers refused together return in two groups at least; the log is bounded by the interval.

--- a/crates/core/src/peer_budget.rs
+++ b/crates/core/src/peer_budget.rs
@@ -20,7 +20,7 @@
 use std::future::poll_fn;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use quick_error::quick_error;
 
@@ -29,6 +29,11 @@
 /// Bytes that a connection takes in addition to those received or to be sent on it.
 pub const CONN_SIZE: usize = 8 << 10;
 
+/// Shortest time after which a peer should retry whose connection was given up, and by how much
+/// that time varies, so that those given up together do not return together.
+const MIN_RETRY: Duration = Duration::from_millis(500);
+const RETRY_SPREAD: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// Why a connection is given up, or not accepted.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +49,19 @@
     }
 }
 
+/// When a peer should retry whose connection was given up; `share`, from 0 to 1, distinguishes those
+/// given up together.
+///
+/// ```
+/// use marjoram_core::peer_budget::retry_after;
+/// use std::time::Duration;
+/// assert_eq!(retry_after(0.0), Duration::from_millis(500));
+/// assert_eq!(retry_after(1.0), Duration::from_millis(1_500));
+/// ```
+pub fn retry_after(share: f64) -> Duration {
+    MIN_RETRY + RETRY_SPREAD.mul_f64(share)
+}
+
 /// What a connection is used for at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use marjoram_core::peer_budget::Exhausted;
+use marjoram_core::peer_budget::{self, Exhausted};
 use marjoram_core::wire::{ErrorBody, ErrorDetail};
 use ntex::http::StatusCode;
 use ntex::http::client::error::{ConnectError, SendRequestError};
@@ -12,9 +12,6 @@
 /// are told to retry later at most, so that they do not all return at once.
 const RETRY_SPREAD: f64 = 0.5;
 
-/// When a caller should retry whose request was refused for those of others.
-const EXHAUSTED_RETRY: Duration = Duration::from_secs(1);
-
 quick_error! {
     /// A failure while serving one request or running the node.
     #[derive(Debug)]
@@ -179,9 +176,7 @@
         match self {
             Self::Late(_, wait, limit) => Some(wait.saturating_sub(*limit)),
             Self::Quarantined(_, left) => Some(*left),
-            Self::Exhausted(..) => {
-                Some(EXHAUSTED_RETRY.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
-            }
+            Self::Exhausted(..) => Some(peer_budget::retry_after(rand::random())),
             Self::BackedOff(_, left) => {
                 Some(left.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
             }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -27,6 +27,7 @@
 mod link;
 mod listen;
 mod log;
+mod log_limit;
 mod node;
 mod options;
 mod paths;
--- a/crates/router/src/proxy/callers.rs
+++ b/crates/router/src/proxy/callers.rs
@@ -10,13 +10,13 @@
 use bytes::BytesMut;
 use marjoram_core::catalog::Limits;
 use marjoram_core::in_progress::InProgressRequest;
-use marjoram_core::peer_budget::{Exhausted, Stage};
+use marjoram_core::peer_budget::{self, Exhausted, Stage};
 use marjoram_platform::headers;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::counters;
 use super::http1::{self, BadMessage, Framing, ResponseWriter};
-use super::peer_limits::{self, GivenUp};
+use super::peer_limits::GivenUp;
 use super::refusal::Refusal;
 use super::request::{Exchange, Request};
 use super::response::{self, Close, Outcome};
@@ -69,7 +69,8 @@
 /// Refuses a connection that there is no room for. Nothing of it has been read.
 fn refuse_connection(site: &Site, stream: &TcpStream, why: Exhausted) {
     site.report_given_up(GivenUp::CallerConn, why);
-    let refusal = Refusal::not_run("too many connections", peer_limits::retry_after());
+    let refusal =
+        Refusal::not_run("too many connections", peer_budget::retry_after(rand::random()));
     if let Err(error) = stream.try_write(&encode(&refusal, true)) {
         tracing::debug!(target: "callers", %error, "refusal of a connection not sent");
     }
@@ -349,7 +350,7 @@
     conn.begin_close();
     let refusal = Refusal::not_run(
         "requests of all callers use up the memory or the connections",
-        peer_limits::retry_after(),
+        peer_budget::retry_after(rand::random()),
     );
     match conn.write(&encode(&refusal, true)).await {
         Ok(()) => Next::Linger,
--- a/crates/router/src/proxy/peer_limits.rs
+++ b/crates/router/src/proxy/peer_limits.rs
@@ -1,6 +1,5 @@
 //! Limits on what this host holds for peers: their memory, and the connections of each port.
 
-use std::cell::Cell;
 use std::time::Duration;
 
 use marjoram_core::host::Capacity;
@@ -8,14 +7,7 @@
 use rustix::process::{Resource, getrlimit};
 
 use super::counters::Counters;
-
-/// Shortest time between log lines about connections that were given up.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Shortest time after which a caller should retry whose connection was given up, and by how much
-/// that time varies, so that those given up together do not return together.
-const MIN_RETRY: Duration = Duration::from_millis(500);
-const RETRY_SPREAD: Duration = Duration::from_secs(1);
+use crate::log_limit::LogLimit;
 
 /// What was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,9 +52,7 @@
     pub hosts: Port,
     /// Memory in the settings, in bytes.
     memory: usize,
-    logged: Cell<Option<Duration>>,
-    /// Connections given up since the last log line.
-    unlogged: Cell<u64>,
+    log: LogLimit,
 }
 
 impl PeerLimits {
@@ -76,8 +66,7 @@
             hosts: budget.port(capacity.host_conns()),
             budget,
             memory,
-            logged: Cell::default(),
-            unlogged: Cell::default(),
+            log: LogLimit::default(),
         }
     }
 
@@ -89,23 +78,13 @@
     /// Counts what was given up, and logs it at most once a second.
     pub fn report(&self, counters: &Counters, what: GivenUp, why: Exhausted, now: Duration) {
         counters.count(what.counter());
-        let count = self.unlogged.get() + 1;
-        if self.logged.get().is_some_and(|logged| now < logged + LOG_INTERVAL) {
-            return self.unlogged.set(count);
-        }
-        self.logged.set(Some(now));
-        self.unlogged.set(0);
+        let Some(count) = self.log.count(now) else { return };
         tracing::warn!(target: "peer_limit", ?what, %why, count, callers = self.callers.conns(),
             status = self.status.conns(), hosts = self.hosts.conns(), bytes = self.budget.used(),
             "connections given up");
     }
 }
 
-/// When a caller should retry whose connection was given up.
-pub fn retry_after() -> Duration {
-    MIN_RETRY + RETRY_SPREAD.mul_f64(rand::random())
-}
-
 /// `capacity`, with no more descriptors than the system lets the process open.
 pub fn within_system_limit(capacity: Capacity) -> Capacity {
     let system = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
--- a/crates/router/src/request_limits.rs
+++ b/crates/router/src/request_limits.rs
@@ -1,5 +1,6 @@
 //! Limits on what the own interface holds for callers and other routers together.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,7 @@
 use crate::answer_memory::AnswerMemory;
 use crate::caller_conns::{CallerConns, RequestOnConn};
 use crate::error::Error;
+use crate::log_limit::LogLimit;
 use crate::options::Settings;
 
 /// How often the bytes of a request in progress are kept: as parsed, and encoded for an engine,
@@ -45,6 +47,7 @@
     pub backlog: u32,
     /// Tunnels that may be served at the same time.
     pub tunnels: usize,
+    log: LogLimit,
 }
 
 impl RequestLimits {
@@ -64,6 +67,14 @@
             answers: AnswerMemory::new(capacity.buffered_bytes()),
             backlog: capacity.accept_backlog(),
             tunnels: capacity.tunnels(),
+            log: LogLimit::default(),
+        }
+    }
+
+    /// Logs that `what` was given up at `now`, at most once a second.
+    pub fn report(&self, what: &str, why: &impl Display, now: Duration) {
+        if let Some(count) = self.log.count(now) {
+            tracing::warn!(target: "serve", "serve: {what}: {why}; {count} since the last such line.");
         }
     }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -117,16 +117,22 @@
 ) -> Result<(Bytes, HeldRequest), Error> {
     let limit = node.settings.body_limit();
     let read = node.request_limits.read(payload, limit, &serving.peer, serving.conn()).await;
-    if let Err(Error::Exhausted(..)) = &read {
+    if let Err(error @ Error::Exhausted(..)) = &read {
         node.counters.exhausted.fetch_add(1, Ordering::Relaxed);
+        node.request_limits.report("request refused", error, node.uptime());
     }
     read
 }
 
 fn reply_error(error: &Error) -> HttpResponse {
     let mut builder = HttpResponse::build(error.status());
-    if let Some(wait) = error.retry_after() {
-        builder.header("retry-after", wait.as_secs_f64().ceil().max(1.0).to_string());
+    if let Some(seconds) = retry_seconds(error) {
+        builder.header("retry-after", seconds.to_string());
     }
     builder.json(&error.body())
 }
+
+/// When the caller may retry after `error`, in whole seconds.
+fn retry_seconds(error: &Error) -> Option<u64> {
+    error.retry_after().map(|wait| wait.as_secs_f64().ceil().max(1.0) as u64)
+}
--- a/crates/router/src/serve/callers.rs
+++ b/crates/router/src/serve/callers.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::{complete, route, service, state};
+use super::{complete, retry_seconds, route, service, state};
 use crate::caller_conns::CallerConn;
 use crate::error::Error;
 use crate::node::Node;
@@ -101,10 +101,11 @@
 fn refuse(node: &Node, stream: &TcpStream, addr: SocketAddr, why: Exhausted) {
     node.counters.conns_refused.fetch_add(1, Ordering::Relaxed);
     let error = Error::Exhausted(addr.to_string(), why);
-    tracing::debug!(target: "serve", "serve: connection refused: {error}.");
+    node.request_limits.report("connection refused", &error, node.uptime());
     let body = serde_json::to_string(&error.body()).unwrap_or_default();
+    let seconds = retry_seconds(&error).unwrap_or_default();
     let answer = format!(
-        "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\n\
+        "HTTP/1.1 503 Service Unavailable\r\nretry-after: {seconds}\r\nconnection: close\r\n\
          content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
@@ -190,7 +191,11 @@
         };
         if let Some(why) = given_up {
             self.node.counters.idle_closed.fetch_add(1, Ordering::Relaxed);
-            tracing::debug!(target: "serve", "serve: connection closed for another one: {why}.");
+            self.node.request_limits.report(
+                "connection closed for others",
+                &why,
+                self.node.uptime(),
+            );
             io_ref.force_close();
             let _ = served.await;
         }
