Own interface: short answers of services need no memory reserved

Callers saw: nothing yet. Since an answer in chunks reserved 256 KiB whatever its length, so that at most 55 short ones that a slow service sends in chunks were read at the same time on hosts of 88 MB. Found by reading.

Change: memory is reserved once an answer has grown beyond 16 KB.

Why it works: each answer still reserves once, for all that it may have, so that none waits for another that waits.

--- a/crates/router/src/answer_memory.rs
+++ b/crates/router/src/answer_memory.rs
@@ -8,7 +8,7 @@
 pub const MAX_ANSWER_SIZE: usize = 256 << 10;
 
 /// Longest answer for which no memory is reserved, in bytes.
-const SMALL_SIZE: usize = 16 << 10;
+pub const SMALL_ANSWER_SIZE: usize = 16 << 10;
 
 /// Bytes by which memory is reserved.
 const UNIT: usize = 1 << 10;
@@ -25,12 +25,8 @@
 
     /// Waits until there is memory for an answer of `size` bytes, at most [`MAX_ANSWER_SIZE`].
     pub async fn reserve(&self, size: usize) -> ReservedMemory {
-        let units = units(size);
-        match units {
-            0 => ReservedMemory(None),
-            // Err: the semaphore is closed, which it never is.
-            _ => ReservedMemory(self.0.clone().acquire_many_owned(units).await.ok()),
-        }
+        // Err: the semaphore is closed, which it never is.
+        ReservedMemory(self.0.clone().acquire_many_owned(units(size)).await.ok())
     }
 
     /// Reserves memory in addition to `reserved` for an answer that has grown to `size` bytes.
@@ -53,7 +49,7 @@
 /// The units to reserve for an answer of `size` bytes.
 fn units(size: usize) -> u32 {
     match size {
-        ..=SMALL_SIZE => 0,
+        ..=SMALL_ANSWER_SIZE => 0,
         _ => size.div_ceil(UNIT) as u32,
     }
 }
--- a/crates/router/src/at_most_once/answer.rs
+++ b/crates/router/src/at_most_once/answer.rs
@@ -1,7 +1,7 @@
 //! Reads the answer of a plain service, whole or not at all.
 //!
-//! Answers that are longer than a few kilobytes wait until there is memory for them: with many of
-//! them at the same time the services are read more slowly.
+//! Answers wait after a few kilobytes until there is memory for the rest: with many long ones at the
+//! same time the services are read more slowly.
 //!
 //! The HTTP client takes the body of an HTTP/1.1 answer without a length for empty, and ignores chunks
 //! in HTTP/1.0 and the length of an answer that offers another protocol. It also returns interim
@@ -14,12 +14,12 @@
 use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, TRANSFER_ENCODING};
 use ntex::http::{StatusCode, Version};
 
-use crate::answer_memory::{AnswerMemory, MAX_ANSWER_SIZE, ReservedMemory};
+use crate::answer_memory::{AnswerMemory, MAX_ANSWER_SIZE, ReservedMemory, SMALL_ANSWER_SIZE};
 
 /// An answer that has been read, for which memory is reserved until it is dropped.
 pub struct Received {
     pub answer: Answer,
-    _memory: ReservedMemory,
+    _memory: Option<ReservedMemory>,
 }
 
 /// The end of a body as the head states it.
@@ -31,8 +31,8 @@
     Checked,
 }
 
-/// Reads the whole answer once `memory` has room for it. Fails with the reason if it is invalid, or if
-/// its end is not known.
+/// Reads the whole answer, a long one once `memory` has room for it. Fails with the reason if it is
+/// invalid, or if its end is not known.
 pub async fn read(mut response: ClientResponse, memory: &AnswerMemory) -> Result<Received, String> {
     let status = response.status();
     if status.is_informational() || !STATUSES.contains(&status.as_u16()) {
@@ -40,24 +40,29 @@
     }
     let end = stated_end(&response).ok_or_else(|| format!("status {status} without a length"))?;
     let kind = header(&response, CONTENT_TYPE).map(str::to_owned);
-    let (stated, reserved) = match end {
-        End::Length(length) => (Some(length), length),
-        End::Checked => (None, MAX_ANSWER_SIZE),
+    let due = match end {
+        End::Length(length) => length,
+        End::Checked => MAX_ANSWER_SIZE,
     };
-    if reserved > MAX_ANSWER_SIZE {
-        return Err(format!("{reserved} bytes where {MAX_ANSWER_SIZE} are allowed"));
+    if due > MAX_ANSWER_SIZE {
+        return Err(format!("{due} bytes where {MAX_ANSWER_SIZE} are allowed"));
     }
-    let reserved = memory.reserve(reserved).await;
-    let mut body = Vec::with_capacity(stated.unwrap_or_default());
+    let (mut body, mut reserved) = (Vec::new(), None);
     while let Some(bytes) = response.next().await {
         let bytes = bytes.map_err(|e| e.to_string())?;
-        if body.len() + bytes.len() > MAX_ANSWER_SIZE {
+        let size = body.len() + bytes.len();
+        if size > MAX_ANSWER_SIZE {
             return Err(format!("more than {MAX_ANSWER_SIZE} bytes"));
         }
+        if reserved.is_none() && size > SMALL_ANSWER_SIZE {
+            let due = due.max(size);
+            reserved = Some(memory.reserve(due).await);
+            body.reserve_exact(due - body.len());
+        }
         body.extend_from_slice(&bytes);
     }
-    match stated {
-        Some(length) if body.len() != length => {
+    match end {
+        End::Length(length) if body.len() != length => {
             Err(format!("{} bytes where {length} are due", body.len()))
         }
         _ => {
