--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+command -v python3 > /dev/null || exit 2
+[ -x ../../target/release/marjoram ] || exit 2
+exec timeout -k 2 118 python3 -B case.py
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -297,6 +297,20 @@
             self.write_entry()
             await asyncio.sleep(1.2)
 
+    def crash(self):
+        """Ends at once; its entry is removed after three heartbeats of silence."""
+        self.record(self.ident, "crashes")
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.conns):
+            reset(writer)
+
+        async def expire():
+            await asyncio.sleep(3.6)
+            self.store.put("keyed.servers", self.ident, None)
+
+        asyncio.ensure_future(expire())
+
     async def connection(self, reader, writer):
         self.conns.add(writer)
         try:
