--- a/review/9/case.py
+++ b/review/9/case.py
@@ -101,4 +101,7 @@
             "final fault" % (sum(after), len(after), sum(before), len(before))] if sum(after) * 4 < len(after) else []
 
 
-s.main(os.path.dirname(os.path.abspath(__file__)), case)
+# Without the disruption if TROUBLE=0.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+s.main(os.path.dirname(os.path.abspath(__file__)), case, TROUBLE)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -548,10 +548,9 @@
     return await asyncio.wait_for(exchange(), limit)
 
 
-def main(folder, case):
-    """Runs `case(record, temporary folder, trouble)`; it returns the broken promises."""
+def main(folder, case, trouble):
+    """Runs `case(record, temporary folder, trouble, routers)`; it returns the broken promises."""
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble" if trouble else "no trouble")
     code = 2
     routers = []
